--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! cicada.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,11 @@
+//! Decisions, protocols and state of cicadastream, without its processes.
+//!
+//! Decision modules know neither network nor clock: time, randomness and views are passed in.
+
+mod macros;
+
+pub mod backend;
+pub mod ids;
+pub mod outcome;
+pub mod platform;
+pub mod time;
--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test support.
