--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod backend;
 pub mod ids;
+pub mod load;
 pub mod outcome;
 pub mod platform;
 pub mod time;
