--- a/lib/src/platform.rs
+++ b/lib/src/platform.rs
@@ -75,6 +75,8 @@
         pub role: HostRole,
         /// Where the system's other processes reach its process, over TCP and over UDP.
         pub address: SocketAddr,
+        /// Where operators' tools read its state (`/status`, `/metrics`) over HTTP.
+        pub status: SocketAddr,
         /// The service of its backend server; empty for an entry.
         pub service: Name,
         /// The region.
