--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,4 +9,7 @@
 pub mod load;
 pub mod outcome;
 pub mod platform;
+pub mod preset;
+pub mod scheduler;
+pub mod settings;
 pub mod time;
