--- /dev/null
+++ b/daemon/src/record.rs
@@ -0,0 +1,190 @@
+//! What an agent keeps of one request, and the readers of its stream.
+
+use std::collections::HashMap;
+
+use cicada_lib::backend::CallAnswer;
+use cicada_lib::claims::ClaimTicket;
+use cicada_lib::ids::Attempt;
+use cicada_lib::ids::Name;
+use cicada_lib::ids::RequestId;
+use cicada_lib::outcome::Outcome;
+use cicada_lib::scheduler::JobKey;
+use cicada_lib::time::Time;
+use cicada_lib::transcript::Transcript;
+use cicada_lib::wire::StreamFrame;
+use cicada_lib::wire::ToEntry;
+use cicada_lib::wire::Work;
+use slotmap::SlotMap;
+use tokio::sync::mpsc;
+
+slotmap::new_key_type! {
+    /// A request in the agent's memory.
+    pub(crate) struct RecordKey;
+
+    /// A connection from an entry.
+    pub(crate) struct ConnKey;
+}
+
+/// Where a request stands.
+#[derive(Debug)]
+pub(crate) enum Stage {
+    /// The store is asked whether its key is free. Nothing runs yet.
+    Claiming,
+    /// It waits; only the scheduler can start it.
+    Queued(JobKey),
+    /// It was handed to the backend server.
+    Running(JobKey),
+    /// It was taken over from an agent process that is gone; the scheduler does not know it.
+    Adopted,
+    /// It is over.
+    Ended(Outcome),
+}
+
+/// Who reads a stream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reader {
+    /// The connection.
+    pub(crate) conn: ConnKey,
+    /// The stream's number on it.
+    pub(crate) stream: u32,
+    /// The index of the next token to send.
+    pub(crate) next: u32,
+    /// Tokens that may be sent before more credit comes.
+    pub(crate) credit: u32,
+    /// Whether the answer of a plain call was sent.
+    pub(crate) answered: bool,
+}
+
+/// One request.
+pub(crate) struct Record {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// The latest try that came here.
+    pub(crate) attempt: Attempt,
+    /// The workspace that is charged.
+    pub(crate) workspace: Name,
+    /// The claim on the caller's key.
+    pub(crate) claim: Option<ClaimTicket>,
+    /// The work; taken when it starts.
+    pub(crate) work: Option<Work>,
+    /// When the caller no longer wants the answer.
+    pub(crate) deadline: Time,
+    /// Tokens that the workspace got elsewhere.
+    pub(crate) elsewhere: u64,
+    /// Where it stands.
+    pub(crate) stage: Stage,
+    /// The tokens; `None` until the generation starts, and for plain calls.
+    pub(crate) transcript: Option<Transcript>,
+    /// The answer of a plain call.
+    pub(crate) answer: Option<CallAnswer>,
+    /// How often it was displaced.
+    pub(crate) preemptions: u32,
+    /// Who reads it.
+    pub(crate) readers: Vec<Reader>,
+    /// Since when nobody reads it; `None` while somebody does.
+    pub(crate) unread: Option<Time>,
+    /// When it ended.
+    pub(crate) ended: Option<Time>,
+}
+
+impl Record {
+    /// Whether it is over.
+    pub(crate) fn is_ended(&self) -> bool {
+        matches!(self.stage, Stage::Ended(_))
+    }
+
+    /// Whether every reader has had all of it.
+    pub(crate) fn is_read(&self) -> bool {
+        self.is_ended() && self.readers.is_empty()
+    }
+}
+
+/// The open connections from entries.
+#[derive(Default)]
+pub(crate) struct Conns {
+    conns: SlotMap<ConnKey, mpsc::UnboundedSender<ToEntry>>,
+}
+
+impl Conns {
+    /// Adds a connection. Its channel needs no bound of its own: credit bounds the tokens of each
+    /// stream, and [`MAX_STREAMS`] the streams.
+    pub(crate) fn add(&mut self, tx: mpsc::UnboundedSender<ToEntry>) -> ConnKey {
+        self.conns.insert(tx)
+    }
+
+    /// Removes a connection.
+    pub(crate) fn remove(&mut self, conn: ConnKey) {
+        self.conns.remove(conn);
+    }
+
+    /// Sends a frame of a stream. A connection that is gone loses it; its reader attaches anew.
+    pub(crate) fn send(&self, conn: ConnKey, stream: u32, frame: StreamFrame) {
+        self.send_frame(conn, ToEntry::Stream(stream, frame));
+    }
+
+    /// Sends a frame.
+    pub(crate) fn send_frame(&self, conn: ConnKey, frame: ToEntry) {
+        if let Some(tx) = self.conns.get(conn) {
+            let _ = tx.send(frame);
+        }
+    }
+
+    /// Sends a frame on every connection.
+    pub(crate) fn broadcast(&self, frame: &ToEntry) {
+        for tx in self.conns.values() {
+            let _ = tx.send(frame.clone());
+        }
+    }
+}
+
+/// The most streams that one connection may have open.
+pub(crate) const MAX_STREAMS: usize = 16_384;
+
+/// The requests that an agent remembers.
+#[derive(Default)]
+pub(crate) struct Records {
+    records: SlotMap<RecordKey, Record>,
+    by_request: HashMap<RequestId, RecordKey>,
+}
+
+impl Records {
+    /// Adds a record.
+    pub(crate) fn add(&mut self, record: Record) -> RecordKey {
+        let request = record.request;
+        let key = self.records.insert(record);
+        self.by_request.insert(request, key);
+        key
+    }
+
+    /// Finds a request.
+    pub(crate) fn find(&self, request: RequestId) -> Option<RecordKey> {
+        self.by_request.get(&request).copied()
+    }
+
+    /// A record.
+    pub(crate) fn at(&self, key: RecordKey) -> Option<&Record> {
+        self.records.get(key)
+    }
+
+    /// A record, to change it.
+    pub(crate) fn at_mut(&mut self, key: RecordKey) -> Option<&mut Record> {
+        self.records.get_mut(key)
+    }
+
+    /// Forgets a record.
+    pub(crate) fn remove(&mut self, key: RecordKey) -> Option<Record> {
+        let record = self.records.remove(key)?;
+        self.by_request.remove(&record.request);
+        Some(record)
+    }
+
+    /// Every record.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (RecordKey, &Record)> {
+        self.records.iter()
+    }
+
+    /// How many there are.
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+}
--- /dev/null
+++ b/lib/src/daemon_keys.rs
@@ -0,0 +1,169 @@
+//! The table of the daemon's settings.
+
+use std::net::SocketAddr;
+
+/// What a key's value must look like.
+#[derive(Clone, Copy, Debug)]
+pub enum Kind {
+    /// A name.
+    Name,
+    /// A name, or nothing.
+    OptionalName,
+    /// An IP address with a port.
+    Address,
+    /// An IP address with a port, or nothing.
+    OptionalAddress,
+    /// The path of a file that is there.
+    Path,
+    /// A whole number within bounds.
+    Count {
+        /// The smallest.
+        min: u64,
+        /// The largest.
+        max: u64,
+    },
+    /// Milliseconds within bounds.
+    Millis {
+        /// The shortest.
+        min: u64,
+        /// The longest.
+        max: u64,
+    },
+    /// One of some words.
+    Choice(&'static [&'static str]),
+}
+
+/// One setting.
+#[derive(Clone, Copy, Debug)]
+pub struct Key {
+    /// The section.
+    pub section: &'static str,
+    /// The key.
+    pub name: &'static str,
+    /// Kind and bound.
+    pub kind: Kind,
+    /// The text that holds where the key is absent; empty where it must be given.
+    pub default: &'static str,
+    /// What it means, and the grounds of its default.
+    pub doc: &'static str,
+}
+
+const LONGEST_NAME: usize = 63;
+
+impl Kind {
+    /// Checks a value, and says what is wrong with it.
+    pub fn check(&self, text: &str) -> Result<(), String> {
+        match self {
+            Kind::Name if text.is_empty() => Err("is missing".into()),
+            Kind::OptionalName | Kind::OptionalAddress if text.is_empty() => Ok(()),
+            Kind::Name | Kind::OptionalName => check_name(text),
+            Kind::Address if text.is_empty() => Err("is missing".into()),
+            Kind::Address | Kind::OptionalAddress => check_address(text),
+            Kind::Path if text.is_empty() => Err("is missing".into()),
+            Kind::Path => check_path(text),
+            Kind::Count { min, max } | Kind::Millis { min, max } => check_count(text, *min, *max),
+            Kind::Choice(words) if words.contains(&text) => Ok(()),
+            Kind::Choice(_) => Err(format!("`{text}` is none of the words")),
+        }
+    }
+}
+
+impl Key {
+    /// What to do about a value that does not fit.
+    pub fn remedy(&self) -> String {
+        format!("give a {}", self.kind)
+    }
+}
+
+fn check_name(text: &str) -> Result<(), String> {
+    let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
+    if text.len() <= LONGEST_NAME && text.chars().all(fits) {
+        Ok(())
+    } else {
+        Err(format!("`{text}` is no name"))
+    }
+}
+
+fn check_address(text: &str) -> Result<(), String> {
+    match text.parse::<SocketAddr>() {
+        Ok(_) => Ok(()),
+        Err(_) => Err(format!("`{text}` is no IP address with a port")),
+    }
+}
+
+fn check_path(text: &str) -> Result<(), String> {
+    match std::fs::metadata(text) {
+        Ok(meta) if meta.is_file() => Ok(()),
+        Ok(_) => Err(format!("`{text}` is no file")),
+        Err(err) => Err(format!("`{text}` cannot be read ({err})")),
+    }
+}
+
+fn check_count(text: &str, min: u64, max: u64) -> Result<(), String> {
+    match text.parse::<u64>() {
+        Ok(count) if (min..=max).contains(&count) => Ok(()),
+        Ok(count) => Err(format!("{count} is out of bounds")),
+        Err(_) if text.is_empty() => Err("is missing".into()),
+        Err(_) => Err(format!("`{text}` is no whole number")),
+    }
+}
+
+const fn key(
+    section: &'static str,
+    name: &'static str,
+    kind: Kind,
+    default: &'static str,
+    doc: &'static str,
+) -> Key {
+    Key {
+        section,
+        name,
+        kind,
+        default,
+        doc,
+    }
+}
+
+/// Every setting, by section.
+#[rustfmt::skip]
+pub const KEYS: &[Key] = &[
+    key("process", "name", Kind::Name, "", "Name of the host, as in the platform's list."),
+    key("process", "role", Kind::Choice(&["entry", "agent"]), "entry", "What the process does."),
+    key("process", "region", Kind::Name, "", "Region of the host."),
+    key("process", "zone", Kind::Name, "", "Availability zone of the host."),
+    key("process", "peer", Kind::Address, "", "Where the system's other processes reach this one, TCP and UDP."),
+    key("process", "status", Kind::Address, "", "Where `/status`, `/healthz`, `/readyz` and `/metrics` are served. Not for callers."),
+    key("process", "peer_key_file", Kind::Path, "", "File with the key that all processes of the system share; 32 bytes or more."),
+    key("process", "threads", Kind::Count { min: 1, max: 64 }, "2", "Threads for traffic, besides the one for control state."),
+    key("platform", "address", Kind::Address, "", "The platform's object API."),
+    key("platform", "token_file", Kind::Path, "", "File with the bearer token for the platform."),
+    key("platform", "hosts_poll", Kind::Millis { min: 200, max: 60_000 }, "5000", "How often the list of hosts is read. The list itself lags by seconds, so that a shorter time buys nothing."),
+    key("platform", "config_wait", Kind::Millis { min: 200, max: 60_000 }, "20000", "How long one watch on the configuration waits; each counts as one call."),
+    key("entry", "listen", Kind::OptionalAddress, "", "Where callers are served. Needed by an entry."),
+    key("entry", "max_body", Kind::Count { min: 1_024, max: 16_777_216 }, "1048576", "Largest request body, in bytes."),
+    key("entry", "send_time", Kind::Millis { min: 100, max: 600_000 }, "10000", "Time for a caller to send a whole request."),
+    key("entry", "default_deadline", Kind::Millis { min: 100, max: 3_600_000 }, "300000", "Deadline of a request that names none."),
+    key("entry", "attempts", Kind::Count { min: 1, max: 10 }, "4", "Most attempts for one request. Only attempts that did not run are followed by another."),
+    key("entry", "resume_window", Kind::Millis { min: 100, max: 120_000 }, "10000", "How long a stream tries to go on over new connections. The agent keeps it for [agent] linger."),
+    key("agent", "linger", Kind::Millis { min: 0, max: 600_000 }, "15000", "How long a stream that nobody reads goes on before it is cancelled. Longer than [entry] resume_window, so that a live entry is never too late."),
+    key("agent", "replay", Kind::Millis { min: 0, max: 3_600_000 }, "60000", "How long a stream that ended can be resumed."),
+    key("agent", "max_records", Kind::Count { min: 100, max: 1_000_000 }, "20000", "Most requests remembered, ended ones included. Oldest ended ones go first."),
+    key("backend", "kind", Kind::Choice(&["engine", "service"]), "engine", "What stands behind an agent."),
+    key("backend", "service", Kind::OptionalName, "", "Service of the backend server. Needed by an agent."),
+    key("backend", "address", Kind::OptionalAddress, "", "Where the backend server listens. Needed by an agent."),
+    key("backend", "max_batch", Kind::Count { min: 1, max: 4_096 }, "32", "Most requests that run at once."),
+    key("backend", "max_queued", Kind::Count { min: 0, max: 100_000 }, "512", "Most requests that wait. The expected wait bounds them earlier; this bounds memory."),
+    key("backend", "max_wait", Kind::Millis { min: 10, max: 600_000 }, "20000", "Longest expected wait at which a request is still taken."),
+    key("backend", "objective", Kind::Choice(&["stall", "gap"]), "stall", "What is weighed first: stall time, or the gap between tokens."),
+    key("backend", "fencing", Kind::Choice(&["checked", "ignored"]), "checked", "Whether the backend server refuses orders with an old fencing number."),
+    key("backend", "poll", Kind::Millis { min: 20, max: 60_000 }, "250", "How often the backend server's load is read."),
+    key("backend", "silent", Kind::Millis { min: 100, max: 600_000 }, "3000", "A running stream of an engine that is silent for longer is attached anew."),
+    key("link", "heartbeat", Kind::Millis { min: 50, max: 60_000 }, "1000", "Time between heartbeats on a connection between processes."),
+    key("link", "silent", Kind::Millis { min: 150, max: 120_000 }, "3000", "A connection that is silent for longer is replaced. Three beats: one may be lost and one late."),
+    key("link", "connect_time", Kind::Millis { min: 10, max: 60_000 }, "1000", "Time to open a connection, the exchange of hellos included."),
+    key("link", "credit", Kind::Count { min: 8, max: 4_096 }, "128", "Tokens that an agent may send on a stream beyond what its caller has read."),
+    key("drain", "notice", Kind::Millis { min: 0, max: 60_000 }, "2000", "After the first SIGTERM: time in which readiness fails and callers are still taken, so that the balancer turns away first."),
+    key("drain", "limit", Kind::Millis { min: 0, max: 86_400_000 }, "3600000", "Longest wait for requests in flight. What is cut then is named in the log."),
+    key("log", "format", Kind::Choice(&["text", "json"]), "text", "Form of the log's lines."),
+    key("log", "level", Kind::Choice(&["error", "warn", "info", "debug"]), "info", "Least severe lines that are written."),
+];
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,9 @@
 mod macros;
 
 pub mod backend;
+pub mod daemon_keys;
+pub mod daemon_settings;
+pub mod handshake;
 pub mod ids;
 pub mod load;
 pub mod outcome;
@@ -13,3 +16,5 @@
 pub mod scheduler;
 pub mod settings;
 pub mod time;
+pub mod transcript;
+pub mod wire;
