--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,12 @@
 mod macros;
 
 pub mod backend;
+pub mod config;
+pub mod config_check;
+pub mod config_chunks;
+pub mod config_edit;
+pub mod config_plan;
+pub mod config_store;
 pub mod daemon_keys;
 pub mod daemon_settings;
 pub mod handshake;
@@ -14,6 +20,7 @@
 pub mod platform;
 pub mod preset;
 pub mod scheduler;
+pub mod secrets;
 pub mod settings;
 pub mod time;
 pub mod transcript;
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,1 +1,3 @@
 //! Test support.
+
+pub mod memory_platform;
