--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,6 +4,11 @@
 
 mod macros;
 
+mod reach;
+mod score;
+mod service;
+mod subset;
+
 pub mod backend;
 pub mod config;
 pub mod config_check;
@@ -14,23 +19,23 @@
 pub mod daemon_keys;
 pub mod daemon_settings;
 pub mod ejection;
+pub mod engine_http;
 pub mod handshake;
+pub mod http_client;
 pub mod ids;
 pub mod load;
 pub mod outcome;
 pub mod platform;
+pub mod platform_http;
 pub mod prefix_index;
 pub mod preset;
-mod reach;
 pub mod retry_budget;
 pub mod router;
 pub mod routing;
 pub mod scheduler;
-mod score;
 pub mod secrets;
-mod service;
+pub mod service_http;
 pub mod settings;
-mod subset;
 pub mod time;
 pub mod transcript;
 pub mod wire;
