--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,3 +1,18 @@
-//! Test support.
+//! Stand-ins for what surrounds the system, a fault-injecting proxy, and a runner of processes, for
+//! tests and trials on one machine.
 
+pub mod cluster;
+pub mod engine;
+pub mod engine_core;
+pub mod http_call;
+pub mod http_server;
 pub mod memory_platform;
+pub mod object_store;
+pub mod platform;
+pub mod prefix_cache;
+pub mod proxy;
+pub mod proxy_admin;
+pub mod rate;
+pub mod service;
+pub mod token_text;
+pub mod weight_store;
