--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,12 +4,8 @@
 
 mod macros;
 
-mod reach;
-mod score;
-mod service;
-mod subset;
-
 pub mod backend;
+mod choice;
 pub mod config;
 pub mod config_check;
 pub mod config_chunks;
@@ -23,19 +19,25 @@
 pub mod handshake;
 pub mod http_client;
 pub mod ids;
+pub mod limiter;
 pub mod load;
 pub mod outcome;
 pub mod platform;
 pub mod platform_http;
 pub mod prefix_index;
 pub mod preset;
+mod reach;
 pub mod retry_budget;
 pub mod router;
 pub mod routing;
 pub mod scheduler;
+mod score;
 pub mod secrets;
+mod service;
 pub mod service_http;
 pub mod settings;
+mod subset;
+pub mod suspects;
 pub mod time;
 pub mod transcript;
 pub mod wire;
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -15,6 +15,7 @@
 use slotmap::SlotMap;
 
 use crate::backend::CacheEvent;
+use crate::choice::Choice;
 use crate::ids::Name;
 use crate::load::LoadSummary;
 use crate::outcome::NotRun;
@@ -30,22 +31,13 @@
 use crate::routing::ServerKey;
 use crate::routing::ServerState;
 use crate::routing::ServerView;
-use crate::routing::Standing;
 use crate::service::Server;
 use crate::service::ServiceState;
-use crate::subset::Pool;
 use crate::subset::SubsetRule;
 use crate::subset::hash_name;
 use crate::time::Time;
 use crate::zone_cost::ZoneCost;
 
-/// When to come back where all servers are leaving or unreachable: replacements and probes take about
-/// this long.
-const RECOVERY: Duration = Duration::from_secs(2);
-
-/// Times that a sampled server may be passed over before the subset is read in order.
-const SAMPLES: usize = 3;
-
 /// The fewest tokens whose time tells a server's pace: with fewer, the wait before the first one is
 /// most of it.
 const PACE_TOKENS: u32 = 8;
@@ -169,20 +161,12 @@
         rng: &mut fastrand::Rng,
     ) -> Result<ServerKey, NotRun> {
         self.sweep(now, ask.service);
-        if let Some(server) = self.keyed(now, ask) {
-            return Ok(server);
+        let order = self.order(ask);
+        let choice = self.choice(now, ask)?;
+        match choice.first(&order) {
+            Some(server) => Ok(server),
+            None => choice.best(rng),
         }
-        let service = self.services.get(ask.service);
-        let service = service.ok_or_else(|| refuse(RefusalReason::ServiceUnknown, None))?;
-        let pool = service.pools.get(ask.model);
-        let pool = pool.ok_or_else(|| refuse(RefusalReason::NotPlaced, None))?;
-        let mut best = Best::default();
-        self.sample_local(now, ask, service, pool, rng, &mut best);
-        self.add_holders(now, ask, service, pool, &mut best);
-        self.add_remote(now, ask, service, pool, rng, &mut best);
-        best.server
-            .or_else(|| self.any(now, ask, service, pool, rng))
-            .ok_or_else(|| self.no_server(pool))
     }
 
     /// The request was handed to the server.
@@ -274,16 +258,10 @@
 
     /// Every member for the request's model, best first. Takes O(n log n); for operators.
     pub fn explain(&self, now: Time, ask: &Ask<'_>) -> Vec<Candidate> {
-        let service = self.services.get(ask.service);
-        let Some((service, pool)) = service.and_then(|s| Some((s, s.pools.get(ask.model)?))) else {
-            return Vec::new();
-        };
-        let members = pool.members();
-        let mut candidates: Vec<Candidate> = members
-            .map(|key| self.candidate(now, ask, service, pool, key))
-            .collect();
-        candidates.sort_by_key(|c| (c.standing != Standing::Usable, c.score));
-        candidates
+        match self.choice(now, ask) {
+            Ok(choice) => choice.candidates(),
+            Err(_) => Vec::new(),
+        }
     }
 
     fn set_server(&mut self, now: Time, view: &ServerView, slowly: bool) -> bool {
@@ -341,272 +319,32 @@
         }
     }
 
-    fn keyed(&mut self, now: Time, ask: &Ask<'_>) -> Option<ServerKey> {
-        let affinity = ask.affinity?;
-        let service = self.services.get_mut(ask.service)?;
-        let pool = service.pools.get_mut(ask.model)?;
-        let order = pool.order(affinity).to_vec();
-        let service = self.services.get(ask.service)?;
-        let usable = |key: &ServerKey| self.standing(now, ask, service, *key) == Standing::Usable;
-        order.into_iter().find(usable)
-    }
-
-    fn sample_local(
-        &self,
-        now: Time,
-        ask: &Ask<'_>,
-        service: &ServiceState,
-        pool: &Pool,
-        rng: &mut fastrand::Rng,
-        best: &mut Best,
-    ) {
-        let local = &pool.local;
-        if local.is_empty() || self.reach.avoids_region(now, &self.settings.region) {
-            return;
-        }
-        let mut found = 0;
-        for _ in 0..self.settings.choices * SAMPLES {
-            let key = local[rng.usize(..local.len())];
-            if best.seen(key) || !self.takes(now, ask, service, key, rng) {
-                continue;
-            }
-            best.offer(key, self.score(now, ask, service, key));
-            found += 1;
-            if found == self.settings.choices {
-                return;
-            }
-        }
-        if found > 0 {
-            return;
-        }
-        let start = rng.usize(..local.len());
-        let (after, before) = local.split_at(start);
-        let mut scan = before.iter().chain(after);
-        let usable = |key: &&ServerKey| self.standing(now, ask, service, **key) == Standing::Usable;
-        if let Some(key) = scan.find(usable) {
-            best.offer(*key, self.score(now, ask, service, *key));
-        }
-    }
-
-    fn add_holders(
-        &self,
-        now: Time,
-        ask: &Ask<'_>,
-        service: &ServiceState,
-        pool: &Pool,
-        best: &mut Best,
-    ) {
-        for key in self.prefixes.holders(ask.prefix) {
-            let may = pool.holds(*key) && !best.seen(*key);
-            if may && self.crosses(now, *key) && self.is_usable(now, ask, service, *key) {
-                best.offer(*key, self.score(now, ask, service, *key));
-            }
-        }
-    }
-
-    fn add_remote(
-        &self,
-        now: Time,
-        ask: &Ask<'_>,
-        service: &ServiceState,
-        pool: &Pool,
-        rng: &mut fastrand::Rng,
-        best: &mut Best,
-    ) {
-        for region in &pool.remote {
-            let key = region.servers[rng.usize(..region.servers.len())];
-            let may = !best.seen(key) && self.crosses(now, key);
-            if may && self.takes(now, ask, service, key, rng) {
-                best.offer(key, self.score(now, ask, service, key));
-            }
-        }
-    }
-
-    /// Any usable server of the subsets, the own region's first, budgets or not.
-    fn any(
-        &self,
-        now: Time,
-        ask: &Ask<'_>,
-        service: &ServiceState,
-        pool: &Pool,
-        rng: &mut fastrand::Rng,
-    ) -> Option<ServerKey> {
-        let remote = pool.remote.iter().map(|r| &r.servers);
-        let lists: Vec<&Vec<ServerKey>> = std::iter::once(&pool.local).chain(remote).collect();
-        for lost in [false, true] {
-            for list in &lists {
-                let servers = list.iter().copied();
-                let reached = servers.filter(|key| self.region_lost(now, *key) == lost);
-                let usable = reached.filter(|key| self.is_usable(now, ask, service, *key));
-                let key = rng.choice(usable.collect::<Vec<_>>());
-                if key.is_some() {
-                    return key;
-                }
-            }
-        }
-        None
-    }
-
-    /// Whether the way there is free: the own region, or a link with bytes left to a region that can
-    /// be reached.
-    fn crosses(&self, now: Time, key: ServerKey) -> bool {
-        let view = &self.servers[key].view;
-        let local = self.cost.is_local(view);
-        !self.region_lost(now, key) && (local || self.cost.has_budget(now, &view.region))
-    }
-
-    fn region_lost(&self, now: Time, key: ServerKey) -> bool {
-        self.reach
-            .avoids_region(now, &self.servers[key].view.region)
-    }
-
-    /// Whether the server is usable, and, while it starts slowly, takes this one.
-    fn takes(
-        &self,
-        now: Time,
-        ask: &Ask<'_>,
-        service: &ServiceState,
-        key: ServerKey,
-        rng: &mut fastrand::Rng,
-    ) -> bool {
-        if !self.is_usable(now, ask, service, key) {
-            return false;
-        }
-        let part = service.ejector.part(now, key);
-        part >= 1.0 || rng.f64() < part
-    }
-
-    fn is_usable(&self, now: Time, ask: &Ask<'_>, service: &ServiceState, key: ServerKey) -> bool {
-        self.standing(now, ask, service, key) == Standing::Usable
-    }
-
-    fn standing(
-        &self,
-        now: Time,
-        ask: &Ask<'_>,
-        service: &ServiceState,
-        key: ServerKey,
-    ) -> Standing {
-        let server = &self.servers[key];
-        if !server.is_ready() {
-            return Standing::Draining;
-        }
-        if ask.tried.contains(&key) {
-            return Standing::Tried;
-        }
-        if service.ejector.is_ejected(key) {
-            return Standing::Ejected;
-        }
-        if server.flow.says_unreachable(now) || self.reach.avoids(now, key) {
-            return Standing::Unreachable;
-        }
-        Standing::Usable
-    }
-
-    fn score(&self, now: Time, ask: &Ask<'_>, service: &ServiceState, key: ServerKey) -> u64 {
-        self.parts(now, ask, service, key).score()
-    }
-
-    fn parts(&self, now: Time, ask: &Ask<'_>, service: &ServiceState, key: ServerKey) -> Parts {
-        let server = &self.servers[key];
-        let tokens = ask.expected_tokens;
-        let estimate = server.flow.estimate(now, tokens, &service.mean);
-        let held = ask.prefix != 0 && self.prefixes.holds(now, key, ask.prefix);
-        let saved = if held {
-            micros(self.settings.prefix_worth)
-        } else {
-            0
-        };
-        Parts {
-            wait: estimate.wait as u64,
-            crowding: estimate.crowding as u64,
-            distance: micros(self.cost.distance(&server.view)),
-            saved,
-            worth: micros(self.settings.prefix_worth),
-        }
-    }
-
-    fn candidate(
-        &self,
-        now: Time,
-        ask: &Ask<'_>,
-        service: &ServiceState,
-        pool: &Pool,
-        key: ServerKey,
-    ) -> Candidate {
-        let view = &self.servers[key].view;
-        let mut standing = self.standing(now, ask, service, key);
-        if standing == Standing::Usable {
-            standing = match () {
-                _ if !pool.holds(key) => Standing::OutsideSubset,
-                _ if self.region_lost(now, key) => Standing::Unreachable,
-                _ if !self.crosses(now, key) => Standing::OverBudget,
-                _ => Standing::Usable,
-            };
-        }
-        let parts = self.parts(now, ask, service, key);
-        Candidate {
-            name: view.name.clone(),
-            region: view.region.clone(),
-            zone: view.zone.clone(),
-            standing,
-            wait: parts.wait,
-            crowding: parts.crowding,
-            distance: parts.distance,
-            saved: parts.saved,
-            score: parts.score(),
-        }
-    }
-
-    /// The refusal where no server can be given the request. Takes O(n); not on the usual path.
-    fn no_server(&self, pool: &Pool) -> NotRun {
-        let mut members = pool.members().map(|key| &self.servers[key]);
-        let leaving = !members.any(Server::is_ready) && pool.members().next().is_some();
-        let reason = if leaving {
-            RefusalReason::Draining
-        } else {
-            RefusalReason::NoBackend
+    /// The order of servers for a keyed call; empty for any other.
+    fn order(&mut self, ask: &Ask<'_>) -> Vec<ServerKey> {
+        let Some(affinity) = ask.affinity else {
+            return Vec::new();
         };
-        refuse(reason, Some(RECOVERY))
-    }
-}
-
-/// The least score so far, and the servers compared.
-#[derive(Debug, Default)]
-struct Best {
-    server: Option<ServerKey>,
-    score: u64,
-    compared: Vec<ServerKey>,
-}
-
-impl Best {
-    fn offer(&mut self, server: ServerKey, score: u64) {
-        self.compared.push(server);
-        if self.server.is_none() || score < self.score {
-            self.server = Some(server);
-            self.score = score;
-        }
-    }
-
-    fn seen(&self, server: ServerKey) -> bool {
-        self.compared.contains(&server)
+        let service = self.services.get_mut(ask.service);
+        let pool = service.and_then(|s| s.pools.get_mut(ask.model));
+        pool.map_or_else(Vec::new, |pool| pool.order(affinity).to_vec())
     }
-}
 
-/// The parts of a score, in microseconds.
-struct Parts {
-    wait: u64,
-    crowding: u64,
-    distance: u64,
-    saved: u64,
-    worth: u64,
-}
-
-impl Parts {
-    /// Never below zero: what is not saved counts as cost.
-    fn score(&self) -> u64 {
-        let cost = self.wait.saturating_add(self.crowding);
-        cost.saturating_add(self.distance) + self.worth.saturating_sub(self.saved)
+    fn choice<'a>(&'a self, now: Time, ask: &'a Ask<'a>) -> Result<Choice<'a>, NotRun> {
+        let service = self.services.get(ask.service);
+        let service = service.ok_or_else(|| refuse(RefusalReason::ServiceUnknown))?;
+        let pool = service.pools.get(ask.model);
+        let pool = pool.ok_or_else(|| refuse(RefusalReason::NotPlaced))?;
+        Ok(Choice {
+            now,
+            ask,
+            settings: &self.settings,
+            servers: &self.servers,
+            service,
+            pool,
+            cost: &self.cost,
+            reach: &self.reach,
+            prefixes: &self.prefixes,
+        })
     }
 }
 
@@ -623,10 +361,6 @@
     }
 }
 
-fn refuse(reason: RefusalReason, retry_after: Option<Duration>) -> NotRun {
-    NotRun::before_dispatch(reason, retry_after)
-}
-
-fn micros(duration: Duration) -> u64 {
-    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+fn refuse(reason: RefusalReason) -> NotRun {
+    NotRun::before_dispatch(reason, None)
 }
--- a/lib/src/service.rs
+++ b/lib/src/service.rs
@@ -82,7 +82,11 @@
         let ready = members.iter().copied().filter(|k| servers[*k].is_ready());
         self.ready = ready.collect();
         self.ejector.bound(now, self.ready.len());
-        let models = members.iter().flat_map(|key| &servers[*key].view.models);
+        // A model whose servers are all gone keeps its empty pool: it is placed, but has no backend.
+        let models = self
+            .members
+            .iter()
+            .flat_map(|key| &servers[*key].view.models);
         let mut models: HashSet<Name> = models.cloned().collect();
         models.insert(Name::default());
         self.pools.clear();
