--- /dev/null
+++ b/lib/tests/suspects.rs
@@ -0,0 +1,204 @@
+//! Requests that end the backend servers which run them.
+
+use cicada_lib::ids::Name;
+use cicada_lib::suspects::CrashId;
+use cicada_lib::suspects::Fingerprint;
+use cicada_lib::suspects::LIFETIME;
+use cicada_lib::suspects::MARKS;
+use cicada_lib::suspects::Mark;
+use cicada_lib::suspects::Suspects;
+use cicada_lib::suspects::Verdict;
+use cicada_lib::time::Time;
+use quickcheck::QuickCheck;
+
+const KILLER: Fingerprint = Fingerprint(1);
+
+fn batch(from: u128, size: u128) -> Vec<Fingerprint> {
+    (from..from + size).map(Fingerprint).collect()
+}
+
+/// Twelve agents, their evidence passed on by entries after each step.
+struct Fleet {
+    agents: Vec<Suspects>,
+    lost: u64,
+    now: Time,
+}
+
+impl Fleet {
+    fn new(agents: usize) -> Self {
+        Fleet {
+            agents: (0..agents).map(|_| Suspects::new()).collect(),
+            lost: 0,
+            now: Time::ZERO,
+        }
+    }
+
+    /// Runs the request at an agent among others; whether it was refused.
+    fn run(&mut self, agent: usize, request: Fingerprint, others: &[Fingerprint]) -> bool {
+        let mut running = vec![request];
+        match self.agents[agent].verdict(self.now, request) {
+            Verdict::Refuse => return true,
+            Verdict::Alone => {}
+            Verdict::Free => running.extend(others),
+        }
+        if running.contains(&KILLER) {
+            self.lost += 1;
+            let crash = CrashId(self.lost);
+            self.agents[agent].crashed(self.now, crash, &running);
+        } else {
+            self.agents[agent].went_well(request);
+        }
+        false
+    }
+
+    fn spread(&mut self) {
+        let all: Vec<Mark> = self
+            .agents
+            .iter()
+            .flat_map(|a| a.marks_since(self.now, 0))
+            .collect();
+        for agent in &mut self.agents {
+            agent.learn(self.now, &all);
+        }
+    }
+}
+
+#[test]
+fn a_killer_sent_again_through_any_entry_costs_two_servers() {
+    // A caller sends a request that crashes each engine, again and again, each time through another
+    // entry to another agent. The first crash makes its batch suspect, the second comes while it runs
+    // alone, and from then on every agent refuses it.
+    let mut fleet = Fleet::new(12);
+    let others = batch(100, 40);
+    let mut refused = 0;
+    for turn in 0..60 {
+        refused += u32::from(fleet.run(turn % 12, KILLER, &others));
+        fleet.spread();
+    }
+    assert_eq!(fleet.lost, 2);
+    assert_eq!(refused, 58);
+}
+
+#[test]
+fn those_who_ran_beside_a_killer_are_cleared_when_it_is_found() {
+    // Forty requests of other callers were in the batch that the killer took down. They are sent
+    // again, and must not wait for an empty engine any longer once it is known which of them it was.
+    let mut fleet = Fleet::new(3);
+    let others = batch(100, 40);
+    fleet.run(0, KILLER, &others);
+    fleet.spread();
+    let now = fleet.now;
+    assert_eq!(fleet.agents[2].verdict(now, others[7]), Verdict::Alone);
+    fleet.run(1, KILLER, &others);
+    fleet.spread();
+    for agent in &fleet.agents {
+        assert_eq!(agent.verdict(now, KILLER), Verdict::Refuse);
+        assert!(
+            others
+                .iter()
+                .all(|f| agent.verdict(now, *f) == Verdict::Free)
+        );
+    }
+}
+
+#[test]
+fn an_innocent_that_goes_well_alone_is_cleared_everywhere() {
+    let mut fleet = Fleet::new(3);
+    let others = batch(100, 2);
+    fleet.run(0, KILLER, &others);
+    fleet.spread();
+    fleet.run(1, others[0], &[]);
+    fleet.spread();
+    assert_eq!(fleet.agents[2].verdict(fleet.now, others[0]), Verdict::Free);
+    assert_eq!(
+        fleet.agents[2].verdict(fleet.now, others[1]),
+        Verdict::Alone
+    );
+}
+
+#[test]
+fn one_crash_alone_is_no_proof() {
+    // Engines also die by themselves. A request that was the only one at such a crash must be given
+    // another run.
+    let mut suspects = Suspects::new();
+    suspects.crashed(Time::ZERO, CrashId(1), &[KILLER]);
+    assert_eq!(suspects.verdict(Time::ZERO, KILLER), Verdict::Alone);
+}
+
+#[test]
+fn the_same_crash_told_twice_counts_once() {
+    let mut suspects = Suspects::new();
+    suspects.crashed(Time::ZERO, CrashId(1), &[KILLER]);
+    let marks = suspects.marks_since(Time::ZERO, 0);
+    suspects.learn(Time::ZERO, &marks);
+    suspects.learn(Time::ZERO, &marks);
+    assert_eq!(suspects.verdict(Time::ZERO, KILLER), Verdict::Alone);
+    assert_eq!(suspects.len(), 1);
+}
+
+#[test]
+fn evidence_ends_and_is_bounded() {
+    let mut suspects = Suspects::new();
+    suspects.crashed(Time::ZERO, CrashId(1), &[KILLER]);
+    let later = Time::ZERO + LIFETIME;
+    assert_eq!(suspects.verdict(later, KILLER), Verdict::Free);
+    for crash in 2..200 {
+        let running = batch(u128::from(crash) * 1_000, 300);
+        suspects.crashed(later, CrashId(crash), &running);
+        assert!(suspects.len() <= MARKS);
+    }
+}
+
+#[test]
+fn fingerprints_tell_service_model_and_prompt_apart() {
+    let of =
+        |s: &str, m: &str, p: &str| Fingerprint::new(&Name::new(s), &Name::new(m), p.as_bytes());
+    assert_eq!(of("a", "b", "c"), of("a", "b", "c"));
+    assert_ne!(of("a", "bc", ""), of("a", "b", "c"));
+    assert_ne!(of("ab", "", "c"), of("a", "b", "c"));
+}
+
+#[test]
+fn marks_give_the_same_verdicts_in_any_order() {
+    fn same(crashes: Vec<(u8, bool)>, order: Vec<usize>) -> bool {
+        let now = Time::from_millis(1);
+        let mut first = Suspects::new();
+        for (i, (who, alone)) in crashes.iter().enumerate() {
+            let who = u128::from(who % 4);
+            let running = if *alone { batch(who, 1) } else { batch(who, 3) };
+            first.crashed(now, CrashId(i as u64), &running);
+            if who == 3 {
+                first.went_well(Fingerprint(3));
+            }
+        }
+        let mut marks = first.marks_since(now, 0);
+        for (i, to) in order.iter().enumerate() {
+            let len = marks.len();
+            if len > 0 {
+                marks.swap(i % len, to % len);
+            }
+        }
+        let mut second = Suspects::new();
+        for mark in &marks {
+            second.learn(now, std::slice::from_ref(mark));
+        }
+        (0..8).all(|f| first.verdict(now, Fingerprint(f)) == second.verdict(now, Fingerprint(f)))
+    }
+    QuickCheck::new()
+        .tests(300)
+        .quickcheck(same as fn(Vec<(u8, bool)>, Vec<usize>) -> bool);
+}
+
+#[test]
+fn ages_travel_in_place_of_times() {
+    // Two processes' clocks have different origins; a mark must end at the same moment in both.
+    let mut agent = Suspects::new();
+    agent.crashed(Time::from_millis(10_000_000), CrashId(1), &[KILLER]);
+    let told = Time::from_millis(10_060_000);
+    let mut entry = Suspects::new();
+    entry.learn(Time::from_millis(100_000), &agent.marks_since(told, 0));
+    let end = Time::from_millis(40_000) + LIFETIME;
+    assert_eq!(entry.verdict(end, KILLER), Verdict::Free);
+    let before = Time::from_millis(39_000) + LIFETIME;
+    assert_eq!(entry.verdict(before, KILLER), Verdict::Alone);
+}
