config: a process never goes back, and commits are model-checked

Two writers, a reader and a collector run in 1,500 seeded interleavings with refusals, answers lost before and after the effect, late writes and crashes. Every version is one change on top of the one before, whole; told 'committed' is committed, once; told otherwise it never takes effect.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backend;
 mod choice;
 pub mod config;
+pub mod config_apply;
 pub mod config_check;
 pub mod config_chunks;
 pub mod config_edit;
--- /dev/null
+++ b/lib/tests/config_model.rs
@@ -0,0 +1,336 @@
+//! A model check of commits: two writers, a reader and a collector in any interleaving, with answers
+//! lost before and after the effect, writes that arrive late, refusals and crashes between any two
+//! steps.
+
+use std::collections::BTreeSet;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Waker;
+use std::time::Duration;
+
+use cicada_lib::config::OperatorConfig;
+use cicada_lib::config::Rights;
+use cicada_lib::config::WorkspaceConfig;
+use cicada_lib::config_apply::ConfigMark;
+use cicada_lib::config_apply::ConfigState;
+use cicada_lib::config_apply::Verdict;
+use cicada_lib::config_chunks::ChunkRef;
+use cicada_lib::config_chunks::Loaded;
+use cicada_lib::config_chunks::Parts;
+use cicada_lib::config_chunks::ROOT_KEY;
+use cicada_lib::config_chunks::Root;
+use cicada_lib::config_chunks::assemble;
+use cicada_lib::config_edit::Action;
+use cicada_lib::config_edit::Change;
+use cicada_lib::config_edit::Edit;
+use cicada_lib::config_edit::WorkspaceField;
+use cicada_lib::config_store::CommitError;
+use cicada_lib::config_store::ConfigStore;
+use cicada_lib::ids::Name;
+use cicada_lib::ids::Version;
+use cicada_lib::secrets::Secret;
+use cicada_lib::time::Time;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use testutils::memory_platform::Faults;
+use testutils::memory_platform::MemoryPlatform;
+
+// Two buckets. `change` sets two workspaces that fall into different ones; the test of the collector
+// counts their chunks.
+const WORKSPACES: usize = 90;
+
+const FAULTS: Faults = Faults {
+    refused: 5,
+    lost_before: 5,
+    lost_after: 8,
+    late: 8,
+};
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Told {
+    Committed,
+    NotCommitted,
+    Unknown,
+    Nothing,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    mark: u32,
+    told: Told,
+}
+
+type Attempts = Arc<Mutex<Vec<Attempt>>>;
+type Task = Pin<Box<dyn Future<Output = ()>>>;
+
+fn base() -> Change {
+    let operator = OperatorConfig {
+        token: Secret::new("token").digest(),
+        rights: Rights::Full,
+    };
+    let operator = Edit::Operator(Name::new("ann"), Action::Create(operator));
+    let create = |i| {
+        let name = Name::new(format!("w{i}"));
+        Edit::Workspace(name, Action::Create(WorkspaceConfig::default()))
+    };
+    let workspaces = (0..WORKSPACES).map(create);
+    Change::new([operator].into_iter().chain(workspaces).collect())
+}
+
+// Sets two workspaces in different chunks to one figure, which no other attempt uses.
+fn change(mark: u32) -> Change {
+    let set = |name: &str| {
+        let fields = vec![WorkspaceField::Share(mark)];
+        Edit::Workspace(Name::new(name), Action::Set(fields))
+    };
+    Change::new(vec![set("w0"), set("w2")])
+}
+
+fn mark_of(loaded: &Loaded) -> u32 {
+    let shares = ["w0", "w2"].map(|name| loaded.config.workspaces[name].share);
+    assert_eq!(shares[0], shares[1], "half of a change is in force");
+    shares[0]
+}
+
+fn told<T>(result: &Result<T, CommitError>) -> Told {
+    match result {
+        Ok(_) => Told::Committed,
+        Err(CommitError::Unknown { .. }) => Told::Unknown,
+        Err(_) => Told::NotCommitted,
+    }
+}
+
+// Commits on top of its own last commit where that may still be the newest one.
+async fn writer(store: ConfigStore, attempts: Attempts) {
+    let mut held: Option<Loaded> = None;
+    for _ in 0..6 {
+        if held.as_ref().is_none_or(|l| l.stored.is_none()) {
+            held = store.load().await.ok().flatten();
+        }
+        let Some(base) = &held else {
+            continue;
+        };
+        let index = {
+            let mut attempts = attempts.lock().unwrap();
+            let mark = 10 + attempts.len() as u32;
+            let told = Told::Nothing;
+            attempts.push(Attempt { mark, told });
+            attempts.len() - 1
+        };
+        let mark = 10 + index as u32;
+        let result = store
+            .commit(Some(base), &change(mark), &Name::new("ann"))
+            .await;
+        attempts.lock().unwrap()[index].told = told(&result);
+        held = result.ok().map(|c| c.loaded);
+    }
+}
+
+async fn reader(store: ConfigStore, state: Arc<Mutex<ConfigState>>) {
+    for _ in 0..6 {
+        if let Ok(Some(loaded)) = store.load().await {
+            mark_of(&loaded);
+            let mut state = state.lock().unwrap();
+            let before = state.mark().map(|m| m.version);
+            state.offer(loaded, Time::ZERO);
+            assert!(state.mark().map(|m| m.version) >= before, "it went back");
+        }
+    }
+}
+
+// Long after any retired chunk was needed, by its clock: the hardest case for readers.
+async fn collector(store: ConfigStore) {
+    for _ in 0..2 {
+        let _ = store.collect(u64::MAX / 2).await;
+    }
+}
+
+fn poll(task: &mut Task) -> bool {
+    let mut context = Context::from_waker(Waker::noop());
+    task.as_mut().poll(&mut context).is_ready()
+}
+
+fn finish<T: 'static>(future: impl Future<Output = T> + 'static) -> T {
+    let mut context = Context::from_waker(Waker::noop());
+    let mut future = Box::pin(future);
+    for _ in 0..1_000_000 {
+        if let std::task::Poll::Ready(value) = future.as_mut().poll(&mut context) {
+            return value;
+        }
+    }
+    panic!("it never ends");
+}
+
+fn run(seed: u64) -> bool {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let platform = Arc::new(MemoryPlatform::with_faults(seed, Faults::default()));
+    let store = ConfigStore::new(platform.clone()).with_tries(4, Duration::ZERO);
+    let setup = store.clone();
+    finish(async move {
+        setup
+            .commit(None, &base(), &Name::new("ann"))
+            .await
+            .unwrap()
+    });
+    platform.set_faults(FAULTS);
+
+    let attempts = Attempts::default();
+    let state = Arc::new(Mutex::new(ConfigState::new()));
+    let writer = || -> Task { Box::pin(writer(store.clone(), attempts.clone())) };
+    let mut tasks: Vec<Task> = vec![
+        writer(),
+        writer(),
+        Box::pin(reader(store.clone(), state.clone())),
+        Box::pin(collector(store.clone())),
+    ];
+    let mut crashes = 2;
+    while !tasks.is_empty() {
+        let i = rng.usize(0..tasks.len());
+        if poll(&mut tasks[i]) {
+            drop(tasks.remove(i));
+        } else if i == 0 && crashes > 0 && rng.u32(0..60) == 0 {
+            // The process ends here and another one starts from what the store holds.
+            crashes -= 1;
+            tasks[0] = writer();
+        }
+    }
+    platform.set_faults(Faults::default());
+    platform.settle();
+    judge(&platform, &store, &attempts.lock().unwrap(), &state)
+}
+
+// The mark of a version, put together from the chunks as they were written.
+fn replay(platform: &MemoryPlatform, root: &Root) -> u32 {
+    let chunk = |c: &ChunkRef| (c.digest, platform.values(&c.key())[0].clone());
+    let parts = Parts {
+        root: root.encode().unwrap(),
+        chunks: root.chunks.iter().map(chunk).collect(),
+    };
+    mark_of(&assemble(&parts, None).unwrap())
+}
+
+fn judge(
+    platform: &MemoryPlatform,
+    store: &ConfigStore,
+    attempts: &[Attempt],
+    state: &Mutex<ConfigState>,
+) -> bool {
+    let roots = platform.values(ROOT_KEY);
+    let roots: Vec<Root> = roots.iter().map(|b| Root::decode(b).unwrap()).collect();
+    let versions: Vec<u64> = roots.iter().map(|r| r.version.0).collect();
+    assert_eq!(roots[0].chunks.len(), 2);
+    let expected: Vec<u64> = (1..=roots.len() as u64).collect();
+    assert_eq!(versions, expected, "versions have gaps or go back");
+
+    let writers: BTreeSet<_> = roots.iter().map(|r| r.last().writer).collect();
+    assert_eq!(writers.len(), roots.len(), "a commit took effect twice");
+
+    let marks: Vec<u32> = roots.iter().skip(1).map(|r| replay(platform, r)).collect();
+    let count = |mark| marks.iter().filter(|m| **m == mark).count();
+    for attempt in attempts {
+        let found = count(attempt.mark);
+        let truthful = match attempt.told {
+            Told::Committed => found == 1,
+            Told::NotCommitted => found == 0,
+            Told::Unknown | Told::Nothing => found <= 1,
+        };
+        assert!(truthful, "{attempt:?} took effect {found} times");
+    }
+
+    // Whatever the collector did, the newest root's chunks are there.
+    let reading = store.clone();
+    let last = finish(async move { reading.load().await.unwrap().unwrap() });
+    assert_eq!(last.version.0, roots.len() as u64);
+    let mark = ConfigMark {
+        version: last.version,
+        digest: last.digest,
+    };
+    assert_ne!(state.lock().unwrap().judge(mark), Verdict::Conflicting);
+    true
+}
+
+/// An operator sees "committed", "lost the race" or "not known", and what it sees is so. Two writers,
+/// crashes, lost answers and a collector run in any order; every version is one change on top of the
+/// one before, whole or not at all, and a reader never goes back.
+#[test]
+fn commits_are_whole_and_truthfully_told_in_any_interleaving() {
+    // One seed, so that the verdict is the same every time.
+    let seeds = Gen::from_size_and_seed(100, 7);
+    let mut check = QuickCheck::new().rng(seeds).tests(1_500);
+    check.quickcheck(run as fn(u64) -> bool);
+}
+
+/// A reader has read the root when a newer one is committed and the collector takes away a chunk that
+/// only the old root names. The reader finds the chunk missing, reads the root again, and gets the
+/// newer version whole; nobody sees an error.
+#[test]
+fn a_reader_whose_chunks_were_collected_reads_the_newer_version() {
+    let platform = Arc::new(MemoryPlatform::with_faults(1, Faults::default()));
+    let store = ConfigStore::new(platform.clone()).with_tries(4, Duration::ZERO);
+    let setup = store.clone();
+    let author = Name::new("ann");
+    finish(async move {
+        let first = setup.commit(None, &base(), &author).await.unwrap().loaded;
+        let reading = setup.clone();
+        let mut reader = Box::pin(async move { reading.load().await });
+        let mut context = Context::from_waker(Waker::noop());
+        // The root is read in two steps; the reads of chunks have begun, and taken nothing yet.
+        for _ in 0..3 {
+            assert!(reader.as_mut().poll(&mut context).is_pending());
+        }
+        setup
+            .commit(Some(&first), &change(5), &author)
+            .await
+            .unwrap();
+        assert_eq!(setup.collect(u64::MAX / 2).await.unwrap(), 2);
+        let read = reader.await.unwrap().unwrap();
+        assert_eq!((read.version, mark_of(&read)), (Version(2), 5));
+        assert_eq!(platform.objects().len(), 3);
+    });
+}
+
+/// The store is restored from a backup. Its root is older than the one in force, or has the same
+/// number and other content; the process keeps its rules, counts both, and goes on with newer ones.
+#[test]
+fn an_older_root_is_refused_and_counted() {
+    let platform = Arc::new(MemoryPlatform::new());
+    let store = ConfigStore::new(platform.clone());
+    let author = Name::new("ann");
+    finish(async move {
+        let first = store.commit(None, &base(), &author).await.unwrap().loaded;
+        let backup = platform.objects();
+        let second = store
+            .commit(Some(&first), &change(5), &author)
+            .await
+            .unwrap();
+        let mut state = ConfigState::new();
+        assert_eq!(
+            state.offer(second.loaded.clone(), Time::ZERO),
+            Verdict::Newer
+        );
+        assert_eq!(state.offer(second.loaded, Time::ZERO), Verdict::Same);
+
+        platform.restore(backup);
+        let old = store.load().await.unwrap().unwrap();
+        assert_eq!(state.offer(old.clone(), Time::ZERO), Verdict::Older);
+        let other = store.commit(Some(&old), &change(6), &author).await.unwrap();
+        let verdict = state.offer(other.loaded.clone(), Time::ZERO);
+        assert_eq!(verdict, Verdict::Conflicting);
+        assert_eq!(mark_of(state.current().unwrap()), 5);
+
+        let third = store
+            .commit(Some(&other.loaded), &change(7), &author)
+            .await
+            .unwrap();
+        assert_eq!(state.offer(third.loaded, Time::ZERO), Verdict::Newer);
+        assert_eq!(state.mark().map(|m| m.version), Some(Version(3)));
+        let counts = state.counts();
+        assert_eq!(
+            (counts.applied, counts.older, counts.conflicting),
+            (2, 1, 1)
+        );
+    });
+}
--- a/lib/testutils/src/memory_platform.rs
+++ b/lib/testutils/src/memory_platform.rs
@@ -60,6 +60,8 @@
     down: bool,
     rng: fastrand::Rng,
     late: Vec<Write>,
+    // Every write that took effect, in order.
+    journal: Vec<Write>,
     usage: Usage,
 }
 
@@ -124,6 +126,13 @@
         self.state().objects = objects;
     }
 
+    /// The values that an object has had, the oldest first.
+    pub fn values(&self, key: &str) -> Vec<Bytes> {
+        let state = self.state();
+        let writes = state.journal.iter().filter(|w| w.key == key);
+        writes.map(|w| w.value.clone()).collect()
+    }
+
     /// Lets the delayed writes that are still under way reach the store.
     pub fn settle(&self) {
         self.state().deliver(0);
@@ -187,6 +196,7 @@
         let value = write.value.clone();
         let object = Object { version, value };
         self.objects.insert(write.key.clone(), object);
+        self.journal.push(write.clone());
         Ok(version)
     }
 
