--- /dev/null
+++ b/lib/examples/scheduler_trial.rs
@@ -0,0 +1,168 @@
+//! Prints what callers receive from one engine under the scheduler and under simpler rules.
+//!
+//! `cargo run --release --example scheduler_trial [-- SECONDS [SEEDS]]`
+
+#[path = "../tests/fake_engine/mod.rs"]
+mod fake_engine;
+
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use cicada_lib::memory_plan::Headroom;
+use cicada_lib::preset::Preset;
+use cicada_lib::scheduler::Scheduler;
+use cicada_lib::scheduler::SchedulerSettings;
+use cicada_lib::scheduler::WorkspacePolicy;
+use cicada_lib::time::Time;
+use fake_engine::Front;
+use fake_engine::Trial;
+use fake_engine::mixes::Mix;
+use fake_engine::mixes::hanshan;
+use fake_engine::mixes::saryarka;
+use fake_engine::report::Figures;
+use fake_engine::report::work;
+
+// Seconds for which load goes on after the window, so that what began in it can end.
+const TAIL: f64 = 100.0;
+// Runs at a time.
+const THREADS: usize = 4;
+
+const LOADS: [f64; 4] = [0.7, 1.0, 1.5, 3.0];
+
+/// Who decides, and what it knows.
+#[derive(Clone, Copy)]
+enum Rule {
+    Fifo,
+    Stall,
+    Gap,
+    /// Stall first, with another headroom.
+    NoHeadroom,
+    FixedHeadroom,
+    /// Stall first, with the true lengths.
+    Oracle,
+}
+
+const RULES: [(&str, Rule); 6] = [
+    ("FIFO, no limits", Rule::Fifo),
+    ("no headroom", Rule::NoHeadroom),
+    ("fixed headroom", Rule::FixedHeadroom),
+    ("true lengths", Rule::Oracle),
+    ("**stall first**", Rule::Stall),
+    ("**gap first**", Rule::Gap),
+];
+
+// Of the fixed parts tried (10, 20, 30 and 40 in 100) the one with the best goodput.
+const FIXED_HEADROOM: f64 = 0.2;
+
+fn front(rule: Rule, mix: &Mix) -> Front {
+    let preset = match rule {
+        Rule::Fifo => return Front::Direct,
+        Rule::Gap => Preset::Gap,
+        _ => Preset::Stall,
+    };
+    let engine = &mix.engine;
+    let settings = SchedulerSettings::new(preset, engine.capacity, engine.max_batch as u32);
+    let settings = match rule {
+        Rule::NoHeadroom => settings.with_headroom(Headroom::None),
+        Rule::FixedHeadroom => settings.with_headroom(Headroom::Fixed(FIXED_HEADROOM)),
+        Rule::Oracle => settings.with_headroom(Headroom::Limit),
+        _ => settings,
+    };
+    let mut scheduler = Scheduler::new(settings);
+    for tenant in &mix.tenants {
+        let policy = WorkspacePolicy {
+            share: tenant.share,
+            ..WorkspacePolicy::default()
+        };
+        scheduler.set_policy(&tenant.name, policy);
+    }
+    Front::Scheduled(Box::new(scheduler))
+}
+
+/// Weighted tokens a second that the engine yields when it is never short of work and lengths are
+/// known: the capacity to which loads refer.
+fn capacity(mix: &Mix) -> f64 {
+    let mut requests = Mix::known(mix.requests(5.0, 1_200.0, 1));
+    for request in &mut requests {
+        request.deadline = None;
+        request.arrival = Time::from_micros(request.arrival.micros() / 2);
+    }
+    let end = Time::from_millis(600_000);
+    let mut trial = Trial::new(mix.engine.clone(), front(Rule::Oracle, mix), requests);
+    trial.run(end, end);
+    let service = fake_engine::report::service(&trial);
+    service.values().sum::<f64>() / end.seconds()
+}
+
+fn run(rule: Rule, mix: &Mix, rate: f64, seconds: f64, seed: u64) -> Figures {
+    let end = Time::from_micros((seconds * 1e6) as u64);
+    let mut requests = mix.requests(rate, seconds + TAIL, seed);
+    if matches!(rule, Rule::Oracle) {
+        requests = Mix::known(requests);
+    }
+    let mut trial = Trial::new(mix.engine.clone(), front(rule, mix), requests);
+    trial.run(end, end + Duration::from_secs(TAIL as u64));
+    Figures::new(&trial, &mix.tenants, end)
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let seconds = args
+        .next()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1_200.0);
+    let seeds: u64 = args.next().and_then(|text| text.parse().ok()).unwrap_or(3);
+    for mix in [hanshan(), saryarka()] {
+        let capacity = capacity(&mix);
+        let sample = mix.requests(100.0, 200.0, 7);
+        let mean = sample.iter().map(work).sum::<f64>() / sample.len() as f64;
+        println!(
+            "\n## {}: capacity {capacity:.0} weighted tokens/s\n",
+            mix.name
+        );
+        println!(
+            "| load | rule | stall p50 s | stall p99 s | preempt/1000 | gap p99 ms | Jain | \
+             least share | goodput/capacity | refused |"
+        );
+        println!("|---|---|---|---|---|---|---|---|---|---|");
+        for load in LOADS {
+            let rate = load * capacity / mean;
+            for ((name, _), f) in RULES.iter().zip(all_rules(&mix, rate, seconds, seeds)) {
+                println!(
+                    "| {load} | {name} | {:.2} | {:.2} | {:.1} | {:.0} | {:.3} | {:.2} | {:.2} | {:.3} |",
+                    f.stall_p50,
+                    f.stall_p99,
+                    f.preemptions,
+                    f.gap_p99,
+                    f.jain,
+                    f.least,
+                    f.goodput / capacity,
+                    f.refused,
+                );
+            }
+        }
+    }
+}
+
+/// The mean figures of each rule over the seeds, a few runs at a time.
+fn all_rules(mix: &Mix, rate: f64, seconds: f64, seeds: u64) -> Vec<Figures> {
+    let rules = 0..RULES.len();
+    let tasks = rules.flat_map(|rule| (1..=seeds).map(move |seed| (rule, seed)));
+    let tasks = Mutex::new(tasks);
+    let done = Mutex::new(vec![Vec::new(); RULES.len()]);
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let task = tasks.lock().unwrap().next();
+                    let Some((rule, seed)) = task else { return };
+                    let figures = run(RULES[rule].1, mix, rate, seconds, seed);
+                    done.lock().unwrap()[rule].push(figures);
+                }
+            });
+        }
+    });
+    let done = done.into_inner().unwrap();
+    done.iter().map(|runs| Figures::mean(runs)).collect()
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,7 +4,9 @@
 
 mod macros;
 
+pub mod admission;
 pub mod backend;
+mod batch;
 mod choice;
 pub mod config;
 pub mod config_apply;
@@ -20,8 +22,11 @@
 pub mod handshake;
 pub mod http_client;
 pub mod ids;
+pub mod lengths;
 pub mod limiter;
 pub mod load;
+pub mod memory_plan;
+pub mod order;
 pub mod outcome;
 pub mod platform;
 pub mod platform_http;
@@ -37,8 +42,10 @@
 mod service;
 pub mod service_http;
 pub mod settings;
+pub mod shares;
 mod subset;
 pub mod suspects;
+mod tenants;
 pub mod time;
 pub mod transcript;
 pub mod wire;
--- a/lib/src/time.rs
+++ b/lib/src/time.rs
@@ -41,6 +41,12 @@
     pub fn since(self, earlier: Time) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The time that lies `duration` before; the origin where that would lie before it.
+    pub fn before(self, duration: Duration) -> Time {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Time {
