daemon: the whole path from callers through entry and agent to backend servers

Entries dispatch over multiplexed links with credits and heartbeats; agents are the one writer of their backend server.

--- /dev/null
+++ b/daemon/src/dispatch.rs
@@ -0,0 +1,591 @@
+//! Carries one request from an entry to agents until it has its outcome.
+//!
+//! The rules that keep the promises stand here:
+//! - A further attempt follows only on proof that the one before did not run, or, for a generation
+//!   of which no token has been sent, on its loss.
+//! - A stream goes on only with the same generation at the next index. What does not fit is dropped.
+//! - A lost connection is no outcome: the agent is asked over a new one. Only an agent that answers
+//!   "no trace" proves that nothing ran, and it holds a tombstone from then on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cicada_lib::backend::Header;
+use cicada_lib::ids::Attempt;
+use cicada_lib::ids::GenerationId;
+use cicada_lib::ids::Name;
+use cicada_lib::ids::RequestId;
+use cicada_lib::outcome::FailureReason;
+use cicada_lib::outcome::NotRun;
+use cicada_lib::outcome::Outcome;
+use cicada_lib::outcome::RefusalReason;
+use cicada_lib::outcome::RetryReason;
+use cicada_lib::outcome::UnknownReason;
+use cicada_lib::routing::Ask;
+use cicada_lib::routing::End;
+use cicada_lib::routing::EndResult;
+use cicada_lib::routing::ServerKey;
+use cicada_lib::time::Time;
+use cicada_lib::wire::Attach;
+use cicada_lib::wire::StreamFrame;
+use cicada_lib::wire::Submit;
+use cicada_lib::wire::Work;
+
+use crate::entry::Entry;
+use crate::event_id::Position;
+use crate::link::LinkStream;
+use crate::link::Release;
+
+/// A request that passed the filters.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    /// The request.
+    pub(crate) id: RequestId,
+    /// The service.
+    pub(crate) service: Name,
+    /// The model; empty for a plain call.
+    pub(crate) model: Name,
+    /// Who is charged.
+    pub(crate) workspace: Name,
+    /// The caller's key for work that must run at most once; empty for none.
+    pub(crate) key: String,
+    /// The digest of the prompt's head; zero for none.
+    pub(crate) prefix: u64,
+    /// When the caller no longer wants the answer.
+    pub(crate) deadline: Time,
+    /// Whether running it twice does no harm.
+    pub(crate) idempotent: bool,
+    /// Most attempts.
+    pub(crate) attempts: u32,
+    /// What to do.
+    pub(crate) work: Work,
+}
+
+/// What a caller is given next.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// Tokens, in order, each once.
+    Tokens(Vec<String>),
+    /// A plain service's answer.
+    Answer {
+        /// The status code.
+        status: u16,
+        /// The headers.
+        headers: Vec<Header>,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// The outcome; nothing follows.
+    End {
+        /// What became of the request.
+        outcome: Outcome,
+        /// How often the generation was displaced.
+        preemptions: u32,
+    },
+}
+
+/// Time beyond the deadline in which the agent's own word on it may still come.
+const DEADLINE_GRACE: Duration = Duration::from_millis(1_500);
+
+/// First and longest pause between two attempts to reach an agent again.
+const REACH_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+
+/// The most tokens that an estimate for routing counts: lengths are unknown, and limits far above
+/// what is used would hide the difference between servers.
+const EXPECTED_TOKENS: u32 = 256;
+
+/// A request under way. Dropping it before the end leaves the stream to be resumed, or cancels it
+/// where nobody could resume it.
+pub(crate) struct Dispatch {
+    entry: Arc<Entry>,
+    request: Request,
+    attempt: Attempt,
+    // The server of the current attempt, until the router was told of its end.
+    server: Option<ServerKey>,
+    agent: Name,
+    stream: Option<LinkStream>,
+    incarnation: u64,
+    tried: Vec<ServerKey>,
+    generation: Option<GenerationId>,
+    // The index of the next token; every one before it was given out.
+    next: u32,
+    handed: Time,
+    started: Time,
+    progress: Time,
+    longest: Duration,
+    release: Release,
+    lost: Option<RetryReason>,
+    ended: bool,
+}
+
+impl Dispatch {
+    /// A request that has been nowhere yet.
+    pub(crate) fn new(entry: Arc<Entry>, request: Request, release: Release) -> Self {
+        let now = entry.clock().now();
+        entry.metrics().open().inc();
+        Dispatch {
+            entry,
+            request,
+            attempt: Attempt(0),
+            server: None,
+            agent: Name::default(),
+            stream: None,
+            incarnation: 0,
+            tried: Vec::new(),
+            generation: None,
+            next: 0,
+            handed: now,
+            started: now,
+            progress: now,
+            longest: Duration::ZERO,
+            release,
+            lost: None,
+            ended: false,
+        }
+    }
+
+    /// A stream that goes on where another one broke off, maybe at another entry.
+    pub(crate) fn resume(entry: Arc<Entry>, request: Request, position: Position) -> Self {
+        let mut dispatch = Dispatch::new(entry, request, Release::Detach);
+        dispatch.attempt = position.attempt;
+        dispatch.agent = position.agent;
+        dispatch.generation = Some(position.generation);
+        dispatch.next = position.next;
+        dispatch
+    }
+
+    /// What all requests share.
+    pub(crate) fn entry(&self) -> &Arc<Entry> {
+        &self.entry
+    }
+
+    /// The request.
+    pub(crate) fn request(&self) -> &Request {
+        &self.request
+    }
+
+    /// Where the stream stands; `None` before its first token.
+    pub(crate) fn position(&self) -> Option<Position> {
+        Some(Position {
+            request: self.request.id,
+            attempt: self.attempt,
+            agent: self.agent.clone(),
+            generation: self.generation?,
+            next: self.next,
+        })
+    }
+
+    /// What to give the caller next. Must not be called after the end.
+    pub(crate) async fn next(&mut self) -> Part {
+        let now = self.entry.clock().now();
+        let limit = self.request.deadline.since(now) + DEADLINE_GRACE;
+        match tokio::time::timeout(limit, self.advance()).await {
+            Ok(part) => part,
+            Err(_) => self.end(self.overdue(), 0),
+        }
+    }
+
+    /// The outcome of a request whose deadline passed without a word from its agent.
+    fn overdue(&self) -> Outcome {
+        match (
+            &self.request.work,
+            self.stream.is_some() || self.lost.is_some(),
+        ) {
+            (_, false) => Outcome::NotRun(NotRun::before_dispatch(
+                RefusalReason::DeadlineUnreachable,
+                None,
+            )),
+            (Work::Generate { .. }, true) => Outcome::Failed(FailureReason::DeadlineExceeded),
+            (Work::Call(_), true) => Outcome::Unknown(UnknownReason::AnswerLost),
+        }
+    }
+
+    async fn advance(&mut self) -> Part {
+        loop {
+            if self.stream.is_none()
+                && let Err(outcome) = self.reach().await
+            {
+                return self.end(outcome, 0);
+            }
+            let Some(stream) = self.stream.as_mut() else {
+                continue;
+            };
+            let frame = stream.recv().await;
+            if let Some(part) = self.take(frame).await {
+                return part;
+            }
+        }
+    }
+
+    /// Gets a stream: of a new attempt, or of the one that runs.
+    async fn reach(&mut self) -> Result<(), Outcome> {
+        if self.lost.is_some() || (self.generation.is_some() && self.server.is_none()) {
+            self.reattach().await
+        } else {
+            self.submit().await
+        }
+    }
+
+    async fn submit(&mut self) -> Result<(), Outcome> {
+        loop {
+            let server = self.choose().map_err(Outcome::NotRun)?;
+            self.tried.push(server.key);
+            self.attempt = Attempt(self.attempt.0 + 1);
+            self.agent = server.name;
+            self.handed = self.entry.clock().now();
+            self.server = Some(server.key);
+            if let Some(link) = self.entry.links().get(&self.agent).await {
+                let stream = link.submit(self.message()).await;
+                if let Some(stream) = stream {
+                    self.incarnation = stream.incarnation();
+                    self.keep(stream);
+                    return Ok(());
+                }
+            }
+            self.leave(EndResult::Lost);
+            let refusal = NotRun::never_sent(RefusalReason::ConnectFailed);
+            self.retry(RetryReason::ConnectFailed, refusal).await?;
+        }
+    }
+
+    fn choose(&mut self) -> Result<Chosen, NotRun> {
+        let request = &self.request;
+        let expected = match &request.work {
+            Work::Generate { max_tokens, .. } => (*max_tokens).min(EXPECTED_TOKENS),
+            Work::Call(_) => 1,
+        };
+        let ask = Ask {
+            service: &request.service,
+            model: &request.model,
+            workspace: &request.workspace,
+            prefix: request.prefix,
+            expected_tokens: expected,
+            affinity: self.entry.affinity(request),
+            tried: &self.tried,
+        };
+        self.entry.choose(&ask)
+    }
+
+    fn message(&self) -> Submit {
+        let now = self.entry.clock().now();
+        let left = self.request.deadline.since(now).as_millis();
+        Submit {
+            request: self.request.id,
+            attempt: self.attempt,
+            service: self.request.service.clone(),
+            workspace: self.request.workspace.clone(),
+            key: self.request.key.clone(),
+            deadline: u64::try_from(left).unwrap_or(u64::MAX),
+            elsewhere: self.entry.elsewhere(&self.request.workspace, &self.agent),
+            credit: 0,
+            work: self.request.work.clone(),
+        }
+    }
+
+    fn keep(&mut self, mut stream: LinkStream) {
+        stream.on_drop(self.release);
+        self.stream = Some(stream);
+        self.lost = None;
+    }
+
+    /// Asks the agent of the running attempt for its stream over a new connection.
+    async fn reattach(&mut self) -> Result<(), Outcome> {
+        let since = self.entry.clock().now();
+        let mut pause = REACH_PAUSES.0;
+        loop {
+            if let Some(link) = self.entry.links().get(&self.agent).await {
+                // A new process at the agent's address knows nothing of the attempt. The engine may
+                // still run the generation, and the generation's identifier lets the agent ask it.
+                if link.incarnation() != self.incarnation && self.generation.is_none() {
+                    return self.abandon().await;
+                }
+                if let Some(stream) = link.attach(self.attach_message()).await {
+                    self.incarnation = link.incarnation();
+                    self.keep(stream);
+                    return Ok(());
+                }
+            } else if self.may_move() {
+                return self.abandon().await;
+            }
+            if self.entry.clock().now().since(since) > self.entry.resume_window() {
+                return self.abandon().await;
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(REACH_PAUSES.1);
+        }
+    }
+
+    fn attach_message(&self) -> Attach {
+        Attach {
+            request: self.request.id,
+            attempt: self.attempt,
+            workspace: self.request.workspace.clone(),
+            generation: self.generation,
+            next: self.next,
+            credit: 0,
+        }
+    }
+
+    /// Whether another attempt does no harm although this one may run: nothing of it was given out.
+    fn may_move(&self) -> bool {
+        self.generation.is_none() && (self.is_generation() || self.request.idempotent)
+    }
+
+    fn is_generation(&self) -> bool {
+        matches!(self.request.work, Work::Generate { .. })
+    }
+
+    /// Gives up on the attempt, whose agent cannot be asked.
+    async fn abandon(&mut self) -> Result<(), Outcome> {
+        self.leave(EndResult::Lost);
+        self.lost = None;
+        if self.generation.is_some() {
+            return Err(Outcome::Failed(FailureReason::BackendLost));
+        }
+        if !self.may_move() && self.request.key.is_empty() {
+            return Err(Outcome::Unknown(UnknownReason::AnswerLost));
+        }
+        // A keyed call may be handed in again: the claim on its key keeps it from running twice.
+        let fallback = match self.is_generation() {
+            true => Outcome::Failed(FailureReason::BackendLost),
+            false => Outcome::Unknown(UnknownReason::AnswerLost),
+        };
+        self.again(RetryReason::LostBeforeFirstToken, fallback)
+            .await?;
+        self.submit_boxed().await
+    }
+
+    /// Breaks the cycle of futures between `submit` and `abandon`.
+    async fn submit_boxed(&mut self) -> Result<(), Outcome> {
+        Box::pin(self.submit()).await
+    }
+
+    /// Waits until a retry is due, or gives the refusal where none is left.
+    async fn retry(&mut self, reason: RetryReason, refusal: NotRun) -> Result<(), Outcome> {
+        self.again(reason, Outcome::NotRun(refusal)).await
+    }
+
+    async fn again(&mut self, reason: RetryReason, otherwise: Outcome) -> Result<(), Outcome> {
+        if self.attempt.0 >= self.request.attempts {
+            return Err(otherwise);
+        }
+        match self.entry.may_retry(&self.request.service, reason) {
+            Some(pause) => {
+                self.entry.metrics().retried(reason);
+                tracing::info!(
+                    request = %self.request.id, attempt = self.attempt.0, ?reason,
+                    "dispatch: another attempt",
+                );
+                tokio::time::sleep(pause).await;
+                Ok(())
+            }
+            None => Err(otherwise),
+        }
+    }
+
+    /// Takes a frame; `None` where there is nothing to give the caller.
+    async fn take(&mut self, frame: Option<StreamFrame>) -> Option<Part> {
+        match frame {
+            None => {
+                self.stream = None;
+                self.lost = Some(RetryReason::ConnectionSilent);
+                self.entry.metrics().retried(RetryReason::ConnectionSilent);
+                None
+            }
+            Some(StreamFrame::Accepted) => None,
+            Some(StreamFrame::Tokens {
+                generation,
+                first,
+                texts,
+            }) => self.take_tokens(generation, first, texts),
+            Some(StreamFrame::Answer {
+                status,
+                headers,
+                body,
+            }) => Some(Part::Answer {
+                status,
+                headers,
+                body,
+            }),
+            Some(StreamFrame::NoTrace) => {
+                let refusal = NotRun::never_sent(RefusalReason::ConnectFailed);
+                self.refused(RetryReason::ConnectFailed, refusal).await
+            }
+            Some(StreamFrame::End {
+                outcome,
+                preemptions,
+            }) => self.take_end(outcome, preemptions).await,
+        }
+    }
+
+    fn take_tokens(
+        &mut self,
+        generation: GenerationId,
+        first: u32,
+        mut texts: Vec<String>,
+    ) -> Option<Part> {
+        let known = *self.generation.get_or_insert(generation);
+        let count = texts.len() as u32;
+        // A late frame of an earlier connection may repeat tokens. One of another generation, or one
+        // that leaves a gap, would break the stream: it is dropped, and the stream attached anew.
+        if known != generation || first > self.next {
+            self.entry.metrics().dropped();
+            self.stream = None;
+            self.lost = Some(RetryReason::ConnectionSilent);
+            return None;
+        }
+        let known_tokens = (self.next - first).min(count);
+        if let Some(stream) = self.stream.as_mut() {
+            stream.taken(count);
+        }
+        texts.drain(..known_tokens as usize);
+        if texts.is_empty() {
+            self.entry.metrics().dropped();
+            return None;
+        }
+        self.note_progress(first == 0);
+        self.next += count - known_tokens;
+        Some(Part::Tokens(texts))
+    }
+
+    fn note_progress(&mut self, first: bool) {
+        let now = self.entry.clock().now();
+        let gap = now.since(self.progress);
+        self.longest = self.longest.max(gap);
+        self.progress = now;
+        if first {
+            self.entry.metrics().first_token(gap);
+            if let Some(server) = self.server {
+                self.entry.first_token(server, now.since(self.handed));
+            }
+        } else {
+            self.entry.metrics().token(gap);
+        }
+    }
+
+    async fn take_end(&mut self, outcome: Outcome, preemptions: u32) -> Option<Part> {
+        match outcome {
+            Outcome::NotRun(refusal) if self.generation.is_none() => {
+                let reason = match refusal.reason() {
+                    RefusalReason::Draining => RetryReason::Draining,
+                    _ => RetryReason::AgentRefused,
+                };
+                self.refused(reason, refusal).await
+            }
+            Outcome::Failed(FailureReason::BackendLost) if self.may_move() => {
+                self.stream = None;
+                self.leave(EndResult::Failed);
+                let reason = RetryReason::LostBeforeFirstToken;
+                match self.again(reason, outcome).await {
+                    Ok(()) => None,
+                    Err(outcome) => Some(self.end(outcome, preemptions)),
+                }
+            }
+            Outcome::Unknown(_) if self.may_move() => {
+                self.stream = None;
+                self.leave(EndResult::Lost);
+                match self.again(RetryReason::LostBeforeFirstToken, outcome).await {
+                    Ok(()) => None,
+                    Err(outcome) => Some(self.end(outcome, preemptions)),
+                }
+            }
+            outcome => Some(self.end(outcome, preemptions)),
+        }
+    }
+
+    /// The attempt did not run: another one may.
+    async fn refused(&mut self, reason: RetryReason, refusal: NotRun) -> Option<Part> {
+        self.stream = None;
+        self.leave(EndResult::Refused);
+        if !may_help(refusal.reason()) {
+            return Some(self.end(Outcome::NotRun(refusal), 0));
+        }
+        match self.retry(reason, refusal).await {
+            Ok(()) => None,
+            Err(outcome) => Some(self.end(outcome, 0)),
+        }
+    }
+
+    /// Tells the router of the end of the current attempt.
+    fn leave(&mut self, result: EndResult) {
+        let Some(server) = self.server.take() else {
+            return;
+        };
+        let duration = self.entry.clock().now().since(self.handed);
+        let mut end = End::new(result, duration);
+        end.tokens = self.next;
+        end.began = self.generation.is_some();
+        self.entry.finished(server, &end);
+    }
+
+    fn end(&mut self, outcome: Outcome, preemptions: u32) -> Part {
+        self.ended = true;
+        self.stream = None;
+        self.leave(match &outcome {
+            Outcome::Completed(_) => EndResult::Ok,
+            Outcome::NotRun(_) => EndResult::Refused,
+            Outcome::Failed(FailureReason::Cancelled) => EndResult::Cancelled,
+            Outcome::Failed(_) => EndResult::Failed,
+            Outcome::Unknown(_) => EndResult::Lost,
+        });
+        let waited = self.entry.clock().now().since(self.progress);
+        self.longest = self.longest.max(waited);
+        self.entry.metrics().stalled(self.longest);
+        self.entry.metrics().ended(&outcome);
+        if self.next > 0 {
+            self.entry
+                .note_service(&self.request.workspace, &self.agent, self.next);
+        }
+        let took = self.entry.clock().now().since(self.started);
+        tracing::info!(
+            request = %self.request.id, workspace = %self.request.workspace, agent = %self.agent,
+            attempt = self.attempt.0, tokens = self.next, took_ms = took.as_millis() as u64,
+            outcome = %outcome_word(&outcome), "dispatch: over",
+        );
+        Part::End {
+            outcome,
+            preemptions,
+        }
+    }
+}
+
+impl Drop for Dispatch {
+    fn drop(&mut self) {
+        self.entry.metrics().open().dec();
+        if !self.ended {
+            self.stream = None;
+            self.leave(EndResult::Cancelled);
+        }
+    }
+}
+
+/// A server that the router chose.
+pub(crate) struct Chosen {
+    /// Its key.
+    pub(crate) key: ServerKey,
+    /// Its agent.
+    pub(crate) name: Name,
+}
+
+/// Whether another server may answer otherwise. Limits of the workspace and the request's own faults
+/// hold everywhere, and trying on would only add to the load.
+fn may_help(reason: RefusalReason) -> bool {
+    !matches!(
+        reason,
+        RefusalReason::RateLimited
+            | RefusalReason::ConcurrencyLimited
+            | RefusalReason::Suspected
+            | RefusalReason::Cancelled
+            | RefusalReason::StoreUnavailable
+    )
+}
+
+fn outcome_word(outcome: &Outcome) -> &'static str {
+    use cicada_lib::outcome::Reason;
+    match outcome {
+        Outcome::Completed(_) => "completed",
+        Outcome::NotRun(refusal) => refusal.reason().code(),
+        Outcome::Failed(reason) => reason.code(),
+        Outcome::Unknown(reason) => reason.code(),
+    }
+}
--- /dev/null
+++ b/daemon/src/drain.rs
@@ -0,0 +1,83 @@
+//! The end of a process: signals, and waiting for what is in flight.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::Context;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::agent::Agent;
+use crate::status::Process;
+
+/// How often the requests in flight are counted while draining.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Looks in a row without a request before the process ends: the last bytes of an answer may still
+/// be on their way to the kernel.
+const QUIET_LOOKS: u32 = 6;
+
+struct Signals {
+    term: Signal,
+    int: Signal,
+}
+
+impl Signals {
+    fn new() -> eyre::Result<Self> {
+        Ok(Signals {
+            term: signal(SignalKind::terminate()).wrap_err("process: no SIGTERM")?,
+            int: signal(SignalKind::interrupt()).wrap_err("process: no SIGINT")?,
+        })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.int.recv() => {}
+        }
+    }
+}
+
+/// Waits for a signal, drains, and returns when nothing is in flight or a second signal comes.
+pub(crate) async fn wait(process: &Arc<Process>, agent: Option<&Agent>) -> eyre::Result<()> {
+    let mut signals = Signals::new()?;
+    signals.next().await;
+    tracing::info!(in_flight = process.in_flight(), "drain: begun");
+    // Readiness fails first. New callers are still served during the notice, for the balancer needs
+    // a moment to turn away; an agent says at once that it takes no new work.
+    process.drain();
+    if let Some(agent) = agent {
+        agent.drain().await;
+    }
+    let settings = process.settings();
+    let limit = settings.millis("drain", "notice") + settings.millis("drain", "limit");
+    tokio::select! {
+        () = finish(process) => tracing::info!("drain: done, nothing was cut"),
+        () = signals.next() => cut(process, "a second signal"),
+        () = tokio::time::sleep(limit) => cut(process, "[drain] limit"),
+    }
+    Ok(())
+}
+
+async fn finish(process: &Process) {
+    tokio::time::sleep(process.settings().millis("drain", "notice")).await;
+    let mut quiet = 0;
+    while quiet < QUIET_LOOKS {
+        quiet = if process.in_flight() == 0 {
+            quiet + 1
+        } else {
+            0
+        };
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+fn cut(process: &Process, why: &str) {
+    let in_flight = process.in_flight();
+    tracing::warn!(
+        in_flight,
+        why,
+        "drain: stopped by force, these requests are cut off"
+    );
+}
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -181,7 +181,10 @@
     /// The next frame; `None` once the link is gone.
     pub(crate) async fn recv(&mut self) -> Option<StreamFrame> {
         let frame = self.rx.recv().await;
-        if matches!(frame, None | Some(StreamFrame::End { .. } | StreamFrame::NoTrace)) {
+        if matches!(
+            frame,
+            None | Some(StreamFrame::End { .. } | StreamFrame::NoTrace)
+        ) {
             self.release = Release::Nothing;
         }
         frame
@@ -226,7 +229,9 @@
 }
 
 fn lock(streams: &Streams) -> std::sync::MutexGuard<'_, HashMap<u32, mpsc::Sender<StreamFrame>>> {
-    streams.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    streams
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 async fn connect(address: SocketAddr, settings: &LinkSettings) -> Result<(TcpStream, Peer)> {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,3 +1,93 @@
-//! cicada.
+//! `cicadad`, the daemon of cicadastream: an entry or an agent, by its settings.
 
-fn main() {}
+mod agent;
+mod agent_server;
+mod args;
+mod callers;
+mod config_controller;
+mod control;
+mod desk;
+mod dispatch;
+mod drain;
+mod elsewhere;
+mod entry;
+mod event_id;
+mod filters;
+mod hosts_controller;
+mod link;
+mod links;
+mod logs;
+mod metrics;
+mod openai;
+mod process;
+mod readers;
+mod record;
+mod refusal;
+mod runs;
+mod sse;
+mod status;
+mod tombstones;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use args::Command;
+use cicada_lib::daemon_settings::Settings;
+
+const FAILED: u8 = 1;
+const WRONG_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match args::parse(&args) {
+        Ok(command) => obey(command),
+        Err(message) => {
+            eprintln!("cicadad: {message}");
+            ExitCode::from(WRONG_SETTINGS)
+        }
+    }
+}
+
+fn obey(command: Command) -> ExitCode {
+    let file = match &command {
+        Command::Say(text) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Command::Run(file) | Command::Check(file) | Command::Print(file) => file,
+    };
+    let settings = match read(file) {
+        Ok(settings) => settings,
+        Err(message) => {
+            eprintln!("cicadad: {message}");
+            return ExitCode::from(WRONG_SETTINGS);
+        }
+    };
+    match command {
+        Command::Check(_) => println!("the settings are good"),
+        Command::Print(_) => print!("{}", settings.print()),
+        _ => return run(settings),
+    }
+    ExitCode::SUCCESS
+}
+
+fn read(file: &Path) -> Result<Settings, String> {
+    let text = std::fs::read_to_string(file).map_err(|err| {
+        format!(
+            "{} cannot be read ({err})\nHint: check the path after --config",
+            file.display()
+        )
+    })?;
+    Settings::parse(&text).map_err(|err| format!("{}:\n{err}", file.display()))
+}
+
+fn run(settings: Settings) -> ExitCode {
+    logs::start(&settings);
+    match process::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            tracing::error!("process: {err:#}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
--- a/daemon/src/record.rs
+++ b/daemon/src/record.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 
 use cicada_lib::backend::CallAnswer;
-use cicada_lib::claims::ClaimTicket;
 use cicada_lib::ids::Attempt;
 use cicada_lib::ids::Name;
 use cicada_lib::ids::RequestId;
@@ -51,8 +50,23 @@
     pub(crate) next: u32,
     /// Tokens that may be sent before more credit comes.
     pub(crate) credit: u32,
-    /// Whether the answer of a plain call was sent.
-    pub(crate) answered: bool,
+}
+
+impl Reader {
+    /// A reader that wants tokens from `next` on.
+    pub(crate) fn new(conn: ConnKey, stream: u32, next: u32, credit: u32) -> Self {
+        Reader {
+            conn,
+            stream,
+            next,
+            credit,
+        }
+    }
+
+    /// Whether it reads on this stream.
+    pub(crate) fn is(&self, conn: ConnKey, stream: u32) -> bool {
+        self.conn == conn && self.stream == stream
+    }
 }
 
 /// One request.
@@ -63,8 +77,6 @@
     pub(crate) attempt: Attempt,
     /// The workspace that is charged.
     pub(crate) workspace: Name,
-    /// The claim on the caller's key.
-    pub(crate) claim: Option<ClaimTicket>,
     /// The work; taken when it starts.
     pub(crate) work: Option<Work>,
     /// When the caller no longer wants the answer.
@@ -85,6 +97,8 @@
     pub(crate) unread: Option<Time>,
     /// When it ended.
     pub(crate) ended: Option<Time>,
+    /// When it came.
+    pub(crate) arrived: Time,
 }
 
 impl Record {
@@ -93,46 +107,96 @@
         matches!(self.stage, Stage::Ended(_))
     }
 
-    /// Whether every reader has had all of it.
+    /// Notes since when nobody reads it.
+    pub(crate) fn note_unread(&mut self, now: Time) {
+        if self.readers.is_empty() && self.unread.is_none() {
+            self.unread = Some(now);
+        }
+    }
+
+    /// Whether it may be ended when nobody wants it any more. A call that a plain service runs is
+    /// left to end by itself: it cannot be taken back, and its outcome must be known.
+    pub(crate) fn is_cancellable(&self) -> bool {
+        let running_call = matches!(self.stage, Stage::Running(_)) && self.transcript.is_none();
+        !running_call && !self.is_ended()
+    }
+
+    /// Whether it is over and every reader has had all of it.
     pub(crate) fn is_read(&self) -> bool {
         self.is_ended() && self.readers.is_empty()
     }
 }
 
+struct Conn {
+    tx: mpsc::UnboundedSender<ToEntry>,
+    // The streams that have not had their end.
+    streams: HashMap<u32, RecordKey>,
+}
+
 /// The open connections from entries.
 #[derive(Default)]
 pub(crate) struct Conns {
-    conns: SlotMap<ConnKey, mpsc::UnboundedSender<ToEntry>>,
+    conns: SlotMap<ConnKey, Conn>,
 }
 
 impl Conns {
     /// Adds a connection. Its channel needs no bound of its own: credit bounds the tokens of each
     /// stream, and [`MAX_STREAMS`] the streams.
     pub(crate) fn add(&mut self, tx: mpsc::UnboundedSender<ToEntry>) -> ConnKey {
-        self.conns.insert(tx)
+        let streams = HashMap::new();
+        self.conns.insert(Conn { tx, streams })
+    }
+
+    /// Removes a connection, and returns the records that it was reading.
+    pub(crate) fn remove(&mut self, conn: ConnKey) -> Vec<RecordKey> {
+        self.conns
+            .remove(conn)
+            .map(|conn| conn.streams.into_values().collect())
+            .unwrap_or_default()
+    }
+
+    /// Notes which record a stream reads; false where the connection has too many streams.
+    pub(crate) fn open(&mut self, conn: ConnKey, stream: u32, record: RecordKey) -> bool {
+        let Some(conn) = self.conns.get_mut(conn) else {
+            return true;
+        };
+        if conn.streams.len() >= MAX_STREAMS {
+            return false;
+        }
+        conn.streams.insert(stream, record);
+        true
     }
 
-    /// Removes a connection.
-    pub(crate) fn remove(&mut self, conn: ConnKey) {
-        self.conns.remove(conn);
+    /// The record that a stream reads.
+    pub(crate) fn reading(&self, conn: ConnKey, stream: u32) -> Option<RecordKey> {
+        self.conns.get(conn)?.streams.get(&stream).copied()
     }
 
-    /// Sends a frame of a stream. A connection that is gone loses it; its reader attaches anew.
-    pub(crate) fn send(&self, conn: ConnKey, stream: u32, frame: StreamFrame) {
+    /// Forgets a stream, and returns the record that it was reading.
+    pub(crate) fn release(&mut self, conn: ConnKey, stream: u32) -> Option<RecordKey> {
+        self.conns.get_mut(conn)?.streams.remove(&stream)
+    }
+
+    /// Sends a frame of a stream, and forgets the stream with its last one. A connection that is
+    /// gone loses the frame; its reader attaches anew.
+    pub(crate) fn send(&mut self, conn: ConnKey, stream: u32, frame: StreamFrame) {
+        if matches!(frame, StreamFrame::End { .. }) {
+            self.release(conn, stream);
+        }
         self.send_frame(conn, ToEntry::Stream(stream, frame));
     }
 
     /// Sends a frame.
     pub(crate) fn send_frame(&self, conn: ConnKey, frame: ToEntry) {
-        if let Some(tx) = self.conns.get(conn) {
-            let _ = tx.send(frame);
+        if let Some(conn) = self.conns.get(conn) {
+            let _ = conn.tx.send(frame);
         }
     }
 
     /// Sends a frame on every connection.
     pub(crate) fn broadcast(&self, frame: &ToEntry) {
-        for tx in self.conns.values() {
-            let _ = tx.send(frame.clone());
+        for conn in self.conns.values() {
+            let _ = conn.tx.send(frame.clone());
         }
     }
 }
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -71,7 +71,7 @@
 impl Key {
     /// What to do about a value that does not fit.
     pub fn remedy(&self) -> String {
-        format!("give a {}", self.kind)
+        format!("give: {}", self.kind)
     }
 }
 
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,7 +1,9 @@
 //! Stand-ins for what surrounds the system, a fault-injecting proxy, and a runner of processes, for
 //! tests and trials on one machine.
 
+pub mod caller;
 pub mod cluster;
+pub mod deployment;
 pub mod engine;
 pub mod engine_core;
 pub mod http_call;
