--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -10,6 +10,7 @@
 use cicada_lib::daemon_settings::BackendKind;
 use cicada_lib::daemon_settings::Settings;
 use cicada_lib::engine_http::HttpEngine;
+use cicada_lib::http_client::HttpLimits;
 use cicada_lib::preset::Preset;
 use cicada_lib::scheduler::Scheduler;
 use cicada_lib::service_http::HttpService;
@@ -108,8 +109,12 @@
     let address = settings
         .address("backend", "address")
         .ok_or_eyre("[backend] address is missing")?;
+    let limits = HttpLimits::new().with_silence(settings.millis("backend", "silent"));
     Ok(match settings.backend_kind() {
-        BackendKind::Engine => Arc::new(EngineBackend::new(Arc::new(HttpEngine::new(address)))),
+        BackendKind::Engine => {
+            let engine = HttpEngine::with_limits(address, limits);
+            Arc::new(EngineBackend::new(Arc::new(engine)))
+        }
         BackendKind::Service => Arc::new(ServiceBackend::new(Arc::new(HttpService::new(address)))),
     })
 }
--- a/daemon/src/args.rs
+++ b/daemon/src/args.rs
@@ -23,6 +23,7 @@
     options.optopt("c", "config", "settings file (INI)", "FILE");
     options.optflag("", "check-config", "check the settings file and end");
     options.optflag("", "print-config", "print every setting, defaults included");
+    options.optflag("", "print-reference", "print docs/settings.md");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
     let matches = options
@@ -35,6 +36,10 @@
         let version = concat!("cicadad ", env!("CARGO_PKG_VERSION"));
         return Ok(Command::Say(version.to_string()));
     }
+    if matches.opt_present("print-reference") {
+        let page = cicada_lib::daemon_settings::reference();
+        return Ok(Command::Say(page.trim_end().to_string()));
+    }
     if let Some(extra) = matches.free.first() {
         return Err(format!(
             "`{extra}` is no option\nHint: cicadad takes options only, see cicadad --help"
--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -105,8 +105,17 @@
         let mut faults = unknown_keys(&ini);
         let mut values = BTreeMap::new();
         for key in KEYS {
-            let given = ini.get_from(Some(key.section), key.name);
-            let text = given.unwrap_or(key.default).trim();
+            let given = given(&ini, key);
+            if given.len() > 1 {
+                let problem = "is given more than once";
+                faults.push(Fault::new(
+                    key.section,
+                    key.name,
+                    problem,
+                    "keep one of them",
+                ));
+            }
+            let text = given.first().copied().unwrap_or(key.default).trim();
             if let Err(problem) = key.kind.check(text) {
                 faults.push(Fault::new(key.section, key.name, problem, key.remedy()));
             }
@@ -233,6 +242,13 @@
     }
 }
 
+/// Every value that the file gives a key; a section may stand in several parts.
+fn given<'a>(ini: &'a Ini, key: &Key) -> Vec<&'a str> {
+    ini.section_all(Some(key.section))
+        .flat_map(|section| section.get_all(key.name))
+        .collect()
+}
+
 fn unknown_keys(ini: &Ini) -> Vec<Fault> {
     let mut faults = Vec::new();
     for (section, properties) in ini.iter() {
