claims: keyed calls run at most once, by group commit

A caller that resends with its key through another entry, after everything here was replaced, must not book twice, so the claim has to stand in the platform's store before the call starts. Claims of a shard are committed together by conditional updates of its head; the condition is the fence. Heads roll into immutable segments named by the head's version.

Model test: 9,000 seeded interleavings of three processes (resends, crashes, pauses, delayed writes, lost answers, refusals), 2 s. It found one fault before this commit: a release that was retried while the head was being rolled was compared with the segments only, took the place of a newer claim of the same key, and let a third call run. The rolled head is looked at now.

Breakages tried, each seen to fail a test and put back: - another process's open claim run again - a lost answer taken for success - a release not compared with the run: in the head, in the head that is being rolled, in the segments - entries not indexed, or not looked up, after a roll; older segment wins - a given-up claim not taken back; a ticket that nobody heard of kept - own name taken for own run (restart under the same name) - second claim of a key in one batch not held back - store set back to an older version accepted - a ticket older than half the window started - a segment read in turns for ever (nobody answered)

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,10 +4,23 @@
 
 mod macros;
 
-pub mod admission;
-pub mod backend;
 mod batch;
 mod choice;
+mod claim_commit;
+mod claim_retry;
+mod claim_view;
+mod reach;
+mod score;
+mod service;
+mod subset;
+mod tenants;
+
+pub mod admission;
+pub mod backend;
+pub mod claim_intent;
+pub mod claim_log;
+pub mod claim_shard;
+pub mod claims;
 pub mod config;
 pub mod config_apply;
 pub mod config_check;
@@ -36,20 +49,15 @@
 pub mod query_eval;
 pub mod query_parse;
 pub mod query_rows;
-mod reach;
 pub mod retry_budget;
 pub mod router;
 pub mod routing;
 pub mod scheduler;
-mod score;
 pub mod secrets;
-mod service;
 pub mod service_http;
 pub mod settings;
 pub mod shares;
-mod subset;
 pub mod suspects;
-mod tenants;
 pub mod time;
 pub mod transcript;
 pub mod wire;
