testutils: the engine by concept, late writes, and tests of every stand-in

The platform can let a write land after its answer was lost. The adapters count silence from the moment the connection is there, so a silent peer costs the limit alone: a call into a connection on which nothing passes ended after 2.1 s under a limit of 0.1 s, as the time to connect was added; now after 0.1 s.

--- a/lib/src/engine_http.rs
+++ b/lib/src/engine_http.rs
@@ -59,28 +59,34 @@
 pub const PREFIX_BLOCK: usize = 256;
 
 /// The digests under which an engine caches the prompt's whole blocks, shortest prefix first: the
-/// 64-bit FNV-1a hash of the first `PREFIX_BLOCK`, 2 × `PREFIX_BLOCK`, … bytes, after the
-/// model's and adapter's names with a zero byte behind each.
+/// hash of the first `PREFIX_BLOCK`, 2 × `PREFIX_BLOCK`, … bytes, after the model's and the
+/// adapter's names with a zero byte behind each.
 pub fn prefix_digests(model: &str, adapter: &str, prompt: &str) -> Vec<u64> {
-    let mut hash = FNV_OFFSET;
-    for byte in model.bytes().chain([0]).chain(adapter.bytes()).chain([0]) {
-        hash = fnv_step(hash, byte);
+    let mut hash = FNV_START;
+    for name in [model, adapter] {
+        hash = fnv1a(hash, name.as_bytes());
+        hash = fnv1a(hash, &[0]);
     }
     let mut digests = Vec::with_capacity(prompt.len() / PREFIX_BLOCK);
     for block in prompt.as_bytes().chunks_exact(PREFIX_BLOCK) {
-        hash = block.iter().fold(hash, |hash, &byte| fnv_step(hash, byte));
+        hash = fnv1a(hash, block);
         digests.push(hash);
     }
     digests
 }
 
-const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-const FNV_PRIME: u64 = 0x0100_0000_01b3;
+/// The 64-bit FNV-1a hash of no bytes.
+pub const FNV_START: u64 = 0xcbf2_9ce4_8422_2325;
 
-fn fnv_step(hash: u64, byte: u8) -> u64 {
-    (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+/// The 64-bit FNV-1a hash of what `hash` covers and `bytes` behind it.
+pub fn fnv1a(hash: u64, bytes: &[u8]) -> u64 {
+    bytes.iter().fold(hash, |hash, &byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    })
 }
 
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
 /// A model engine that is reached over HTTP.
 pub struct HttpEngine {
     http: HttpClient,
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -2,8 +2,8 @@
 //!
 //! A connection from a pool may have been closed by the peer a moment ago. A request written into
 //! it may or may not have been read, and nothing on this side tells which. So calls that must not
-//! run twice take [`Reuse::Fresh`]: their connection is opened for them alone, and an error while
-//! it opens proves that no byte was sent. Every other loss is [`CallError::Lost`].
+//! run twice take `Reuse::Fresh`: their connection is opened for them alone, and an error while
+//! it opens proves that no byte was sent. Every other loss is `CallError::Lost`.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use thiserror::Error;
@@ -174,7 +175,7 @@
     /// As `send`, with another limit for the time until the answer's head is there.
     pub(crate) async fn send_within(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         reuse: Reuse,
         limit: Duration,
     ) -> Result<Response<Incoming>> {
@@ -182,11 +183,16 @@
             Reuse::Pooled => self.pooled.load_full(),
             Reuse::Fresh => Arc::new(self.fresh.clone()),
         };
-        match timeout(self.limits.connect + limit, client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() => Err(CallError::NotSent(chain(&error))),
-            Ok(Err(error)) => Err(CallError::Lost(chain(&error))),
-            Err(_) => {
+        let mut connection = capture_connection(&mut request);
+        let response = client.request(request);
+        let silence = async {
+            // Until then the connector's own limit holds.
+            drop(connection.wait_for_connection_metadata().await);
+            tokio::time::sleep(limit).await;
+        };
+        tokio::select! {
+            response = response => response.map_err(call_error),
+            () = silence => {
                 self.renew(reuse);
                 Err(CallError::Lost(format!("no answer within {limit:?}")))
             }
@@ -248,6 +254,14 @@
         .build(connector)
 }
 
+fn call_error(error: hyper_util::client::legacy::Error) -> CallError {
+    if error.is_connect() {
+        CallError::NotSent(chain(&error))
+    } else {
+        CallError::Lost(chain(&error))
+    }
+}
+
 /// An error and its causes in one line.
 fn chain(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/lib/src/service_http.rs
+++ b/lib/src/service_http.rs
@@ -1,6 +1,7 @@
 //! A plain service behind HTTP.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -21,6 +22,13 @@
 use crate::http_client::did_not_run;
 use crate::http_client::excerpt;
 
+// A plain service shows no sign of life while it works on a call, so silence is no sign of a lost
+// connection before the longest call that users wait for is over.
+const SERVICE_SILENCE: Duration = Duration::from_secs(30);
+
+// A health check does no work.
+const HEALTH_SILENCE: Duration = Duration::from_secs(2);
+
 /// A plain service that is reached over HTTP.
 pub struct HttpService {
     http: HttpClient,
@@ -31,7 +39,7 @@
 impl HttpService {
     /// The service at `addr`.
     pub fn new(addr: SocketAddr) -> Self {
-        HttpService::with_limits(addr, HttpLimits::new())
+        HttpService::with_limits(addr, HttpLimits::new().with_silence(SERVICE_SILENCE))
     }
 
     /// The service at `addr`, with other limits.
@@ -86,7 +94,10 @@
             .request("GET", &self.health)
             .body(Full::default())
             .map_err(|error| BackendError::Failed(format!("the health path: {error}")))?;
-        let response = self.http.fetch(request, Reuse::Pooled).await?;
+        let response = self
+            .http
+            .send_within(request, Reuse::Pooled, HEALTH_SILENCE)
+            .await?;
         if response.status().is_success() {
             return Ok(());
         }
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -8,6 +8,7 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
+use std::process::Stdio;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -58,23 +59,29 @@
 impl Process {
     /// Starts `bin --config FILE`, where the file holds `config`.
     pub fn spawn(bin: &Path, config: &str) -> Result<Self> {
-        Process::spawn_with(bin, config, &[])
-    }
-
-    /// As [`Process::spawn`], with more arguments.
-    pub fn spawn_with(bin: &Path, config: &str, args: &[&str]) -> Result<Self> {
         let dir = new_dir()?;
         let file = dir.join("cicada.ini");
         fs::write(&file, config)?;
+        let mut command = Command::new(bin);
+        command.arg("--config").arg(&file);
+        Process::start(command, dir)
+    }
+
+    /// Starts `bin` with arguments.
+    pub fn spawn_args(bin: &Path, args: &[&str]) -> Result<Self> {
+        let mut command = Command::new(bin);
+        command.args(args);
+        Process::start(command, new_dir()?)
+    }
+
+    fn start(mut command: Command, dir: PathBuf) -> Result<Self> {
         let log = File::create(dir.join("log"))?;
-        let child = Command::new(bin)
-            .arg("--config")
-            .arg(&file)
-            .args(args)
+        let child = command
+            .stdin(Stdio::null())
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()
-            .wrap_err_with(|| format!("{} cannot be started; build it first", bin.display()))?;
+            .wrap_err_with(|| format!("{command:?} cannot be started; build it first"))?;
         Ok(Process { child, dir })
     }
 
@@ -88,7 +95,7 @@
         fs::read_to_string(self.dir.join("log")).unwrap_or_default()
     }
 
-    /// Sends it a signal.
+    /// Sends it a signal. It is paused when this returns from [`Signal::Stop`].
     pub fn signal(&mut self, signal: Signal) -> Result<()> {
         // Its id may belong to another process once it has ended.
         ensure!(self.status()?.is_none(), "the process has ended");
@@ -97,6 +104,9 @@
             .arg(self.pid().to_string())
             .status()?;
         ensure!(status.success(), "the signal was not sent: {status}");
+        if signal == Signal::Stop {
+            self.wait_stopped()?;
+        }
         Ok(())
     }
 
@@ -126,9 +136,7 @@
     pub async fn wait_answer(&mut self, addr: SocketAddr, path: &str) -> Result<()> {
         let start = Instant::now();
         while start.elapsed() < READY {
-            if let Some(status) = self.status()? {
-                bail!("it ended with {status}; its log:\n{}", self.log());
-            }
+            self.check_running()?;
             let answer = http_call::get(addr, path).await;
             if answer.is_ok_and(|answer| answer.status().is_success()) {
                 return Ok(());
@@ -137,6 +145,42 @@
         }
         bail!("not ready after {READY:?}; its log:\n{}", self.log())
     }
+
+    /// Waits for a line of its log that contains `mark`, and returns what follows the mark.
+    pub async fn wait_line(&mut self, mark: &str) -> Result<String> {
+        let start = Instant::now();
+        while start.elapsed() < READY {
+            self.check_running()?;
+            let log = self.log();
+            // The last line may still be incomplete.
+            let complete = log.rsplit_once('\n').map_or("", |(lines, _)| lines);
+            let found = complete.lines().find_map(|line| line.split_once(mark));
+            if let Some((_, rest)) = found {
+                return Ok(rest.to_string());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        bail!("no line with {mark:?}; its log:\n{}", self.log())
+    }
+
+    /// Its threads stop one by one, some of them after the signal was sent.
+    fn wait_stopped(&self) -> Result<()> {
+        let start = Instant::now();
+        while start.elapsed() < READY {
+            if all_stopped(self.pid())? {
+                return Ok(());
+            }
+            std::thread::sleep(POLL);
+        }
+        bail!("it has not stopped after {READY:?}")
+    }
+
+    fn check_running(&mut self) -> Result<()> {
+        if let Some(status) = self.status()? {
+            bail!("it ended with {status}; its log:\n{}", self.log());
+        }
+        Ok(())
+    }
 }
 
 impl Drop for Process {
@@ -150,6 +194,18 @@
     }
 }
 
+fn all_stopped(pid: u32) -> Result<bool> {
+    for task in fs::read_dir(format!("/proc/{pid}/task"))? {
+        let stat = fs::read_to_string(task?.path().join("stat"))?;
+        // The state follows the name, which ends at the last parenthesis.
+        let state = stat.rsplit_once(") ").map_or("", |(_, rest)| rest);
+        if !state.starts_with('T') {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// The path of a program of this workspace: the environment variable `NAME_BIN` (in upper case), or
 /// the file beside the running test.
 pub fn program(name: &str) -> Result<PathBuf> {
--- a/lib/testutils/src/http_server.rs
+++ b/lib/testutils/src/http_server.rs
@@ -205,6 +205,9 @@
     }
 }
 
+// Accepting fails while file descriptors have run out.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
 // Room for a burst of new connections.
 pub(crate) const BACKLOG: u32 = 1024;
 
@@ -224,8 +227,9 @@
     loop {
         tokio::select! {
             accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    connections.spawn(serve(stream, handler.clone()));
+                match accepted {
+                    Ok((stream, _)) => drop(connections.spawn(serve(stream, handler.clone()))),
+                    Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
                 }
             }
             Some(_) = connections.join_next() => {}
--- a/lib/testutils/src/main.rs
+++ b/lib/testutils/src/main.rs
@@ -14,6 +14,7 @@
 use testutils::engine::EngineServer;
 use testutils::engine::EngineSettings;
 use testutils::engine_core::CoreSettings;
+use testutils::output_length::OutputLengths;
 use testutils::platform::PlatformServer;
 use testutils::platform::PlatformSettings;
 use testutils::proxy::FaultProxy;
@@ -50,36 +51,36 @@
 
 async fn run_engine(args: &[String]) -> Result<()> {
     let mut flags = Flags::new("engine", 8001);
-    flags.number("step", "MICROS", "time of a step with an empty batch");
-    flags.number(
+    flags.value("step", "MICROS", "time of a step with an empty batch");
+    flags.value(
         "per-sequence",
         "MICROS",
         "time that a generation adds to a step",
     );
-    flags.number("prefill", "MICROS", "time to compute a token of a prompt");
-    flags.number("capacity", "TOKENS", "tokens that fit in memory");
-    flags.number("max-batch", "N", "largest batch");
-    flags.number("median", "TOKENS", "median output length");
-    flags.number(
+    flags.value("prefill", "MICROS", "time to compute a token of a prompt");
+    flags.value("capacity", "TOKENS", "tokens that fit in memory");
+    flags.value("max-batch", "N", "largest batch");
+    flags.value("median", "TOKENS", "median output length");
+    flags.value(
         "spread",
         "SIGMA",
         "standard deviation of the length's logarithm",
     );
-    flags.number("longest", "TOKENS", "longest output that is drawn");
-    flags.number("cache", "BLOCKS", "blocks in the prefix cache");
-    flags.number("cache-lag", "MS", "how late cache events are");
-    flags.number("cache-gaps", "PART", "part of cache events that are lost");
-    flags.number("keep", "MS", "how long tokens are kept after the end");
-    flags.number("load-lag", "MS", "how late load reports are");
-    flags.number("model-load", "MS", "time to load a model");
-    flags.number("restart", "MS", "time from death to the next start");
-    flags.number("seed", "N", "seed of the output lengths");
+    flags.value("longest", "TOKENS", "longest output that is drawn");
+    flags.value("cache", "BLOCKS", "blocks in the prefix cache");
+    flags.value("cache-lag", "MS", "how late cache events are");
+    flags.value("cache-gaps", "PART", "part of cache events that are lost");
+    flags.value("keep", "MS", "how long tokens are kept after the end");
+    flags.value("load-lag", "MS", "how late load reports are");
+    flags.value("model-load", "MS", "time to load a model");
+    flags.value("restart", "MS", "time from death to the next start");
+    flags.value("seed", "N", "seed of the output lengths");
     flags.many(
         "model",
         "NAME",
         "a model or adapter that is loaded; may be given again",
     );
-    flags.number("weights", "ADDR", "the weight store");
+    flags.value("weights", "ADDR", "the weight store");
     flags.flag("ignore-fence", "take orders under old fencing numbers");
     let Some(given) = flags.parse(args)? else {
         return Ok(());
@@ -100,14 +101,16 @@
             prefill: given.micros("prefill", core.prefill)?,
             capacity: given.value("capacity", core.capacity)?,
             max_batch: given.value("max-batch", core.max_batch)?,
-            median_output: given.value("median", core.median_output)?,
-            spread: given.value("spread", core.spread)?,
-            longest_output: given.value("longest", core.longest_output)?,
+            lengths: OutputLengths {
+                median: given.value("median", core.lengths.median)?,
+                spread: given.value("spread", core.lengths.spread)?,
+                longest: given.value("longest", core.lengths.longest)?,
+                seed: given.value("seed", core.lengths.seed)?,
+            },
             cache_blocks: given.value("cache", core.cache_blocks)?,
             cache_lag: given.millis("cache-lag", core.cache_lag)?,
             cache_gaps: given.value("cache-gaps", core.cache_gaps)?,
             keep: given.millis("keep", core.keep)?,
-            seed: given.value("seed", core.seed)?,
         },
         models: if models.is_empty() {
             usual.models
@@ -124,10 +127,10 @@
 
 async fn run_service(args: &[String]) -> Result<()> {
     let mut flags = Flags::new("service", 8002);
-    flags.number("time", "MS", "time that a call takes");
-    flags.number("workers", "N", "calls that run at once; 0 for no bound");
-    flags.number("restart", "MS", "time from death to the next start");
-    flags.number("seed", "N", "seed of the lost answers");
+    flags.value("time", "MS", "time that a call takes");
+    flags.value("workers", "N", "calls that run at once; 0 for no bound");
+    flags.value("restart", "MS", "time from death to the next start");
+    flags.value("seed", "N", "seed of the lost answers");
     let Some(given) = flags.parse(args)? else {
         return Ok(());
     };
@@ -144,12 +147,12 @@
 
 async fn run_platform(args: &[String]) -> Result<()> {
     let mut flags = Flags::new("platform", 8000);
-    flags.number("token", "TEXT", "the bearer token that it asks for");
-    flags.number("writes", "RATE", "writes a second");
-    flags.number("reads", "RATE", "reads a second");
-    flags.number("latency", "MS", "time that a call takes");
-    flags.number("host-lag", "MS", "how late the list of hosts is");
-    flags.number("seed", "N", "seed of the lost answers");
+    flags.value("token", "TEXT", "the bearer token that it asks for");
+    flags.value("writes", "RATE", "writes a second");
+    flags.value("reads", "RATE", "reads a second");
+    flags.value("latency", "MS", "time that a call takes");
+    flags.value("host-lag", "MS", "how late the list of hosts is");
+    flags.value("seed", "N", "seed of the lost answers");
     let Some(given) = flags.parse(args)? else {
         return Ok(());
     };
@@ -168,7 +171,7 @@
 
 async fn run_weights(args: &[String]) -> Result<()> {
     let mut flags = Flags::new("weights", 8003);
-    flags.number("rate", "RATE", "loads a second");
+    flags.value("rate", "RATE", "loads a second");
     let Some(given) = flags.parse(args)? else {
         return Ok(());
     };
@@ -183,7 +186,7 @@
         "ADDR=ADDR",
         "listens at the first address and connects to the second; may be given again",
     );
-    flags.number("seed", "N", "seed of the jitter");
+    flags.value("seed", "N", "seed of the jitter");
     let Some(given) = flags.parse(args)? else {
         return Ok(());
     };
@@ -227,7 +230,7 @@
         }
     }
 
-    fn number(&mut self, name: &str, hint: &str, text: &str) {
+    fn value(&mut self, name: &str, hint: &str, text: &str) {
         self.options.optopt("", name, text, hint);
     }
 
--- a/lib/testutils/src/platform.rs
+++ b/lib/testutils/src/platform.rs
@@ -84,6 +84,11 @@
     pub lost: f64,
     /// The number of next writes whose answer is lost after they took effect.
     pub lose_next: u32,
+    /// The number of next writes that are lost, and reach the store `late_by` milliseconds later:
+    /// whoever reads back at once does not see them yet.
+    pub late_next: u32,
+    /// Milliseconds by which such writes are late.
+    pub late_by: u64,
     /// The part of calls that are lost before they take effect, from 0 to 1.
     pub dropped: f64,
 }
@@ -235,7 +240,7 @@
         self.state().refusal(call, kind(call, path))
     }
 
-    async fn serve(&self, call: &Call, path: &[String]) -> Reply {
+    async fn serve(self: &Arc<Self>, call: &Call, path: &[String]) -> Reply {
         if path[0] == "hosts" {
             return self.hosts();
         }
@@ -253,7 +258,7 @@
                 Some(version) => self.watch(call, &key, Version(version)).await,
                 None => self.state().read(&key),
             },
-            Method::PUT => self.state().write(call, &key),
+            Method::PUT => self.put(call, key),
             Method::DELETE => self.state().delete(call, &key),
             _ => Reply::text(StatusCode::METHOD_NOT_ALLOWED, "no such method"),
         }
@@ -278,6 +283,20 @@
             .unwrap_or_else(|_| Reply::bytes(StatusCode::NO_CONTENT, Bytes::new()))
     }
 
+    fn put(self: &Arc<Self>, call: &Call, key: String) -> Reply {
+        let late = self.state().late();
+        let Some(delay) = late else {
+            return self.state().write(call, &key);
+        };
+        let shared = self.clone();
+        let call = call.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            shared.state().write(&call, &key);
+        });
+        Reply::Cut
+    }
+
     fn hosts(&self) -> Reply {
         let mut state = self.state();
         state.settle_hosts(Instant::now());
@@ -374,6 +393,12 @@
         }
     }
 
+    /// How late the next write reaches the store.
+    fn late(&mut self) -> Option<Duration> {
+        self.faults.late_next = self.faults.late_next.checked_sub(1)?;
+        Some(Duration::from_millis(self.faults.late_by))
+    }
+
     fn loses_answer(&mut self) -> bool {
         if self.faults.lose_next > 0 {
             self.faults.lose_next -= 1;
--- a/lib/testutils/src/proxy.rs
+++ b/lib/testutils/src/proxy.rs
@@ -23,6 +23,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::http_server::ACCEPT_PAUSE;
 use crate::http_server::BACKLOG;
 use crate::http_server::bind;
 
@@ -194,13 +195,15 @@
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
     loop {
-        if let Ok((client, _)) = listener.accept().await {
-            let hole = shared.faults.borrow().hole;
-            let connection = carry(client, shared.clone(), hole);
-            let mut connections = shared.connections();
-            reap(&mut connections);
-            connections.spawn(connection);
-        }
+        let Ok((client, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let hole = shared.faults.borrow().hole;
+        let connection = carry(client, shared.clone(), hole);
+        let mut connections = shared.connections();
+        reap(&mut connections);
+        connections.spawn(connection);
     }
 }
 
@@ -265,9 +268,11 @@
         loop {
             let count = match read.read(&mut buffer).await {
                 Ok(count) => count,
-                // A closed connection is no news that passes on a silent one.
-                Err(_) if self.is_silent() => return std::future::pending().await,
-                Err(error) => return Err(error),
+                Err(error) => {
+                    // The news of a reset passes no sooner than bytes would.
+                    self.passable().await;
+                    return Err(error);
+                }
             };
             last = last.max(Instant::now() + self.shared.delay(self.direction));
             let parcel = Parcel {
@@ -288,10 +293,6 @@
         while let Some(parcel) = receiver.recv().await {
             tokio::time::sleep_until(parcel.due).await;
             self.passable().await;
-            if self.is_silent() {
-                // Keeps both ends open: neither learns anything any more.
-                return std::future::pending().await;
-            }
             if parcel.bytes.is_empty() {
                 return write.shutdown().await;
             }
@@ -300,16 +301,16 @@
         Ok(())
     }
 
-    fn is_silent(&self) -> bool {
-        *self.shared.silenced.borrow() > self.silenced
-    }
-
-    /// Waits until the direction is not stalled.
+    /// Waits until the direction is not stalled. For good on a silenced connection, which keeps both
+    /// its ends open: neither learns anything any more.
     async fn passable(&self) {
         let mut faults = self.shared.faults.subscribe();
         let direction = self.direction;
         let _ = faults
             .wait_for(|faults| !direction.of(faults).stalled)
             .await;
+        if *self.shared.silenced.borrow() > self.silenced {
+            std::future::pending::<()>().await;
+        }
     }
 }
--- a/lib/testutils/src/token_text.rs
+++ b/lib/testutils/src/token_text.rs
@@ -4,6 +4,8 @@
 //! the generation's identifier and the prompt's digest in hex, and the index. So a caller can see
 //! from the text alone that an answer is whole, in order, its own, and from one generation.
 
+use cicada_lib::engine_http::FNV_START;
+use cicada_lib::engine_http::fnv1a;
 use cicada_lib::ids::GenerationId;
 use thiserror::Error;
 
@@ -31,17 +33,10 @@
 
 /// The digest of a prompt: its 64-bit FNV-1a hash, folded to 16 bits.
 pub fn prompt_digest(prompt: &str) -> u16 {
-    let hash = fnv(prompt);
+    let hash = fnv1a(FNV_START, prompt.as_bytes());
     (hash ^ (hash >> 16) ^ (hash >> 32) ^ (hash >> 48)) as u16
 }
 
-/// The 64-bit FNV-1a hash of a text.
-pub(crate) fn fnv(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
-}
-
 /// The text of token `index`.
 pub fn token_text(id: GenerationId, digest: u16, index: u32) -> String {
     format!("{:04x}:{digest:04x}:{index} ", id.0 & 0xffff)
--- a/lib/testutils/src/weight_store.rs
+++ b/lib/testutils/src/weight_store.rs
@@ -9,10 +9,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
+use http::Request;
 use http::StatusCode;
 
+use crate::http_call;
 use crate::http_server::Call;
 use crate::http_server::Handler;
 use crate::http_server::HttpServer;
@@ -74,3 +77,12 @@
         async move { reply }.boxed()
     }
 }
+
+/// Asks the store at `addr` for the start of one load; `false` where it is refused or not reached.
+pub async fn take_slot(addr: SocketAddr) -> bool {
+    let Ok(request) = Request::post("/slots").body(Bytes::new()) else {
+        return false;
+    };
+    let answer = http_call::call(addr, request).await;
+    answer.is_ok_and(|answer| answer.status().is_success())
+}
