testutils: a started process finds its port still free

Cause: free_addr closed its listener, and a test beside it was given the port: 'Address already in use' in one of 71 tests.

--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -9,6 +9,7 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -18,6 +19,9 @@
 use eyre::WrapErr;
 use eyre::bail;
 use eyre::ensure;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use crate::http_call;
 
@@ -226,10 +230,20 @@
     })
 }
 
-/// An address of the loopback with a port that was free a moment ago.
+/// An address of the loopback for a process that is started next.
+///
+/// Tests run side by side, and the kernel would soon give a port that is only free to another one.
+/// So the port stays bound, and never listened on, until this process ends; a listener that allows
+/// the reuse of addresses, as those of the daemon do, can still take it.
 pub fn free_addr() -> Result<SocketAddr> {
-    let listener = std::net::TcpListener::bind(("127.0.0.1", 0))?;
-    Ok(listener.local_addr()?)
+    static HELD: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    let addr = socket.local_addr()?.as_socket();
+    let mut held = HELD.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    held.push(socket);
+    addr.ok_or_else(|| eyre::eyre!("the socket has no address"))
 }
 
 fn new_dir() -> Result<PathBuf> {
