cicada: the operators' command-line tool

Reads and writes the configuration, asks processes for their state, and tells what is committed, what is in force on how many of how many processes, and what is not known, each with its exit code.

--- /dev/null
+++ b/cli/src/cmd_change.rs
@@ -0,0 +1,245 @@
+//! `create`, `set`, `delete`, `drain`, `undrain`, alone or between `begin` and `commit`.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use cicada_lib::config::Config;
+use cicada_lib::config::Rights;
+use cicada_lib::config_chunks::Loaded;
+use cicada_lib::config_edit::Change;
+use cicada_lib::config_store::CommitError;
+use cicada_lib::config_store::Committed;
+use cicada_lib::query::Statement;
+use cicada_lib::query_eval::Evaluator;
+use cicada_lib::secrets::Secret;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::output::print_json;
+use crate::output::print_line;
+use crate::session::Session;
+
+// Between two rounds of questions. A change is in force within seconds.
+const ROUND: Duration = Duration::from_millis(500);
+
+struct Issued {
+    object: String,
+    secret: Secret,
+}
+
+struct Worked {
+    change: Change,
+    issued: Vec<Issued>,
+}
+
+struct Reached {
+    count: usize,
+    total: usize,
+    missing: Vec<Missing>,
+}
+
+struct Missing {
+    host: String,
+    why: String,
+}
+
+/// Commits the statements as one change.
+pub(crate) async fn run(session: &Session, source: &str, statements: &[Statement]) -> Result<()> {
+    let base = session.load(Rights::Full).await?;
+    check_base(session, base.as_ref())?;
+    let worked = work_out(source, base.as_ref(), statements)?;
+    if session.run.dry_run {
+        return dry_run(session, base.as_ref(), &worked.change);
+    }
+    let author = session.author();
+    let result = session
+        .store
+        .commit(base.as_ref(), &worked.change, &author)
+        .await;
+    if let Err(error @ CommitError::Unknown { .. }) = result {
+        // The change may be in force, and nobody else has these secrets.
+        print_secrets(&worked.issued);
+        return Err(error.into());
+    }
+    let committed = result?;
+    finish(session, &worked, &committed).await
+}
+
+fn check_base(session: &Session, base: Option<&Loaded>) -> Result<()> {
+    let found = base.map_or(0, |b| b.version.0);
+    match session.run.base {
+        Some(wanted) if wanted.0 != found => {
+            let text = format!(
+                "the newest version is {found}, not {}; nothing changed",
+                wanted.0
+            );
+            Err(Error::LostRace(text))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn work_out(source: &str, base: Option<&Loaded>, statements: &[Statement]) -> Result<Worked> {
+    let config = base.map_or_else(Config::default, |b| b.config.as_ref().clone());
+    let mut evaluator = Evaluator::new(config);
+    let mut edits = Vec::new();
+    let mut issued = Vec::new();
+    for statement in statements {
+        let secret = Secret::random().map_err(Error::Runtime)?;
+        let done = evaluator.eval(statement, secret);
+        let done = done.map_err(|e| Error::Query(e, source.to_owned()))?;
+        if let Some(secret) = done.issued {
+            let object = done.edit.to_string();
+            issued.push(Issued { object, secret });
+        }
+        edits.push(done.edit);
+    }
+    let change = Change::new(edits);
+    Ok(Worked { change, issued })
+}
+
+fn dry_run(session: &Session, base: Option<&Loaded>, change: &Change) -> Result<()> {
+    let plan = session.store.plan(base, change, &session.author())?;
+    let edits: Vec<String> = change.edits.iter().map(|e| e.to_string()).collect();
+    if session.run.json {
+        print_json(&json!({
+            "outcome": "dry_run",
+            "version": plan.root.version.0,
+            "edits": edits,
+            "chunks": plan.chunks.len(),
+            "bytes": plan.bytes(),
+        }));
+        return Ok(());
+    }
+    for edit in edits {
+        print_line(&format!("would {edit}"));
+    }
+    let (version, chunks, bytes) = (plan.root.version.0, plan.chunks.len(), plan.bytes());
+    print_line(&format!(
+        "dry run: version {version} would write {chunks} chunks, {bytes} bytes; nothing changed"
+    ));
+    Ok(())
+}
+
+async fn finish(session: &Session, worked: &Worked, committed: &Committed) -> Result<()> {
+    let version = committed.loaded.version.0;
+    if !session.run.json {
+        // Before any wait: what is committed must be known even if the wait is broken off.
+        print_line(&format!("version {version} committed"));
+        print_secrets(&worked.issued);
+    }
+    let reached = match session.run.wait {
+        Some(limit) => Some(wait(session, version, limit).await),
+        None => None,
+    };
+    if session.run.json {
+        print_json(&outcome(worked, committed, reached.as_ref()));
+    } else {
+        print_reached(version, reached.as_ref());
+    }
+    match reached {
+        Some(reached) if !reached.is_everywhere() => Err(Error::NotEverywhere),
+        _ => Ok(()),
+    }
+}
+
+// Asks until every process of the platform's list follows the version, or the time is over.
+async fn wait(session: &Session, version: u64, limit: Duration) -> Reached {
+    let end = Instant::now() + limit;
+    loop {
+        let reached = match session.hosts().await {
+            Ok(hosts) => round(session, version, hosts).await,
+            Err(error) => unlisted(&error),
+        };
+        if reached.is_everywhere() || Instant::now() + ROUND > end {
+            return reached;
+        }
+        tokio::time::sleep(ROUND).await;
+    }
+}
+
+async fn round(
+    session: &Session,
+    version: u64,
+    hosts: Vec<cicada_lib::platform::HostRecord>,
+) -> Reached {
+    let reports = session.ask(hosts).await;
+    let behind = reports.iter().filter(|r| !r.follows(version));
+    let missing = behind.map(|r| Missing {
+        host: r.host.name.to_string(),
+        why: match &r.page {
+            Ok(page) => format!("at version {}", page.version),
+            Err(why) => format!("unreachable: {why}"),
+        },
+    });
+    let missing: Vec<Missing> = missing.collect();
+    Reached {
+        count: reports.len() - missing.len(),
+        total: reports.len(),
+        missing,
+    }
+}
+
+// Without the list it is not known how many processes there are.
+fn unlisted(error: &Error) -> Reached {
+    let missing = Missing {
+        host: "all".to_owned(),
+        why: format!("the list of hosts cannot be read: {error}"),
+    };
+    Reached {
+        count: 0,
+        total: 0,
+        missing: vec![missing],
+    }
+}
+
+impl Reached {
+    fn is_everywhere(&self) -> bool {
+        self.missing.is_empty()
+    }
+}
+
+fn print_secrets(issued: &[Issued]) {
+    for Issued { object, secret } in issued {
+        print_line(&format!("{object}: {}", secret.reveal()));
+    }
+    if !issued.is_empty() {
+        print_line("Keep it now: only its digest is stored, and it is not shown again.");
+    }
+}
+
+fn print_reached(version: u64, reached: Option<&Reached>) {
+    let Some(reached) = reached else {
+        print_line("Each process follows within seconds; `cicada show versions` tells which do.");
+        return;
+    };
+    let (count, total) = (reached.count, reached.total);
+    print_line(&format!(
+        "version {version} in force on {count} of {total} processes"
+    ));
+    for Missing { host, why } in &reached.missing {
+        print_line(&format!("not reached: {host} ({why})"));
+    }
+}
+
+fn outcome(worked: &Worked, committed: &Committed, reached: Option<&Reached>) -> Value {
+    let issued = worked.issued.iter();
+    let issued = issued.map(|i| json!({ "object": i.object, "secret": i.secret.reveal() }));
+    let missing = |m: &Missing| json!({ "host": m.host, "why": m.why });
+    json!({
+        "outcome": "committed",
+        "version": committed.loaded.version.0,
+        "digest": committed.loaded.digest.to_string(),
+        "writer": committed.writer.to_string(),
+        "chunks": committed.chunks,
+        "bytes": committed.bytes,
+        "issued": issued.collect::<Vec<_>>(),
+        "in_force": reached.map(|r| json!({
+            "processes": r.count,
+            "of": r.total,
+            "missing": r.missing.iter().map(missing).collect::<Vec<_>>(),
+        })),
+    })
+}
--- a/lib/src/query_parse.rs
+++ b/lib/src/query_parse.rs
@@ -219,7 +219,11 @@
     // A word without quotes, as keywords and fields are written.
     fn plain(&mut self, what: &str, known: &[&str]) -> Result<Word> {
         let Kind::Word(text) = &self.peek().kind else {
-            return Err(self.expected(what, suggest("", known)));
+            let hint = match known {
+                [] => "write its name without quotes".to_owned(),
+                known => suggest("", known),
+            };
+            return Err(self.expected(what, hint));
         };
         let text = text.clone();
         let span = self.take().span;
