--- a/lib/testutils/tests/cluster.rs
+++ b/lib/testutils/tests/cluster.rs
@@ -30,8 +30,7 @@
     let args = ["engine", "--listen", "127.0.0.1:0", "--model", "hymns"];
     let (mut process, addr) = start(&args).await?;
     process.wait_answer(addr, "/load").await?;
-    let limits = HttpLimits::new().with_silence(Duration::from_millis(300));
-    let limits = limits.with_connect(Duration::from_millis(100));
+    let limits = HttpLimits::new().with_silence(Duration::from_secs(2));
     let engine = HttpEngine::with_limits(addr, limits);
     let spec = GenerationSpec {
         id: GenerationId(1),
--- a/lib/testutils/tests/engine.rs
+++ b/lib/testutils/tests/engine.rs
@@ -214,7 +214,7 @@
 #[tokio::test]
 async fn model_is_loaded_after_a_slot_and_a_while() -> Result<()> {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let store = WeightStore::start(any, 10.0)?;
+    let store = WeightStore::start(any, 2.0)?;
     let server = EngineServer::start(EngineSettings {
         weights: Some(store.addr()),
         ..settings()
--- a/lib/testutils/tests/lost_connections.rs
+++ b/lib/testutils/tests/lost_connections.rs
@@ -110,11 +110,13 @@
     Ok(stream.read(&mut buffer).await?)
 }
 
+/// For calls that are lost: short limits only shorten the test.
 fn limits() -> HttpLimits {
-    HttpLimits::new()
-        .with_silence(Duration::from_millis(100))
-        .with_connect(Duration::from_millis(100))
-        .with_body(100_000)
+    small_body().with_silence(Duration::from_millis(100))
+}
+
+fn small_body() -> HttpLimits {
+    HttpLimits::new().with_body(100_000)
 }
 
 fn call(method: &str) -> CallSpec {
@@ -193,7 +195,7 @@
 #[tokio::test]
 async fn booking_takes_no_used_connection() -> Result<()> {
     let (addr, count) = start(Peer::ClosesOnReuse).await?;
-    let service = HttpService::with_limits(addr, limits());
+    let service = HttpService::with_limits(addr, HttpLimits::new());
     for calls in 1..=3 {
         service.call(&call("POST")).await?;
         assert_eq!(count.load(Ordering::Relaxed), calls);
@@ -204,8 +206,8 @@
 #[tokio::test]
 async fn generation_and_write_take_no_used_connection() -> Result<()> {
     let (addr, count) = start(Peer::ClosesOnReuse).await?;
-    let engine = HttpEngine::with_limits(addr, limits());
-    let platform = HttpPlatform::with_limits(addr, "", limits());
+    let engine = HttpEngine::with_limits(addr, HttpLimits::new());
+    let platform = HttpPlatform::with_limits(addr, "", HttpLimits::new());
     for calls in 1..=3 {
         assert_eq!(engine.start(&spec()).await?.count().await, 1);
         assert_eq!(count.load(Ordering::Relaxed), 2 * calls - 1);
@@ -219,7 +221,7 @@
 #[tokio::test]
 async fn read_on_a_closed_connection_is_lost_and_not_unreachable() -> Result<()> {
     let (addr, count) = start(Peer::ClosesOnReuse).await?;
-    let service = HttpService::with_limits(addr, limits());
+    let service = HttpService::with_limits(addr, HttpLimits::new());
     service.call(&call("GET")).await?;
     // The connection comes back to the pool a moment after the answer.
     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -248,7 +250,7 @@
 #[tokio::test]
 async fn stream_without_its_last_line_is_lost() -> Result<()> {
     let (addr, _) = start(Peer::HalfStream).await?;
-    let engine = HttpEngine::with_limits(addr, limits());
+    let engine = HttpEngine::with_limits(addr, small_body());
     let mut stream = engine.start(&spec()).await?;
     assert!(stream.next().await.is_some_and(|event| event.is_ok()));
     assert!(stream.next().await.is_some_and(is_lost));
@@ -259,7 +261,7 @@
 #[tokio::test]
 async fn endless_line_is_lost() -> Result<()> {
     let (addr, _) = start(Peer::Endless).await?;
-    let engine = HttpEngine::with_limits(addr, limits());
+    let engine = HttpEngine::with_limits(addr, small_body());
     let mut stream = engine.start(&spec()).await?;
     assert!(stream.next().await.is_some_and(is_lost));
     Ok(())
--- a/lib/testutils/tests/platform.rs
+++ b/lib/testutils/tests/platform.rs
@@ -74,8 +74,8 @@
 #[tokio::test]
 async fn calls_over_the_rate_are_refused_and_counted() -> Result<()> {
     let server = PlatformServer::start(PlatformSettings {
-        write_rate: 20.0,
-        read_rate: 30.0,
+        write_rate: 2.0,
+        read_rate: 2.0,
         ..PlatformSettings::new()
     })?;
     let platform = HttpPlatform::new(server.addr(), "").with_caller(Name::new("agent-1"));
@@ -128,7 +128,7 @@
     let platform = HttpPlatform::new(server.addr(), "");
     server.set_faults(PlatformFaults {
         late_next: 1,
-        late_by: 100,
+        late_by: 1_000,
         ..PlatformFaults::default()
     });
     let value = Bytes::from("late");
@@ -185,7 +185,7 @@
 #[tokio::test]
 async fn hosts_are_seen_after_the_lag() -> Result<()> {
     let server = PlatformServer::start(PlatformSettings {
-        host_lag: Duration::from_millis(300),
+        host_lag: Duration::from_secs(1),
         ..PlatformSettings::new()
     })?;
     let platform = HttpPlatform::new(server.addr(), "");
--- a/lib/testutils/tests/proxy.rs
+++ b/lib/testutils/tests/proxy.rs
@@ -119,8 +119,7 @@
 async fn silent_pool_costs_one_read_only() -> Result<()> {
     let server = PlatformServer::start(PlatformSettings::new())?;
     let proxy = before(server.addr())?;
-    let limits = limits().with_silence(Duration::from_millis(200));
-    let limits = limits.with_connect(Duration::from_millis(200));
+    let limits = limits().with_silence(Duration::from_secs(1));
     let platform = HttpPlatform::with_limits(proxy.addr(), "", limits);
     let reads = (0..8).map(|_| platform.read("k"));
     futures_util::future::try_join_all(reads).await?;
@@ -137,7 +136,7 @@
 async fn booking_whose_answer_stalls_is_lost() -> Result<()> {
     let server = ServiceServer::start(ServiceSettings::new())?;
     let proxy = before(server.addr())?;
-    let limits = limits().with_silence(Duration::from_millis(200));
+    let limits = limits().with_silence(Duration::from_secs(1));
     let service = HttpService::with_limits(proxy.addr(), limits);
     let faults = LinkFaults {
         backward: stalled(),
@@ -196,7 +195,7 @@
 #[tokio::test]
 async fn refused_and_cut_connections_are_told_apart() -> Result<()> {
     let server = ServiceServer::start(ServiceSettings {
-        service_time: Duration::from_millis(200),
+        service_time: Duration::from_secs(1),
         ..ServiceSettings::new()
     })?;
     let proxy = before(server.addr())?;
