scheduler: hold a horizon, not the whole expectation; correct the wait by how it turned out

Levels ran away from a floor that followed a workspace that was always served at once: leads of 1,000 s were seen in the estimate. The floor is now where the next job begins. Order between workspaces is by where the next job ends (short first), and at most 128 tokens of a running job are held ahead.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -33,6 +33,17 @@
     contended: bool,
 }
 
+/// How the waits turned out against what was expected.
+///
+/// The estimate knows what waits now, and not the short jobs that will come and go before, nor the
+/// time for which a job has to wait until it fits into memory.
+#[derive(Clone, Debug)]
+pub struct Correction {
+    // Means over recent starts, in seconds.
+    expected: f64,
+    actual: f64,
+}
+
 /// A ceiling on requests a second.
 ///
 /// It is kept as the time at which the next request would be on schedule, so it is one word and
@@ -53,6 +64,35 @@
     pub part: f64,
 }
 
+impl Default for Correction {
+    fn default() -> Self {
+        Correction {
+            expected: 1.0,
+            actual: 1.0,
+        }
+    }
+}
+
+impl Correction {
+    // Some 64 starts.
+    const FOLLOW: f64 = 1.0 / 64.0;
+    // A factor outside says that the load has changed, and no more.
+    const BOUNDS: (f64, f64) = (0.5, 4.0);
+
+    /// Takes in a start.
+    pub fn observe(&mut self, expected: Duration, actual: Duration) {
+        self.expected += Self::FOLLOW * (expected.as_secs_f64() - self.expected);
+        self.actual += Self::FOLLOW * (actual.as_secs_f64() - self.actual);
+    }
+
+    /// The factor for expected waits.
+    pub fn get(&self) -> f64 {
+        // Waits of a few steps say nothing of a queue.
+        let least = 0.1;
+        ((self.actual + least) / (self.expected + least)).clamp(Self::BOUNDS.0, Self::BOUNDS.1)
+    }
+}
+
 impl Drain {
     /// Takes in cost that was done.
     pub fn done(&mut self, cost: u64) {
--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -12,10 +12,14 @@
 use crate::memory_plan::MemoryPlan;
 use crate::scheduler::JobKey;
 use crate::shares::Account;
+use crate::shares::TOKEN;
 use crate::tenants::TenantKey;
 use crate::tenants::Tenants;
 use crate::time::Time;
 
+/// Tokens of a running job that are held against its workspace ahead of time.
+const HORIZON: f64 = 128.0;
+
 /// Where a job stands.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum State {
@@ -52,6 +56,8 @@
     pub(crate) expected: Expectation,
     pub(crate) checked: u32,
     pub(crate) last_token: Option<Time>,
+    pub(crate) arrived: Time,
+    pub(crate) expected_wait: Duration,
 }
 
 /// The running batch.
@@ -81,6 +87,16 @@
         (self.expected.mean - since).max(1.0)
     }
 
+    /// The cost to be held against its workspace: of what is expected, at most [`HORIZON`].
+    pub(crate) fn ahead(&self) -> u64 {
+        (self.left().min(HORIZON) * TOKEN as f64) as u64
+    }
+
+    /// The cost by which it stands back behind other workspaces' jobs while it waits.
+    pub(crate) fn next_cost(&self) -> u64 {
+        self.cost.min((HORIZON * TOKEN as f64) as u64)
+    }
+
     /// Whether the expectation should be made anew: each eighth of its length.
     pub(crate) fn wants_check(&self) -> bool {
         self.produced - self.checked >= 8.max(self.produced / 8)
--- a/lib/src/lengths.rs
+++ b/lib/src/lengths.rs
@@ -54,6 +54,8 @@
     pub variance: f64,
     /// The number that a tenth of the generations do not exceed.
     pub low: f64,
+    /// The number that half of the generations do not exceed.
+    pub median: f64,
 }
 
 /// The lengths of one set of generations.
@@ -250,6 +252,7 @@
             mean: 0.0,
             variance: 0.0,
             low: 0.0,
+            median: 0.0,
         };
     }
     let empty = Sketch::new();
@@ -280,16 +283,19 @@
         squares += share * left * left;
     }
     let mean = sum / weight;
-    let mut under = weight * LOW;
-    let reached = |&index: &usize| {
-        under -= shares[index];
-        under <= 0.0
+    let quantile = |part: f64| {
+        let mut under = weight * part;
+        let reached = |&index: &usize| {
+            under -= shares[index];
+            under <= 0.0
+        };
+        left((first..BUCKETS).find(reached).unwrap_or(first))
     };
-    let low = left((first..BUCKETS).find(reached).unwrap_or(first));
     Expectation {
         mean,
         variance: (squares / weight - mean * mean).max(0.0),
-        low,
+        low: quantile(LOW),
+        median: quantile(0.5),
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -4,22 +4,16 @@
 
 mod macros;
 
+pub mod admission;
+pub mod backend;
 mod batch;
 mod choice;
 mod claim_commit;
-mod claim_retry;
-mod claim_view;
-mod reach;
-mod score;
-mod service;
-mod subset;
-mod tenants;
-
-pub mod admission;
-pub mod backend;
 pub mod claim_intent;
 pub mod claim_log;
+mod claim_retry;
 pub mod claim_shard;
+mod claim_view;
 pub mod claims;
 pub mod config;
 pub mod config_apply;
@@ -49,15 +43,20 @@
 pub mod query_eval;
 pub mod query_parse;
 pub mod query_rows;
+mod reach;
 pub mod retry_budget;
 pub mod router;
 pub mod routing;
 pub mod scheduler;
+pub mod scheduler_settings;
+mod score;
 pub mod secrets;
+mod service;
 pub mod service_http;
-pub mod settings;
 pub mod shares;
+mod subset;
 pub mod suspects;
+mod tenants;
 pub mod time;
 pub mod transcript;
 pub mod wire;
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -5,6 +5,7 @@
 
 use slotmap::SlotMap;
 
+use crate::admission::Correction;
 use crate::admission::Drain;
 use crate::admission::Queue;
 use crate::admission::seconds;
@@ -22,8 +23,8 @@
 use crate::outcome::RefusalReason;
 use crate::preset::BatchCap;
 use crate::preset::Pacer;
-pub use crate::settings::SchedulerSettings;
-pub use crate::settings::WorkspacePolicy;
+pub use crate::scheduler_settings::SchedulerSettings;
+pub use crate::scheduler_settings::WorkspacePolicy;
 use crate::shares::Shares;
 use crate::shares::TOKEN;
 use crate::tenants::Bands;
@@ -104,6 +105,7 @@
     bands: Bands,
     lengths: Lengths,
     drain: Drain,
+    correction: Correction,
     gap: TokenGap,
     cap: BatchCap,
     pacer: Pacer,
@@ -130,6 +132,7 @@
             bands: Bands::default(),
             lengths: Lengths::new(),
             drain: Drain::default(),
+            correction: Correction::default(),
             gap: TokenGap::default(),
             cap: BatchCap::new(settings.max_batch, settings.gap_target),
             pacer: Pacer::new(settings.prompt_rate),
@@ -160,8 +163,8 @@
         let account = &mut self.tenants[tenant].account;
         let elsewhere = job.elsewhere.saturating_mul(TOKEN);
         self.shares.charge_elsewhere(tenant, account, elsewhere);
-        let job = self.job(now, tenant, job);
-        let admitted = self.admit(now, &job);
+        let mut job = self.job(now, tenant, job);
+        let admitted = self.admit(now, &mut job);
         if admitted.is_ok() {
             let key = self.enqueue(tenant, job);
             self.tenants.settle(now, tenant, &self.shares);
@@ -209,7 +212,7 @@
             return;
         }
         job.produced += 1;
-        let held = job.held.min(TOKEN);
+        let held = job.held.saturating_sub(job.ahead());
         job.held -= held;
         self.batch.grow();
         let tenant = &mut self.tenants[job.tenant];
@@ -343,7 +346,7 @@
     fn job(&self, now: Time, tenant: TenantKey, spec: JobSpec) -> Job {
         let limit = spec.max_tokens.max(1);
         let expected = self.lengths.expect(&spec.workspace, &spec.kind, limit, 0);
-        let service = self.gap.times(expected.mean);
+        let service = self.gap.times(expected.median);
         let cost = self.prompt_cost(spec.prompt_tokens) + (expected.mean * TOKEN as f64) as u64;
         // A job that was moved here has waited on another agent already.
         let due = if spec.returning {
@@ -364,18 +367,21 @@
             alarm: spec.deadline.map(latest),
             deadline: spec.deadline,
             cost,
-            band: Bands::band(expected.mean),
+            band: Bands::band(expected.median),
             held: 0,
             produced: 0,
             pauses: 0,
             expected,
             checked: 0,
             last_token: None,
+            arrived: now,
+            expected_wait: Duration::ZERO,
         }
     }
 
-    fn admit(&mut self, now: Time, job: &Job) -> Result<(), NotRun> {
+    fn admit(&mut self, now: Time, job: &mut Job) -> Result<(), NotRun> {
         let wait = self.expected_wait(job);
+        job.expected_wait = wait;
         if job.alarm.is_some_and(|latest| latest < now + wait) {
             let reason = RefusalReason::DeadlineUnreachable;
             return Err(refuse(reason, self.promise(now, job, wait)));
@@ -407,7 +413,8 @@
         if !self.shares.is_contended() {
             return Duration::ZERO;
         }
-        self.queue_before(job).wait(rate)
+        let wait = self.queue_before(job).wait(rate);
+        wait.mul_f64(self.correction.get())
     }
 
     fn queue_before(&self, job: &Job) -> Queue {
@@ -416,7 +423,7 @@
         let longer = tenant.bands.total() - own;
         Queue {
             total: self.bands.total() - longer,
-            own: own + self.shares.lead(&tenant.account),
+            own: own + self.shares.lead(&tenant.account) + job.next_cost(),
             part: self.part(job.tenant),
         }
     }
@@ -485,7 +492,11 @@
     fn relist(&mut self, key: TenantKey) {
         let tenant = &mut self.tenants[key];
         if tenant.is_waiting() {
-            self.shares.list(key, &mut tenant.account);
+            let head = tenant
+                .queue
+                .first()
+                .map_or(0, |&(_, job)| self.jobs[job].cost);
+            self.shares.list(key, &mut tenant.account, head);
         } else {
             self.shares.unlist(key, &mut tenant.account);
         }
@@ -581,8 +592,10 @@
             self.alarms.insert((deadline, key));
         }
         self.pacer.start(now, job.prompt);
+        self.correction
+            .observe(job.expected_wait, now.since(job.arrived));
         let (tenant, due, band, cost) = (job.tenant, job.due, job.band, job.cost);
-        job.held = (job.expected.mean * TOKEN as f64) as u64;
+        job.held = job.ahead();
         let held = job.held;
         let prompt = u64::from(job.prompt);
         self.batch.add(key, job);
@@ -609,7 +622,7 @@
             .lengths
             .expect(&tenant.name, &job.kind, job.limit, job.produced);
         job.checked = job.produced;
-        let held = (job.expected.mean * TOKEN as f64) as u64;
+        let held = job.ahead();
         let before = std::mem::replace(&mut job.held, held);
         if held > before {
             self.shares
--- a/lib/src/shares.rs
+++ b/lib/src/shares.rs
@@ -40,15 +40,26 @@
     ahead: u64,
     // Cost produced here, charged or not.
     given: u64,
-    // The rank under which it stands in the set of those that wait.
-    listed: Option<u64>,
+    // The cost of its next job.
+    head: u64,
+    // Where it stands in the set of those that wait.
+    listed: Option<Place>,
+}
+
+/// Where a workspace stands. The order is by `end`.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Place {
+    // The level at which its next job ends, if it costs what is expected.
+    end: u64,
+    // The level at which it begins.
+    begin: u64,
 }
 
 /// Who waits, in the order of levels.
 #[derive(Clone, Debug)]
 pub struct Shares<K> {
-    // Invariant: holds (rank, key) of exactly the accounts whose `listed` is set.
-    waiting: BTreeSet<(u64, K)>,
+    // Invariant: holds exactly the accounts whose `listed` is set.
+    waiting: BTreeSet<(Place, K)>,
     // Never falls.
     floor: u64,
     // The sum of the shares of those that wait.
@@ -65,6 +76,7 @@
             level: 0,
             ahead: 0,
             given: 0,
+            head: 0,
             listed: None,
         }
     }
@@ -84,11 +96,19 @@
         self.listed.is_some()
     }
 
-    /// The level with what running jobs will bring.
-    pub fn rank(&self) -> u64 {
+    /// The level with what running jobs will bring: where its next job begins.
+    pub fn begin(&self) -> u64 {
         self.level.saturating_add(self.levels(self.ahead))
     }
 
+    fn place(&self) -> Place {
+        let next = self.ahead.saturating_add(self.head);
+        Place {
+            end: self.level.saturating_add(self.levels(next)),
+            begin: self.begin(),
+        }
+    }
+
     fn levels(&self, cost: u64) -> u64 {
         cost.saturating_mul(SCALE) / u64::from(self.share)
     }
@@ -120,9 +140,11 @@
         self.waiting.iter().map(|&(_, key)| key)
     }
 
-    /// The workspace begins to wait.
-    pub fn list(&mut self, key: K, account: &mut Account) {
+    /// The workspace waits, and its next job is expected to cost `head`.
+    pub fn list(&mut self, key: K, account: &mut Account, head: u64) {
+        account.head = head;
         if account.is_listed() {
+            self.relist(key, account);
             return;
         }
         self.raise_floor();
@@ -134,9 +156,9 @@
 
     /// The workspace waits no longer.
     pub fn unlist(&mut self, key: K, account: &mut Account) {
-        if let Some(rank) = account.listed.take() {
+        if let Some(place) = account.listed.take() {
             self.raise_floor();
-            self.waiting.remove(&(rank, key));
+            self.waiting.remove(&(place, key));
             self.weight -= u64::from(account.share);
         }
     }
@@ -147,7 +169,7 @@
         self.unlist(key, account);
         account.share = share.clamp(1, MAX_SHARE);
         if listed {
-            self.list(key, account);
+            self.list(key, account, account.head);
         }
     }
 
@@ -186,10 +208,9 @@
         self.relist(key, account);
     }
 
-    /// The cost by which a workspace is ahead of the lowest that waits.
+    /// The cost by which a workspace is over the floor.
     pub fn lead(&self, account: &Account) -> u64 {
-        let floor = self.lowest().max(self.floor);
-        let levels = account.rank().saturating_sub(floor);
+        let levels = account.begin().saturating_sub(self.floor);
         u128::min(
             u128::from(levels) * u128::from(account.share) / u128::from(SCALE),
             u128::from(u64::MAX),
@@ -201,25 +222,26 @@
         !account.is_listed() && account.ahead == 0 && account.level <= self.floor
     }
 
-    fn lowest(&self) -> u64 {
-        self.waiting.first().map_or(0, |&(rank, _)| rank)
-    }
-
+    /// The floor is where the next job begins. It must not wait for one that asks for less than its
+    /// share and is served at once each time: the others' levels would run away from it.
     fn raise_floor(&mut self) {
-        self.floor = self.floor.max(self.lowest());
+        if let Some(&(next, _)) = self.waiting.first() {
+            self.floor = self.floor.max(next.begin);
+        }
     }
 
     fn insert(&mut self, key: K, account: &mut Account) {
-        let rank = account.rank();
-        account.listed = Some(rank);
-        self.waiting.insert((rank, key));
+        let place = account.place();
+        account.listed = Some(place);
+        self.waiting.insert((place, key));
     }
 
     fn relist(&mut self, key: K, account: &mut Account) {
-        let Some(rank) = account.listed else { return };
-        if rank != account.rank() {
-            self.waiting.remove(&(rank, key));
+        let Some(place) = account.listed else { return };
+        if place != account.place() {
+            self.waiting.remove(&(place, key));
             self.insert(key, account);
+            self.raise_floor();
         }
     }
 }
