--- a/lib/testutils/src/engine_process.rs
+++ b/lib/testutils/src/engine_process.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::Weak;
 use std::time::Duration;
@@ -25,7 +26,7 @@
     /// Signals new work to an engine that has none.
     work: Notify,
     // Set once, right after the server is started.
-    server: Mutex<Weak<HttpServer>>,
+    server: OnceLock<Weak<HttpServer>>,
 }
 
 impl EngineProcess {
@@ -35,19 +36,19 @@
             state: Mutex::new(EngineState::new(settings.clone())),
             settings,
             work: Notify::new(),
-            server: Mutex::new(Weak::new()),
+            server: OnceLock::new(),
         })
     }
 
     /// Runs on the current runtime; `server` is cut off when the engine dies.
     pub(crate) fn run(self: &Arc<Self>, server: &Arc<HttpServer>) {
-        *lock(&self.server) = Arc::downgrade(server);
+        let _ = self.server.set(Arc::downgrade(server));
         tokio::spawn(run_steps(Arc::downgrade(self)));
     }
 
     /// The state.
     pub(crate) fn state(&self) -> MutexGuard<'_, EngineState> {
-        lock(&self.state)
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// There is new work.
@@ -67,8 +68,7 @@
                 process.state().come_back();
             }
         };
-        let server = lock(&self.server).upgrade();
-        if let Some(server) = server {
+        if let Some(server) = self.server.get().and_then(Weak::upgrade) {
             server.restart(self.settings.restart, ready).await;
         }
     }
@@ -123,7 +123,3 @@
         process.state().loaded(name, incarnation);
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/lib/testutils/src/object_store.rs
+++ b/lib/testutils/src/object_store.rs
@@ -82,6 +82,19 @@
             .collect()
     }
 
+    /// The objects as they stand.
+    pub fn snapshot(&self) -> BTreeMap<String, Object> {
+        self.objects.clone()
+    }
+
+    /// Puts the objects back to an earlier state, as a restore from a backup does: readers see older
+    /// versions than they saw before.
+    pub fn restore(&mut self, objects: BTreeMap<String, Object>) {
+        self.objects = objects;
+        let version = self.next();
+        self.changes.send_replace(version.0);
+    }
+
     fn check(&self, key: &str, condition: Option<Condition>) -> Result<(), Option<Version>> {
         let found = self.objects.get(key).map(|object| object.version);
         let holds = match condition {
--- a/lib/testutils/src/platform.rs
+++ b/lib/testutils/src/platform.rs
@@ -197,6 +197,16 @@
         self.shared.state().store.read(key).cloned()
     }
 
+    /// The objects as they stand.
+    pub fn snapshot(&self) -> BTreeMap<String, Object> {
+        self.shared.state().store.snapshot()
+    }
+
+    /// Puts the objects back to an earlier state, as a restore from a backup does.
+    pub fn restore(&self, objects: BTreeMap<String, Object>) {
+        self.shared.state().store.restore(objects);
+    }
+
     /// Refuses connections until [`PlatformServer::up`].
     pub async fn down(&self) {
         self.server.down().await;
--- a/lib/testutils/src/prefix_cache.rs
+++ b/lib/testutils/src/prefix_cache.rs
@@ -1,5 +1,6 @@
 //! The engine's cache of prompt prefixes, and its events, which come late and with gaps.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -22,10 +23,12 @@
 /// A cache of blocks with the least recently used one dropped first.
 #[derive(Debug)]
 pub struct PrefixCache {
-    // Blocks; holds at most `capacity` of them.
+    // The last use of each block; at most `capacity` of them.
     used: HashMap<u64, u64>,
+    // The blocks by their last use; the same pairs as in `used`.
+    by_use: BTreeMap<u64, u64>,
     capacity: usize,
-    // Grows with each use, so that the smallest value in `used` is the oldest use.
+    // Grows with each use.
     tick: u64,
     sequence: u64,
     // Sequences and due times grow from front to back.
@@ -41,6 +44,7 @@
     pub fn new(capacity: usize, lag: Duration, gaps: f64, seed: u64) -> Self {
         PrefixCache {
             used: HashMap::new(),
+            by_use: BTreeMap::new(),
             capacity,
             tick: 0,
             sequence: 0,
@@ -61,8 +65,10 @@
         // The longest first, so that a prefix is never dropped before what continues it.
         for &digest in digests.iter().rev() {
             self.tick += 1;
-            if self.used.insert(digest, self.tick).is_none() {
-                self.publish(digest, true, now);
+            self.by_use.insert(self.tick, digest);
+            match self.used.insert(digest, self.tick) {
+                Some(earlier) => drop(self.by_use.remove(&earlier)),
+                None => self.publish(digest, true, now),
             }
         }
         while self.used.len() > self.capacity {
@@ -85,10 +91,8 @@
             .collect()
     }
 
-    // Linear in the cache, which is small in a stand-in.
     fn drop_oldest(&mut self, now: Instant) {
-        let oldest = self.used.iter().min_by_key(|(_, tick)| **tick);
-        if let Some(digest) = oldest.map(|(&digest, _)| digest) {
+        if let Some((_, digest)) = self.by_use.pop_first() {
             self.used.remove(&digest);
             self.publish(digest, false, now);
         }
--- a/lib/testutils/src/service.rs
+++ b/lib/testutils/src/service.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::Weak;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -97,6 +99,8 @@
     settings: ServiceSettings,
     state: Mutex<State>,
     workers: tokio::sync::Semaphore,
+    // Set once, right after the server is started.
+    server: OnceLock<Weak<HttpServer>>,
 }
 
 /// A running stand-in of a plain service. What took effect outlives its death, as in a database.
@@ -123,11 +127,11 @@
             settings,
             state: Mutex::new(state),
             workers: tokio::sync::Semaphore::new(workers),
+            server: OnceLock::new(),
         });
-        Ok(ServiceServer {
-            server: HttpServer::start(listen, shared.clone())?,
-            shared,
-        })
+        let server = HttpServer::start(listen, shared.clone())?;
+        let _ = shared.server.set(Arc::downgrade(&server));
+        Ok(ServiceServer { server, shared })
     }
 
     /// Where it listens.
@@ -158,8 +162,7 @@
 
     /// Kills it: every connection is cut, and it starts anew after the time in its settings.
     pub async fn kill(&self) {
-        let delay = self.shared.settings.restart;
-        self.server.restart(delay, || ()).await;
+        self.shared.clone().die().await;
     }
 
     /// Refuses connections until [`ServiceServer::up`].
@@ -182,6 +185,11 @@
                 ("GET", ["health"]) => Reply::text(StatusCode::OK, "ok"),
                 ("GET", ["record"]) => Reply::json(&self.state().effects),
                 ("PUT", ["admin", "faults"]) => self.put_faults(&call),
+                ("POST", ["admin", "kill"]) => {
+                    // Not awaited: it cuts the connection that this answer would take.
+                    tokio::spawn(self.die());
+                    Reply::Cut
+                }
                 _ => self.serve(&call).await,
             }
         }
@@ -194,6 +202,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    async fn die(self: Arc<Self>) {
+        if let Some(server) = self.server.get().and_then(Weak::upgrade) {
+            server.restart(self.settings.restart, || ()).await;
+        }
+    }
+
     fn put_faults(&self, call: &Call) -> Reply {
         match serde_json::from_slice(&call.body) {
             Ok(faults) => self.state().faults = faults,
--- a/lib/testutils/tests/platform.rs
+++ b/lib/testutils/tests/platform.rs
@@ -71,6 +71,27 @@
     Ok(())
 }
 
+// The store is restored from a backup: a reader sees an older version than it has seen before, and a
+// change made after that gets a version above all that were ever given.
+#[tokio::test]
+async fn restored_store_shows_older_versions() -> Result<()> {
+    let server = PlatformServer::start(PlatformSettings::new())?;
+    let platform = HttpPlatform::new(server.addr(), "");
+    let first = platform.write("k", Bytes::new(), Condition::Absent).await?;
+    let backup = server.snapshot();
+    let second = platform
+        .write("k", Bytes::new(), Condition::At(first))
+        .await?;
+    server.restore(backup);
+    let seen = platform.read("k").await?.map(|object| object.version);
+    assert_eq!(seen, Some(first));
+    let third = platform
+        .write("k", Bytes::new(), Condition::At(first))
+        .await?;
+    assert!(third > second);
+    Ok(())
+}
+
 #[tokio::test]
 async fn calls_over_the_rate_are_refused_and_counted() -> Result<()> {
     let server = PlatformServer::start(PlatformSettings {
