--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -1,21 +1,22 @@
 //! Stand-ins for what surrounds the system, a fault-injecting proxy, and a runner of processes, for
 //! tests and trials on one machine.
 
-mod engine_api;
-mod engine_process;
-mod engine_state;
-
 pub mod caller;
 pub mod cluster;
 pub mod deployment;
 pub mod engine;
+mod engine_api;
 pub mod engine_core;
+mod engine_process;
+mod engine_state;
+pub mod fake_fleet;
 pub mod generation;
 pub mod http_call;
 pub mod http_server;
 pub mod memory_platform;
 pub mod object_store;
 pub mod output_length;
+pub mod pickers;
 pub mod platform;
 pub mod prefix_cache;
 pub mod proxy;
