--- a/lib/examples/routing_trial.rs
+++ b/lib/examples/routing_trial.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use cicada_lib::ejection::EjectionSettings;
 use cicada_lib::routing::RouterSettings;
 use testutils::fake_fleet::Fault;
 use testutils::fake_fleet::Outcome;
@@ -78,6 +79,9 @@
         router("router", |s| s),
         router("router, 2 choices", |s| s.with_choices(2)),
         router("router, whole subset", |s| s.with_choices(64)),
+        router("router, no ejection", |s| {
+            s.with_ejection(EjectionSettings::new().with_share(0.0))
+        }),
         router("router, own region", |s| s.with_remote_subset(0)),
     ]
 }
--- a/lib/src/ejection.rs
+++ b/lib/src/ejection.rs
@@ -30,8 +30,8 @@
 /// be out.
 pub const EJECTED_SHARE: f64 = 0.2;
 
-/// Requests that must have ended before a server is judged: with fewer, a few long outputs in a row
-/// look like slowness.
+/// Requests that must have ended, or reports come, before a server is judged: with fewer, a few long
+/// outputs in a row look like slowness.
 pub const EVIDENCE: u32 = 16;
 
 /// How often servers are compared.
@@ -101,15 +101,22 @@
     }
 }
 
+/// A mean of logarithms: one long output weighs little.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tempo {
+    mean: f64,
+    samples: u32,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Record {
-    // The mean of the logarithm of the pace in microseconds: one long output weighs little.
-    pace: f64,
+    // The time for each token or call, as seen by this entry.
+    pace: Tempo,
+    // The time between tokens, as the agent reports it.
+    gap: Tempo,
     // The mean of failures, 0 to 1.
     failed: f64,
     samples: u32,
-    // Samples that went into `pace`.
-    paced: u32,
     updated: Time,
     // Ejections in a row.
     strikes: u32,
@@ -166,10 +173,17 @@
         let Some(record) = self.record(now, server, 0.0) else {
             return;
         };
-        let log = (pace.as_micros().max(1) as f64).ln();
-        let weight = NEW_WEIGHT.max(1.0 / f64::from(record.paced + 1));
-        record.pace += (log - record.pace) * weight;
-        record.paced = record.paced.saturating_add(1);
+        record.pace.add(pace);
+    }
+
+    /// The server's agent reported the time between tokens of a busy server. This comes also from
+    /// servers that this entry gives little to, which is soon the case of a slow one.
+    pub fn reported(&mut self, now: Time, server: ServerKey, gap: Duration) {
+        let record = self.records.get_mut(server);
+        if let Some(record) = record.filter(|r| r.ejected.is_none()) {
+            record.gap.add(gap);
+            record.updated = now;
+        }
     }
 
     /// A request failed there.
@@ -269,9 +283,9 @@
         }
         record.returned = Some(now);
         record.samples = 0;
-        record.paced = 0;
         record.failed = 0.0;
-        record.pace = 0.0;
+        record.pace = Tempo::default();
+        record.gap = Tempo::default();
     }
 
     fn eject(&mut self, now: Time, ready: &[ServerKey]) {
@@ -283,12 +297,14 @@
         if known.len() < FEWEST {
             return;
         }
-        let paced = known.iter().filter(|key| self.records[**key].paced > 0);
-        let pace = median(paced.map(|key| self.records[*key].pace));
-        let failed = median(known.iter().map(|key| self.records[*key].failed));
+        let usual = Usual {
+            pace: self.median(&known, |r| r.pace.known()),
+            gap: self.median(&known, |r| r.gap.known()),
+            failed: self.median(&known, |r| Some(r.failed)),
+        };
         let mut odd: Vec<(f64, ServerKey)> = known
             .iter()
-            .map(|key| (self.excess(*key, pace, failed), *key))
+            .map(|key| (self.excess(*key, &usual), *key))
             .filter(|(excess, _)| *excess > 0.0)
             .collect();
         odd.sort_by(|a, b| b.0.total_cmp(&a.0));
@@ -312,16 +328,34 @@
         }
     }
 
+    /// The median of a figure over the servers that have it.
+    fn median(
+        &self,
+        servers: &[ServerKey],
+        figure: impl Fn(&Record) -> Option<f64>,
+    ) -> Option<f64> {
+        let figures = servers.iter().filter_map(|key| figure(&self.records[*key]));
+        let mut figures: Vec<f64> = figures.collect();
+        if figures.len() < FEWEST {
+            return None;
+        }
+        figures.sort_by(f64::total_cmp);
+        figures.get((figures.len() - 1) / 2).copied()
+    }
+
     /// How far the server is beyond the bound; zero or less within it.
-    fn excess(&self, server: ServerKey, pace: f64, failed: f64) -> f64 {
+    fn excess(&self, server: ServerKey, usual: &Usual) -> f64 {
         let record = &self.records[server];
-        if record.failed >= FAILED_SHARE && failed * 3.0 < record.failed {
+        let others = usual.failed.unwrap_or(0.0);
+        if record.samples >= EVIDENCE
+            && record.failed >= FAILED_SHARE
+            && others * 3.0 < record.failed
+        {
             return f64::MAX;
         }
-        match record.paced {
-            0 => 0.0,
-            _ => record.pace - pace - self.settings.factor.ln(),
-        }
+        let pace = beyond(record.pace.known(), usual.pace);
+        let gap = beyond(record.gap.known(), usual.gap);
+        pace.max(gap) - self.settings.factor.ln()
     }
 
     fn put_out(&mut self, now: Time, server: ServerKey) {
@@ -337,14 +371,37 @@
 
     fn is_known(&self, now: Time, server: ServerKey) -> bool {
         self.records.get(server).is_some_and(|r| {
-            r.ejected.is_none() && r.samples >= EVIDENCE && now.since(r.updated) < EVIDENCE_AGE
+            let samples = r.samples.max(r.gap.samples);
+            r.ejected.is_none() && samples >= EVIDENCE && now.since(r.updated) < EVIDENCE_AGE
         })
     }
 }
 
-fn median(figures: impl Iterator<Item = f64>) -> f64 {
-    let mut figures: Vec<f64> = figures.collect();
-    figures.sort_by(f64::total_cmp);
-    let middle = figures.len().saturating_sub(1) / 2;
-    figures.get(middle).copied().unwrap_or(0.0)
+/// What is usual among the servers.
+struct Usual {
+    pace: Option<f64>,
+    gap: Option<f64>,
+    failed: Option<f64>,
+}
+
+impl Tempo {
+    fn add(&mut self, time: Duration) {
+        let log = (time.as_micros().max(1) as f64).ln();
+        let weight = NEW_WEIGHT.max(1.0 / f64::from(self.samples + 1));
+        self.mean += (log - self.mean) * weight;
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// The mean, once there is enough evidence for it.
+    fn known(&self) -> Option<f64> {
+        (self.samples >= EVIDENCE).then_some(self.mean)
+    }
+}
+
+/// The logarithm of how many times the usual figure the own one is.
+fn beyond(own: Option<f64>, usual: Option<f64>) -> f64 {
+    match (own, usual) {
+        (Some(own), Some(usual)) => own - usual,
+        _ => 0.0,
+    }
 }
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -130,11 +130,15 @@
             return;
         };
         let was_ready = known.is_ready();
-        known.flow.report(now, load.clone());
+        let news = known.flow.report(now, load.clone());
         let changed = known.is_ready() != was_ready;
         let service = known.view.service.clone();
         if let Some(state) = self.services.get_mut(&service) {
             state.mean.report(&load);
+            if news && load.running > 0 {
+                let gap = Duration::from_micros(load.token_gap);
+                state.ejector.reported(now, server, gap);
+            }
         }
         if changed {
             self.rebuild(now, &service);
--- a/lib/src/score.rs
+++ b/lib/src/score.rs
@@ -36,6 +36,10 @@
 /// and published batch curves lie between a twentieth and a fifth.
 const CROWDING: f64 = 0.125;
 
+/// Microseconds. The least gap that crowding is worked out with: before the first report, own work in
+/// flight must count as well, or a burst falls on the servers by chance.
+const LEAST_GAP: f64 = 5_000.0;
+
 /// The weight of a newly seen wait.
 const SEEN_WEIGHT: f64 = 0.3;
 
@@ -109,15 +113,17 @@
 }
 
 impl Flow {
-    pub(crate) fn report(&mut self, now: Time, load: LoadSummary) {
+    /// Takes in a report; whether it told anything new.
+    pub(crate) fn report(&mut self, now: Time, load: LoadSummary) -> bool {
         self.heard = now;
         let busy = load.running + load.queued > 0;
         if busy && self.reported.is_some() && load == self.report {
-            return;
+            return false;
         }
         self.report = load;
         self.reported = Some(now);
         self.base = self.in_flight;
+        true
     }
 
     pub(crate) fn started(&mut self, now: Time) {
@@ -175,7 +181,7 @@
         let gap = mix(self.report.token_gap as f64, mean.gap, fresh);
         Estimate {
             wait: wait.max(self.seen_wait(now)).max(self.silence(now)),
-            crowding: load * gap * CROWDING,
+            crowding: load * gap.max(LEAST_GAP) * CROWDING,
         }
     }
 
--- /dev/null
+++ b/lib/tests/prefix_index.rs
@@ -0,0 +1,99 @@
+//! Which servers are thought to hold which prefixes, from late events with gaps.
+
+use cicada_lib::backend::CacheEvent;
+use cicada_lib::prefix_index::HOLDERS;
+use cicada_lib::prefix_index::PREFIX_AGE;
+use cicada_lib::prefix_index::PREFIXES;
+use cicada_lib::prefix_index::PrefixIndex;
+use cicada_lib::routing::ServerKey;
+use cicada_lib::time::Time;
+use quickcheck::QuickCheck;
+use slotmap::SlotMap;
+
+fn keys(count: usize) -> Vec<ServerKey> {
+    let mut map: SlotMap<ServerKey, ()> = SlotMap::with_key();
+    (0..count).map(|_| map.insert(())).collect()
+}
+
+fn event(sequence: u64, prefix: u64, stored: bool) -> CacheEvent {
+    CacheEvent {
+        sequence,
+        prefix,
+        stored,
+    }
+}
+
+#[test]
+fn a_gap_drops_the_server_s_index_and_no_other() {
+    // An engine's cache events are lost between two that arrive. Among the lost ones may be the drop
+    // of any prefix; a caller sent there for its prefix would wait for it to be read again.
+    let keys = keys(2);
+    let mut index = PrefixIndex::new();
+    for key in &keys {
+        index.event(Time::ZERO, *key, &event(1, 7, true));
+    }
+    index.event(Time::ZERO, keys[0], &event(5, 8, true));
+    assert!(!index.holds(Time::ZERO, keys[0], 7));
+    assert!(index.holds(Time::ZERO, keys[0], 8));
+    assert!(index.holds(Time::ZERO, keys[1], 7));
+    assert_eq!(index.gaps(), 1);
+}
+
+#[test]
+fn old_events_are_passed_over() {
+    let key = keys(1)[0];
+    let mut index = PrefixIndex::new();
+    index.event(Time::ZERO, key, &event(2, 7, true));
+    index.event(Time::ZERO, key, &event(1, 7, false));
+    assert!(index.holds(Time::ZERO, key, 7));
+}
+
+#[test]
+fn what_was_sent_counts_before_its_event_and_ends_with_its_age() {
+    let key = keys(1)[0];
+    let mut index = PrefixIndex::new();
+    index.sent(Time::ZERO, key, 7);
+    assert!(index.holds(Time::ZERO, key, 7));
+    assert!(!index.holds(Time::ZERO + PREFIX_AGE, key, 7));
+}
+
+#[test]
+fn the_index_is_bounded_and_both_directions_agree() {
+    fn agree(steps: Vec<(u8, u16, bool)>) -> bool {
+        let keys = keys(8);
+        let mut index = PrefixIndex::new();
+        let mut sequence = 0;
+        for (which, prefix, stored) in &steps {
+            let key = keys[usize::from(which % 8)];
+            // Some steps leave a gap.
+            sequence += if which % 16 == 0 { 2 } else { 1 };
+            let prefix = u64::from(*prefix % 64) + 1;
+            index.event(Time::ZERO, key, &event(sequence, prefix, *stored));
+            let holders = index.holders(prefix);
+            if holders.len() > HOLDERS || index.len() > 8 * PREFIXES {
+                return false;
+            }
+            if !holders.iter().all(|k| index.holds(Time::ZERO, *k, prefix)) {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new()
+        .tests(300)
+        .quickcheck(agree as fn(Vec<(u8, u16, bool)>) -> bool);
+}
+
+#[test]
+fn many_prefixes_at_one_server_push_out_the_oldest() {
+    let key = keys(1)[0];
+    let mut index = PrefixIndex::new();
+    let count = PREFIXES as u64 + 10;
+    for prefix in 1..=count {
+        index.sent(Time::from_millis(prefix), key, prefix);
+    }
+    assert_eq!(index.len(), PREFIXES);
+    assert!(!index.holds(Time::from_millis(count), key, 10));
+    assert!(index.holds(Time::from_millis(count), key, 11));
+    assert!(index.holders(10).is_empty());
+}
