membership: who is there, by gossip within a byte budget

The platform's list lags by seconds, and 1,370 processes cannot all send heartbeats to all. Three datagrams a second for each process, news passed on at once, pings with questions to others before anyone is condemned.

--- /dev/null
+++ b/lib/src/membership.rs
@@ -0,0 +1,574 @@
+//! Which processes are there, which take new work, and which version of the configuration is about.
+//!
+//! Load pattern: 1,370 processes in ten availability zones, some of which leave, die, are cut off or
+//! restart at any time, while the platform's list of hosts lags by seconds. If everyone watched
+//! everyone, a process would receive 1,369 heartbeats a second, 150 KB. Here each sends three
+//! datagrams a second whatever the number of processes, mostly within its availability zone, and
+//! news is passed on at once (see [`crate::rumours`]). One of the three is a ping (see
+//! [`crate::probes`]), so that each process is pinged about once a second by someone near.
+//!
+//! A call takes O(words in the datagram); [`Membership::members`] O(processes).
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::config_apply::ConfigMark;
+use crate::gossip::Life;
+use crate::gossip::MemberId;
+use crate::gossip::Message;
+use crate::gossip::OVERHEAD;
+use crate::gossip::Purpose;
+use crate::gossip::Said;
+use crate::gossip::Word;
+use crate::platform::HostRecord;
+use crate::probes::Acked;
+use crate::probes::Probes;
+use crate::probes::Step;
+use crate::roster::Distance;
+use crate::roster::Member;
+use crate::roster::MemberState;
+use crate::roster::MemberView;
+use crate::roster::Roster;
+use crate::rumours::Rumours;
+use crate::time::Time;
+
+/// How often [`Membership::tick`] is to be called: the delay that each hop adds to news.
+pub const TICK: Duration = Duration::from_millis(100);
+
+const BEAT: Duration = Duration::from_millis(1_000);
+
+// Words that ride with each datagram of a second.
+const RIDERS: usize = 8;
+
+// Words on members that are not ready, in each ping and its answer; who knows better says so.
+const REMINDERS: usize = 16;
+
+// The same in answer to a process that started lately.
+const NEWCOMER: usize = 32;
+
+// A process asks for that many for as long as this after its start.
+const FRESH: Duration = Duration::from_secs(5);
+
+// Others who are asked to ping a silent member, on paths that have little in common.
+const HELPERS: [Distance; 3] = [Distance::Zone, Distance::Region, Distance::Far];
+
+// Members that were lost and are pinged with each beat once one of them came back.
+const RECHECKS: usize = 3;
+
+// Of 100 processes that hear of a new suspect so many ping one of its neighbours. In a system of 50
+// that is ten pings, enough to find out about all others within seconds.
+const CURIOUS: u32 = 20;
+
+// Processes of an availability zone that watch the store.
+const WATCHERS: usize = 2;
+
+// Processes named as holders of the newest version.
+const HOLDERS: usize = 16;
+
+// Bytes of a datagram without words, and of a word, with all that is sent around them.
+const EMPTY_BYTES: usize = OVERHEAD + 80;
+const WORD_BYTES: usize = 14;
+
+/// A datagram to send.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Datagram {
+    /// Where to.
+    pub to: SocketAddr,
+    /// What.
+    pub message: Message,
+}
+
+/// The newest version of the configuration that was heard of.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfigSeen {
+    /// The version.
+    pub mark: ConfigMark,
+    /// Some processes that have it in force, in the order in which they were heard.
+    pub holders: Vec<Member>,
+}
+
+/// What the membership has met, since the process started.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct MembershipCounts {
+    /// Members suspected by this process.
+    pub suspected: u64,
+    /// Members that only others reached.
+    pub silent_links: u64,
+    /// Objections of this process to words against it.
+    pub objections: u64,
+    /// Two digests heard for one version of the configuration.
+    pub conflicting: u64,
+}
+
+/// The members as one process knows them.
+pub struct Membership {
+    id: MemberId,
+    life: Life,
+    said: Said,
+    roster: Roster,
+    rumours: Rumours,
+    probes: Probes,
+    started: Option<Time>,
+    next_beat: Time,
+    // When a datagram came last.
+    heard: Time,
+    // Members of the own availability zone that are yet to be pinged in this round.
+    order: Vec<MemberId>,
+    recheck: Vec<MemberId>,
+    config: Option<ConfigMark>,
+    best: Option<ConfigMark>,
+    holders: Vec<MemberId>,
+    counts: MembershipCounts,
+}
+
+impl Membership {
+    /// The membership of a process that knows nobody yet. `incarnation` is the time of its start in
+    /// milliseconds of Unix time.
+    pub fn new(me: Member, incarnation: u64) -> Self {
+        Membership {
+            id: MemberId::new(&me.name),
+            life: Life {
+                incarnation,
+                serial: 0,
+            },
+            said: Said::Ready,
+            roster: Roster::new(me),
+            rumours: Rumours::new(),
+            probes: Probes::default(),
+            started: None,
+            next_beat: Time::ZERO,
+            heard: Time::ZERO,
+            order: Vec::new(),
+            recheck: Vec::new(),
+            config: None,
+            best: None,
+            holders: Vec::new(),
+            counts: MembershipCounts::default(),
+        }
+    }
+
+    /// Takes in the platform's list of hosts.
+    pub fn hosts(&mut self, now: Time, hosts: &[HostRecord]) {
+        self.roster.hosts(now, hosts);
+    }
+
+    /// Says that this process takes no new work. It reaches all others within two seconds.
+    pub fn set_draining(&mut self, now: Time) {
+        self.say(now, Said::Draining);
+    }
+
+    /// Says that this process ends.
+    pub fn set_leaving(&mut self, now: Time) {
+        self.say(now, Said::Leaving);
+    }
+
+    /// Says which version of the configuration this process has in force and hands on.
+    pub fn set_config(&mut self, now: Time, mark: ConfigMark) {
+        if self.config.as_ref() != Some(&mark) {
+            self.note_config(None, &mark);
+            self.config = Some(mark);
+            self.rumours.own_news(now);
+        }
+    }
+
+    /// All known members but this process.
+    pub fn members(&self, now: Time) -> Vec<MemberView> {
+        self.roster.views(now)
+    }
+
+    /// A member's state.
+    pub fn state(&self, now: Time, id: MemberId) -> Option<MemberState> {
+        Some(self.roster.get(id)?.state(now))
+    }
+
+    /// The newest version heard of, this process's own included.
+    pub fn best_config(&self) -> Option<ConfigSeen> {
+        let members = self.holders.iter().filter_map(|id| self.roster.get(*id));
+        Some(ConfigSeen {
+            mark: self.best.clone()?,
+            holders: members.filter_map(|entry| entry.member.clone()).collect(),
+        })
+    }
+
+    /// Whether this process is one of the few of its availability zone that watch the store.
+    pub fn is_watcher(&self, now: Time) -> bool {
+        let zone = self.roster.group(Distance::Zone).iter();
+        let ready = zone.filter(|id| self.state(now, **id) == Some(MemberState::Ready));
+        // The identifiers are digests, so that their order is as good as a drawn one.
+        ready.filter(|id| **id > self.id).count() < WATCHERS
+    }
+
+    /// What was met so far.
+    pub fn counts(&self) -> MembershipCounts {
+        self.counts
+    }
+
+    /// What to send now. To be called every [`TICK`].
+    pub fn tick(&mut self, now: Time, rng: &mut fastrand::Rng) -> Vec<Datagram> {
+        if self.started.is_none() {
+            self.started = Some(now);
+            // Processes that start together do not beat together.
+            self.next_beat = now + BEAT.mul_f64(rng.f64());
+            self.rumours.own_news(now);
+        }
+        let mut out = Vec::new();
+        for step in self.probes.steps(now) {
+            self.step(now, step, &mut out, rng);
+        }
+        let cost = |words| EMPTY_BYTES + words * WORD_BYTES;
+        for round in self.rumours.rounds(now, cost) {
+            for place in 0..round.copies {
+                let distance = match place % 5 {
+                    0..3 => Distance::Zone,
+                    3 => Distance::Region,
+                    _ => Distance::Far,
+                };
+                let peer = self.pick(now, distance, rng);
+                self.send(now, peer, Purpose::Tell, round.words.clone(), &mut out);
+            }
+        }
+        if now >= self.next_beat {
+            self.next_beat = (self.next_beat + BEAT).max(now + BEAT / 2);
+            self.beat(now, &mut out, rng);
+        }
+        out
+    }
+
+    /// Takes in a datagram from `from`, and returns what to send in answer.
+    pub fn receive(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: Message,
+        rng: &mut fastrand::Rng,
+    ) -> Vec<Datagram> {
+        let mut out = Vec::new();
+        if message.id == self.id {
+            // A datagram of its own, or of one who was given the same name.
+            return out;
+        }
+        self.heard = now;
+        let was_missing = self.is_missing(now, message.id);
+        let word = Word {
+            id: message.id,
+            life: message.life,
+            said: message.said,
+        };
+        if self.roster.hear_directly(now, word) {
+            self.rumours.add(now, word);
+        }
+        if was_missing {
+            self.recheck_neighbours(now, message.id);
+        }
+        if let Some(mark) = &message.config {
+            self.note_config(Some(message.id), mark);
+        }
+        for word in &message.words {
+            self.hear(now, *word, rng);
+        }
+        self.answer(now, from, &message, &mut out, rng);
+        self.correct(now, from, &message, &mut out);
+        out
+    }
+
+    fn say(&mut self, now: Time, said: Said) {
+        if self.said < said {
+            self.said = said;
+            self.life.serial += 1;
+            self.rumours.own_news(now);
+        }
+    }
+
+    fn hear(&mut self, now: Time, word: Word, rng: &mut fastrand::Rng) {
+        if word.id == self.id {
+            self.object(now, word);
+        } else if self.roster.hear(now, word) {
+            self.rumours.add(now, word);
+            if word.said == Said::Suspect && rng.u32(..100) < CURIOUS {
+                // Where one is gone, its neighbours may be: a rack, a zone, the link to a region.
+                let neighbours = self.roster.neighbours(now, word.id);
+                self.recheck.extend(rng.choice(neighbours));
+            }
+        }
+    }
+
+    // Others say worse of this process than it does, or speak of a predecessor whose clock was ahead.
+    fn object(&mut self, now: Time, word: Word) {
+        let against = word.life == self.life && word.said > self.said;
+        if word.life <= self.life && !against {
+            if word.life.incarnation < self.life.incarnation && word.said > self.said {
+                // Somebody has not heard that the predecessor is replaced.
+                self.rumours.own_news(now);
+            }
+            return;
+        }
+        let incarnation = self.life.incarnation;
+        self.life = if word.life.incarnation > incarnation {
+            Life {
+                incarnation: word.life.incarnation + 1,
+                serial: 0,
+            }
+        } else {
+            Life {
+                incarnation,
+                serial: word.life.serial + 1,
+            }
+        };
+        self.counts.objections += 1;
+        self.rumours.own_news(now);
+    }
+
+    // Whoever missed a word would go by the old one until it hears the process itself, which in a
+    // large system takes minutes.
+    fn correct(&mut self, now: Time, from: SocketAddr, message: &Message, out: &mut Vec<Datagram>) {
+        let words = message.words.iter();
+        let words: Vec<_> = words.filter_map(|w| self.roster.correction(*w)).collect();
+        let bytes = EMPTY_BYTES + words.len() * WORD_BYTES;
+        if !words.is_empty() && self.rumours.afford(now, bytes) {
+            let message = self.message(now, Purpose::Tell, words);
+            out.push(Datagram { to: from, message });
+        }
+    }
+
+    fn note_config(&mut self, holder: Option<MemberId>, mark: &ConfigMark) {
+        let newer = self
+            .best
+            .as_ref()
+            .is_none_or(|best| mark.version > best.version);
+        if newer {
+            self.best = Some(mark.clone());
+            self.holders.clear();
+        }
+        let Some(best) = &self.best else {
+            return;
+        };
+        if best.version == mark.version && best.digest != mark.digest {
+            self.counts.conflicting += 1;
+            return;
+        }
+        if let Some(holder) = holder
+            && best == mark
+            && !self.holders.contains(&holder)
+            && self.holders.len() < HOLDERS
+        {
+            self.holders.push(holder);
+        }
+    }
+
+    fn answer(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        message: &Message,
+        out: &mut Vec<Datagram>,
+        rng: &mut fastrand::Rng,
+    ) {
+        match message.purpose {
+            Purpose::Tell => {}
+            Purpose::Ping(nonce) => {
+                let most = if message.fresh { NEWCOMER } else { REMINDERS };
+                let mut words = self.roster.unready(most, rng);
+                words.extend(self.roster.word_on(message.id));
+                let message = self.message(now, Purpose::Ack(nonce), words);
+                out.push(Datagram { to: from, message });
+            }
+            Purpose::Ack(nonce) => {
+                if let Acked::For { address, nonce } = self.probes.acked(nonce) {
+                    let word = Word {
+                        id: message.id,
+                        life: message.life,
+                        said: message.said,
+                    };
+                    let message = self.message(now, Purpose::Reached { nonce }, vec![word]);
+                    out.push(Datagram {
+                        to: address,
+                        message,
+                    });
+                }
+            }
+            Purpose::Ask { nonce, target } => {
+                let nonce = self.probes.begin_for(now, target, from, nonce, rng);
+                let words = Vec::new();
+                self.send(now, Some(target), Purpose::Ping(nonce), words, out);
+            }
+            Purpose::Reached { nonce } => self.probes.reached(nonce),
+        }
+    }
+
+    fn step(&mut self, now: Time, step: Step, out: &mut Vec<Datagram>, rng: &mut fastrand::Rng) {
+        match step {
+            Step::Repeat { nonce, target, ask } => {
+                let words = Vec::new();
+                self.send(now, Some(target), Purpose::Ping(nonce), words, out);
+                let helpers = if ask { HELPERS.as_slice() } else { &[] };
+                for distance in helpers {
+                    let helper = self.pick(now, *distance, rng);
+                    let helper = helper.filter(|id| *id != target);
+                    let purpose = Purpose::Ask { nonce, target };
+                    self.send(now, helper, purpose, Vec::new(), out);
+                }
+            }
+            Step::LinkSilent(target) => {
+                self.counts.silent_links += 1;
+                self.roster.link_is_silent(now, target);
+                // Loss may have hit all three pings: the next one tells within a second.
+                self.recheck.push(target);
+            }
+            // Who hears nobody is cut off itself, and has nothing to say of others.
+            Step::Condemn { target, since } if self.heard <= since => {
+                self.roster.link_is_silent(now, target);
+            }
+            Step::Condemn { target, since } => self.condemn(now, target, since),
+        }
+    }
+
+    fn condemn(&mut self, now: Time, target: MemberId, since: Time) {
+        let Some(entry) = self.roster.get(target) else {
+            return;
+        };
+        if entry.heard_since(since) {
+            return;
+        }
+        let word = Word {
+            id: target,
+            life: entry.life,
+            said: Said::Suspect,
+        };
+        if self.roster.hear(now, word) {
+            self.counts.suspected += 1;
+            self.rumours.add(now, word);
+        }
+    }
+
+    fn beat(&mut self, now: Time, out: &mut Vec<Datagram>, rng: &mut fastrand::Rng) {
+        let words = self.rumours.ride(RIDERS);
+        let target = self.next_target(now, rng);
+        let reminders = self.roster.unready(REMINDERS, rng);
+        self.ping(now, target, reminders, out, rng);
+        let zone = self.pick(now, Distance::Zone, rng);
+        self.send(now, zone, Purpose::Tell, words.clone(), out);
+        // Links between regions are paid by volume: one datagram in twelve.
+        let distance = if rng.u8(..4) == 0 {
+            Distance::Far
+        } else {
+            Distance::Region
+        };
+        let other = self.pick(now, distance, rng);
+        self.send(now, other, Purpose::Tell, words, out);
+        for _ in 0..RECHECKS {
+            let lost = self.recheck.pop();
+            self.ping(now, lost, Vec::new(), out, rng);
+        }
+        if self.recheck.is_empty() && rng.u8(..5) == 0 {
+            let missing: Vec<_> = self.roster.missing(now).collect();
+            let lost = rng.choice(missing);
+            self.ping(now, lost, Vec::new(), out, rng);
+        }
+    }
+
+    // Each member of the availability zone in turn, so that none goes unpinged for long; now and then
+    // one elsewhere, for zones in which nobody is left to ping the others.
+    fn next_target(&mut self, now: Time, rng: &mut fastrand::Rng) -> Option<MemberId> {
+        match rng.u8(..20) {
+            0 => return self.pick(now, Distance::Far, rng),
+            1..4 => return self.pick(now, Distance::Region, rng),
+            _ => {}
+        }
+        if self.order.is_empty() {
+            self.order = self.roster.group(Distance::Zone).to_vec();
+            rng.shuffle(&mut self.order);
+        }
+        while let Some(id) = self.order.pop() {
+            if self.roster.is_peer(now, id) {
+                return Some(id);
+            }
+        }
+        self.pick(now, Distance::Region, rng)
+    }
+
+    fn ping(
+        &mut self,
+        now: Time,
+        target: Option<MemberId>,
+        words: Vec<Word>,
+        out: &mut Vec<Datagram>,
+        rng: &mut fastrand::Rng,
+    ) {
+        if let Some(target) = target {
+            let nonce = self.probes.begin(now, target, rng);
+            self.send(now, Some(target), Purpose::Ping(nonce), words, out);
+        }
+    }
+
+    // A random peer at the distance, or at another one where there is none.
+    fn pick(&self, now: Time, wanted: Distance, rng: &mut fastrand::Rng) -> Option<MemberId> {
+        let others = [Distance::Zone, Distance::Region, Distance::Far];
+        for distance in std::iter::once(wanted).chain(others) {
+            let group = self.roster.group(distance);
+            for _ in 0..4 {
+                match rng.choice(group) {
+                    Some(id) if self.roster.is_peer(now, *id) => return Some(*id),
+                    _ => {}
+                }
+            }
+        }
+        None
+    }
+
+    fn send(
+        &self,
+        now: Time,
+        to: Option<MemberId>,
+        purpose: Purpose,
+        mut words: Vec<Word>,
+        out: &mut Vec<Datagram>,
+    ) {
+        let Some(to) = to else {
+            return;
+        };
+        // Whoever is suspected must learn of it to object.
+        words.extend(self.roster.word_on(to));
+        if let Some(address) = self.roster.address(to) {
+            let message = self.message(now, purpose, words);
+            out.push(Datagram {
+                to: address,
+                message,
+            });
+        }
+    }
+
+    fn message(&self, now: Time, purpose: Purpose, words: Vec<Word>) -> Message {
+        let fresh = self.started.is_some_and(|at| now < at + FRESH);
+        Message {
+            id: self.id,
+            life: self.life,
+            said: self.said,
+            fresh,
+            config: self.config.clone(),
+            purpose,
+            words,
+        }
+    }
+
+    fn is_missing(&self, now: Time, id: MemberId) -> bool {
+        let state = self.state(now, id);
+        matches!(state, Some(MemberState::Suspect | MemberState::Lost))
+    }
+
+    // One that was lost is back: a cut may have ended, behind which others of its zone are.
+    fn recheck_neighbours(&mut self, now: Time, back: MemberId) {
+        if !self.recheck.is_empty() {
+            return;
+        }
+        let zone = |id| {
+            let member = self.roster.get(id)?.member.as_ref()?;
+            Some((&member.region, &member.zone))
+        };
+        let missing = self.roster.missing(now);
+        let neighbours: Vec<_> = missing.filter(|id| zone(*id) == zone(back)).collect();
+        self.recheck = neighbours;
+        // All who hear of it begin elsewhere in the zone.
+        let start = self.recheck.partition_point(|id| *id < self.id);
+        self.recheck.rotate_left(start);
+    }
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod generation;
 pub mod http_call;
 pub mod http_server;
+pub mod lossy_net;
 pub mod memory_platform;
 pub mod object_store;
 pub mod output_length;
