membership: the UDP driver, pulls of the configuration, and the trial

All 1,370 starting at once with nothing: at most 20 reads a second in the first three seconds and below 250 in any later one (test).

--- /dev/null
+++ b/lib/src/gossip_net.rs
@@ -0,0 +1,144 @@
+//! Carries the datagrams of [`crate::membership`] over UDP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use tokio::net::UdpSocket;
+use tokio::time::MissedTickBehavior;
+
+use crate::gossip::MAX_DATAGRAM;
+use crate::gossip::Message;
+use crate::gossip::OVERHEAD;
+use crate::membership::Datagram;
+use crate::membership::Membership;
+use crate::membership::TICK;
+use crate::time::Clock;
+
+/// Bytes and datagrams, with the headers of IP and UDP.
+#[derive(Debug, Default)]
+pub struct GossipCounts {
+    /// Datagrams sent.
+    pub sent: AtomicU64,
+    /// Their bytes.
+    pub sent_bytes: AtomicU64,
+    /// Datagrams received and read.
+    pub received: AtomicU64,
+    /// Bytes received, the dropped ones included.
+    pub received_bytes: AtomicU64,
+    /// Datagrams dropped since their tag or form is wrong.
+    pub dropped: AtomicU64,
+    /// Datagrams that the socket did not take.
+    pub unsent: AtomicU64,
+}
+
+/// A membership that is in touch with others.
+#[derive(Clone)]
+pub struct GossipNet {
+    socket: Arc<UdpSocket>,
+    key: [u8; 32],
+    membership: Arc<Mutex<Membership>>,
+    clock: Clock,
+    counts: Arc<GossipCounts>,
+}
+
+impl GossipNet {
+    /// Binds the socket. `key` is the one that all processes of the system share.
+    pub async fn bind(
+        address: SocketAddr,
+        key: [u8; 32],
+        membership: Membership,
+        clock: Clock,
+    ) -> io::Result<Self> {
+        let socket = UdpSocket::bind(address).await?;
+        Ok(GossipNet {
+            socket: Arc::new(socket),
+            key,
+            membership: Arc::new(Mutex::new(membership)),
+            clock,
+            counts: Arc::default(),
+        })
+    }
+
+    /// Where the socket is bound.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// What was sent and received.
+    pub fn counts(&self) -> &GossipCounts {
+        &self.counts
+    }
+
+    /// The membership. To be held for a moment only.
+    pub fn membership(&self) -> MutexGuard<'_, Membership> {
+        // Nothing panics while it holds the lock.
+        self.membership
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends and receives until it is dropped.
+    pub async fn run(&self) {
+        let mut rng = fastrand::Rng::new();
+        let mut ticks = tokio::time::interval(TICK);
+        // After a pause one tick tells the membership all that it needs.
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = [0; MAX_DATAGRAM + 1];
+        loop {
+            let out = tokio::select! {
+                _ = ticks.tick() => {
+                    let now = self.clock.now();
+                    self.membership().tick(now, &mut rng)
+                }
+                received = self.socket.recv_from(&mut buffer) => match received {
+                    Ok((length, from)) => self.receive(from, &buffer[..length], &mut rng),
+                    // A peer's host said that nobody listens there; others are not concerned.
+                    Err(_) => Vec::new(),
+                },
+            };
+            for datagram in out {
+                self.send(&datagram).await;
+            }
+        }
+    }
+
+    /// Sends news of this process at once, as before it ends.
+    pub async fn flush(&self) {
+        let now = self.clock.now();
+        let out = self.membership().tick(now, &mut fastrand::Rng::new());
+        for datagram in out {
+            self.send(&datagram).await;
+        }
+    }
+
+    fn receive(&self, from: SocketAddr, bytes: &[u8], rng: &mut fastrand::Rng) -> Vec<Datagram> {
+        let counts = &self.counts;
+        let size = (bytes.len() + OVERHEAD) as u64;
+        counts.received_bytes.fetch_add(size, Ordering::Relaxed);
+        let Ok(message) = Message::open(bytes, &self.key) else {
+            counts.dropped.fetch_add(1, Ordering::Relaxed);
+            return Vec::new();
+        };
+        counts.received.fetch_add(1, Ordering::Relaxed);
+        let now = self.clock.now();
+        self.membership().receive(now, from, message, rng)
+    }
+
+    async fn send(&self, datagram: &Datagram) {
+        let bytes = datagram.message.seal(&self.key);
+        let size = (bytes.len() + OVERHEAD) as u64;
+        // Lost or refused, a datagram is made up for by later ones.
+        if self.socket.send_to(&bytes, datagram.to).await.is_err() {
+            self.counts.unsent.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        self.counts.sent.fetch_add(1, Ordering::Relaxed);
+        self.counts.sent_bytes.fetch_add(size, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/lib/tests/spread.rs
@@ -0,0 +1,155 @@
+//! From whom the configuration is pulled.
+
+use std::time::Duration;
+
+use cicada_lib::config_apply::ConfigMark;
+use cicada_lib::config_chunks::root_digest;
+use cicada_lib::ids::Name;
+use cicada_lib::ids::Version;
+use cicada_lib::membership::ConfigSeen;
+use cicada_lib::platform::HostRole;
+use cicada_lib::roster::Member;
+use cicada_lib::spread::Pull;
+use cicada_lib::spread::Spread;
+use cicada_lib::spread::SpreadView;
+use cicada_lib::time::Time;
+
+const NOTHING: SpreadView = SpreadView {
+    own: None,
+    seen: None,
+    watcher: false,
+};
+
+fn member(number: u16, region: &str, zone: &str) -> Member {
+    Member {
+        name: Name::new(format!("host-{number}")),
+        role: HostRole::Agent,
+        address: ([127, 0, 0, 1], 10_000 + number).into(),
+        service: Name::new("ceremony"),
+        region: Name::new(region),
+        zone: Name::new(zone),
+    }
+}
+
+fn mark(version: u64) -> ConfigMark {
+    ConfigMark {
+        version: Version(version),
+        digest: root_digest(&version.to_le_bytes()),
+    }
+}
+
+fn spread(rng: &mut fastrand::Rng) -> Spread {
+    Spread::new(Time::ZERO, Name::new("north"), Name::new("north-1"), rng)
+}
+
+/// All 1,370 processes start at once and nobody has a configuration. If each read the store at once,
+/// 1,370 reads of the root and as many of each chunk would refuse everyone else for seconds.
+#[test]
+fn a_mass_start_spares_the_store() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut all: Vec<_> = (0..1_370).map(|_| spread(&mut rng)).collect();
+    let mut most = 0;
+    let mut total = 0;
+    for second in 0..12 {
+        let mut reads = 0;
+        for step in 0..10 {
+            let now = Time::from_millis(second * 1_000 + step * 100);
+            for (number, spread) in all.iter_mut().enumerate() {
+                let watcher = number < 20;
+                let view = SpreadView { watcher, ..NOTHING };
+                if spread.next(now, view, &mut rng).is_some() {
+                    reads += 1;
+                    spread.done(now, true, &mut rng);
+                }
+            }
+        }
+        let bound = if second < 3 { 20 } else { 400 };
+        assert!(reads <= bound, "{reads} reads in second {second}");
+        most = most.max(reads);
+        total += reads;
+    }
+    assert!(most < 250 && total >= 1_370, "{most} of {total}");
+}
+
+/// A version is about. A process pulls it from one near it who has it; a second and third peer are
+/// tried before the store, which is asked once and not again for some seconds.
+#[test]
+fn near_peers_come_first_and_the_store_last() {
+    let mut rng = fastrand::Rng::with_seed(2);
+    let mut spread = spread(&mut rng);
+    let seen = ConfigSeen {
+        mark: mark(2),
+        holders: vec![
+            member(1, "south", "south-1"),
+            member(2, "north", "north-2"),
+            member(3, "north", "north-1"),
+            member(4, "north", "north-1"),
+        ],
+    };
+    let own = mark(1);
+    let view = SpreadView {
+        own: Some(&own),
+        seen: Some(&seen),
+        watcher: false,
+    };
+    let mut asked = Vec::new();
+    for step in 0..80 {
+        let now = Time::from_millis(1_000 + step * 100);
+        if let Some(pull) = spread.next(now, view, &mut rng) {
+            asked.push(pull);
+            spread.done(now, false, &mut rng);
+        }
+    }
+    let zone = |pull: &Pull| match pull {
+        Pull::Peer(member) => member.zone.as_str().to_owned(),
+        Pull::Store => "store".to_owned(),
+    };
+    let zones: Vec<_> = asked.iter().map(zone).collect();
+    assert_eq!(zones[..4], ["north-1", "north-1", "north-2", "store"]);
+    let reads = zones.iter().filter(|zone| *zone == "store").count();
+    assert_eq!(reads, 1, "{zones:?}");
+}
+
+/// The newest version heard of is the one in force, or older. Nothing is pulled.
+#[test]
+fn nothing_is_pulled_for_an_old_version() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut spread = spread(&mut rng);
+    let own = mark(5);
+    for version in [4, 5] {
+        let seen = ConfigSeen {
+            mark: mark(version),
+            holders: vec![member(1, "north", "north-1")],
+        };
+        let view = SpreadView {
+            own: Some(&own),
+            seen: Some(&seen),
+            watcher: false,
+        };
+        let pull = spread.next(Time::from_millis(20_000), view, &mut rng);
+        assert_eq!(pull, None);
+    }
+}
+
+/// Gossip and watchers fail together without a sign. A process looks at the store by itself after
+/// some minutes, so that a change comes late and is not lost.
+#[test]
+fn a_process_looks_by_itself_now_and_then() {
+    let mut rng = fastrand::Rng::with_seed(4);
+    let mut spread = spread(&mut rng);
+    let own = mark(5);
+    let view = SpreadView {
+        own: Some(&own),
+        ..NOTHING
+    };
+    let looks = (0..900).filter(|second| {
+        let now = Time::ZERO + Duration::from_secs(*second);
+        let pull = spread.next(now, view, &mut rng);
+        if pull.is_some() {
+            spread.done(now, true, &mut rng);
+        }
+        pull == Some(Pull::Store)
+    });
+    let looks = looks.count();
+    assert!((3..=9).contains(&looks), "{looks} in 15 minutes");
+}
