--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -5,12 +5,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cicada_lib::claims::ClaimSettings;
+use cicada_lib::claims::Claims;
 use cicada_lib::config::WorkspaceConfig;
 use cicada_lib::config_chunks::Loaded;
 use cicada_lib::daemon_settings::BackendKind;
 use cicada_lib::daemon_settings::Settings;
 use cicada_lib::engine_http::HttpEngine;
 use cicada_lib::http_client::HttpLimits;
+use cicada_lib::platform::Platform;
 use cicada_lib::preset::Preset;
 use cicada_lib::scheduler::Scheduler;
 use cicada_lib::service_http::HttpService;
@@ -24,6 +27,7 @@
 use crate::agent_server;
 use crate::agent_server::ServerIdentity;
 use crate::config_controller::ConfigSink;
+use crate::desk::Channels;
 use crate::desk::Desk;
 use crate::desk::DeskEvent;
 use crate::desk::DeskSettings;
@@ -52,6 +56,7 @@
     pub(crate) async fn start(
         process: &Arc<Process>,
         identity: ServerIdentity,
+        platform: Arc<dyn Platform>,
         metrics: &Metrics,
         open: OpenCount,
     ) -> eyre::Result<Agent> {
@@ -70,11 +75,16 @@
             events.clone(),
             settings.millis("backend", "poll"),
         ));
+        let claims = Claims::new(platform, ClaimSettings::default(), process.name().clone());
         let worker = Desk::new(
             desk_settings(settings),
             scheduler(settings),
             backend,
-            events,
+            Channels {
+                events,
+                orders: desk.clone(),
+            },
+            Arc::new(claims),
             Arc::new(AgentMetrics::new(metrics)),
             open,
         );
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -269,10 +269,13 @@
         };
         let method = head.method().as_str();
         let id = RequestId::random();
+        let key = idempotency_key(inbound.headers)?;
+        let idempotent = settings.is_idempotent(method, path_only(&path));
         let request = Request {
             id,
-            key: idempotency_key(inbound.headers)?,
-            idempotent: settings.is_idempotent(method, path_only(&path)),
+            // A call that may run twice needs no claim.
+            key: if idempotent { String::new() } else { key },
+            idempotent,
             service,
             model: Name::default(),
             workspace: inbound.workspace.clone(),
--- a/daemon/src/desk.rs
+++ b/daemon/src/desk.rs
@@ -7,16 +7,27 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
+use cicada_lib::backend::CallAnswer;
 use cicada_lib::backend::EngineEvent;
 use cicada_lib::backend::GenerationSpec;
+use cicada_lib::backend::Header;
+use cicada_lib::claims;
+use cicada_lib::claims::Claim;
+use cicada_lib::claims::ClaimTicket;
+use cicada_lib::claims::Claims;
+use cicada_lib::claims::RecordedAnswer;
 use cicada_lib::config_chunks::Loaded;
 use cicada_lib::ids::GenerationId;
 use cicada_lib::ids::Name;
+use cicada_lib::outcome::Completion;
 use cicada_lib::outcome::FailureReason;
 use cicada_lib::outcome::NotRun;
 use cicada_lib::outcome::Outcome;
 use cicada_lib::outcome::RefusalReason;
+use cicada_lib::outcome::UnknownReason;
 use cicada_lib::scheduler::Action;
 use cicada_lib::scheduler::JobKey;
 use cicada_lib::scheduler::JobSpec;
@@ -39,6 +50,7 @@
 use crate::agent::policy;
 use crate::metrics::AgentMetrics;
 use crate::readers;
+use crate::record::CallKey;
 use crate::record::ConnKey;
 use crate::record::Conns;
 use crate::record::Reader;
@@ -65,6 +77,10 @@
     Drain,
     /// A newer configuration is in force.
     Config(Arc<Loaded>),
+    /// The store's word on a keyed call.
+    Claimed(RecordKey, claims::Result<Claim>),
+    /// A keyed call that did not run has given its claim back.
+    Released(RecordKey, Outcome),
 }
 
 /// The desk's figures.
@@ -80,6 +96,14 @@
     pub(crate) max_records: usize,
 }
 
+/// The queues through which the desk's own tasks tell it what they found.
+pub(crate) struct Channels {
+    /// Of backend events.
+    pub(crate) events: Events,
+    /// Of orders. The desk's end is also one of its senders, so that it never closes by itself.
+    pub(crate) orders: mpsc::Sender<DeskEvent>,
+}
+
 /// How often the scheduler is asked for what time alone brings about. A tenth of the shortest time
 /// that a caller notices.
 const TICK: Duration = Duration::from_millis(50);
@@ -100,6 +124,8 @@
     by_job: SecondaryMap<JobKey, RecordKey>,
     conns: Conns,
     tombstones: Tombstones,
+    claims: Arc<Claims>,
+    orders: mpsc::Sender<DeskEvent>,
     metrics: Arc<AgentMetrics>,
     open: OpenCount,
     reachable: bool,
@@ -113,7 +139,8 @@
         settings: DeskSettings,
         scheduler: Scheduler,
         backend: Arc<dyn Backend>,
-        events: Events,
+        channels: Channels,
+        claims: Arc<Claims>,
         metrics: Arc<AgentMetrics>,
         open: OpenCount,
     ) -> Self {
@@ -122,7 +149,9 @@
             clock: Clock::new(),
             scheduler,
             backend,
-            events,
+            events: channels.events,
+            orders: channels.orders,
+            claims,
             records: Records::default(),
             by_job: SecondaryMap::new(),
             conns: Conns::default(),
@@ -164,6 +193,8 @@
             DeskEvent::Frame(conn, frame) => self.frame(conn, frame),
             DeskEvent::Drain => self.drain(),
             DeskEvent::Config(loaded) => self.configure(&loaded),
+            DeskEvent::Claimed(key, claim) => self.claimed(key, claim),
+            DeskEvent::Released(key, outcome) => self.finish(key, outcome),
         }
     }
 
@@ -207,13 +238,24 @@
         if let Some(key) = self.records.find(submit.request) {
             return self.join(key, reader);
         }
+        let call_key = call_key(&submit);
+        let same = call_key
+            .as_ref()
+            .and_then(|call_key| self.records.find_keyed(call_key));
+        if let Some(key) = same {
+            self.records.alias(submit.request, key);
+            return self.join(key, reader);
+        }
         if let Some(refusal) = self.refusal(&submit) {
             return self.refuse(reader, refusal);
         }
         let record = self.record(submit);
         let key = self.records.add(record);
         self.join(key, reader);
-        self.queue(key);
+        match call_key {
+            Some(call_key) => self.claim(key, call_key),
+            None => self.queue(key),
+        }
     }
 
     fn refusal(&self, submit: &Submit) -> Option<NotRun> {
@@ -236,6 +278,9 @@
     fn record(&self, submit: Submit) -> Record {
         let now = self.clock.now();
         Record {
+            call_key: call_key(&submit),
+            ticket: None,
+            aliases: Vec::new(),
             request: submit.request,
             attempt: submit.attempt,
             workspace: submit.workspace,
@@ -253,6 +298,45 @@
         }
     }
 
+    /// Asks the store for the right to run a keyed call. Nothing of it runs before the answer.
+    fn claim(&self, key: RecordKey, call_key: CallKey) {
+        let claims = self.claims.clone();
+        let service = self.settings.service.clone();
+        let orders = self.orders.clone();
+        tokio::spawn(async move {
+            let now = unix_millis();
+            let claim = claims.claim(&service, &call_key.workspace, &call_key.text, now);
+            let _ = orders.send(DeskEvent::Claimed(key, claim.await)).await;
+        });
+    }
+
+    fn claimed(&mut self, key: RecordKey, claim: claims::Result<Claim>) {
+        // A record that ended meanwhile drops the ticket; the claim then counts as one that may have
+        // run, which is never untrue.
+        let Some(record) = self.records.at_mut(key) else {
+            return;
+        };
+        if record.is_ended() {
+            return;
+        }
+        match claim {
+            Ok(Claim::Run(ticket)) => {
+                record.ticket = Some(ticket);
+                self.queue(key);
+            }
+            Ok(Claim::Done(answer)) if answer.whole => {
+                record.answer = Some(replayed(answer));
+                self.finish(key, Outcome::Completed(Completion::default()));
+            }
+            // It ran, and its answer was too long to keep.
+            Ok(Claim::Done(_)) => self.finish(key, Outcome::Failed(FailureReason::ReplayExpired)),
+            Ok(Claim::Running | Claim::ElsewhereUnsettled { .. }) => {
+                self.finish(key, Outcome::Unknown(UnknownReason::ClaimUnsettled));
+            }
+            Err(err) => self.finish(key, Outcome::NotRun(err.not_run())),
+        }
+    }
+
     /// Offers a record's work to the scheduler.
     fn queue(&mut self, key: RecordKey) {
         let now = self.clock.now();
@@ -298,6 +382,9 @@
         };
         let now = self.clock.now();
         let key = self.records.add(Record {
+            call_key: None,
+            ticket: None,
+            aliases: Vec::new(),
             request: attach.request,
             attempt: attach.attempt,
             workspace: attach.workspace,
@@ -463,6 +550,15 @@
         let Some(record) = self.records.at_mut(key) else {
             return;
         };
+        // A process that slept since its claim may find that the call has run elsewhere.
+        let late = record
+            .ticket
+            .as_ref()
+            .is_some_and(|ticket| !ticket.may_start(unix_millis()));
+        if late {
+            let refusal = NotRun::left_queue(RefusalReason::StoreUnavailable, None);
+            return self.end(key, Outcome::NotRun(refusal));
+        }
         let Some(work) = record.work.take() else {
             return;
         };
@@ -555,16 +651,71 @@
         if let Stage::Queued(job) | Stage::Running(job) = record.stage {
             self.scheduler.finished(now, job);
             self.by_job.remove(job);
+            record.stage = Stage::Claiming;
+        }
+        match record.ticket.take() {
+            Some(ticket) => self.settle(key, ticket, outcome),
+            None => self.finish(key, outcome),
+        }
+    }
+
+    /// Tells the store what became of a keyed call, and then the caller.
+    fn settle(&mut self, key: RecordKey, ticket: ClaimTicket, outcome: Outcome) {
+        let claims = self.claims.clone();
+        let orders = self.orders.clone();
+        match outcome {
+            // The claim is given back before the caller hears "not run": its next try must not find
+            // a claim that looks as if it had run.
+            Outcome::NotRun(refusal) => {
+                tokio::spawn(async move {
+                    if let Err(err) = claims.release(ticket, &refusal).await {
+                        tracing::warn!(%err, "claims: a claim is given back later");
+                    }
+                    let released = DeskEvent::Released(key, Outcome::NotRun(refusal));
+                    let _ = orders.send(released).await;
+                });
+            }
+            outcome => {
+                let answer = self
+                    .records
+                    .at(key)
+                    .and_then(|record| record.answer.as_ref());
+                if let Some(answer) = answer {
+                    let recorded = RecordedAnswer::new(answer.status, &answer.body);
+                    tokio::spawn(async move {
+                        if let Err(err) = claims.settle(ticket, recorded).await {
+                            tracing::warn!(%err, "claims: an answer is recorded later");
+                        }
+                    });
+                }
+                self.finish(key, outcome);
+            }
+        }
+    }
+
+    /// Tells the readers of a record's end.
+    fn finish(&mut self, key: RecordKey, outcome: Outcome) {
+        let now = self.clock.now();
+        let Some(record) = self.records.at_mut(key) else {
+            return;
+        };
+        if record.is_ended() {
+            return;
         }
         self.metrics.ended(&outcome);
         record.stage = Stage::Ended(outcome);
         record.ended = Some(now);
         readers::pump(record, &mut self.conns);
+        let completed = matches!(record.stage, Stage::Ended(Outcome::Completed(_)));
         let refused = matches!(record.stage, Stage::Ended(Outcome::NotRun(_)));
-        if refused && record.readers.is_empty() {
+        let unread = record.readers.is_empty();
+        if !completed {
+            // A resend must ask the store: only an answer may be given out from memory.
+            self.records.forget_key(key);
+        }
+        if refused && unread {
             // Nothing ran, so that a later try may: only the tombstone keeps this one away.
-            let record = self.records.remove(key);
-            if let Some(record) = record {
+            if let Some(record) = self.records.remove(key) {
                 self.tombstones.add(record.request, record.attempt);
             }
         }
@@ -638,6 +789,36 @@
 /// displacement follows its default order.
 const DEFAULT_PRIORITY: u8 = 128;
 
+fn call_key(submit: &Submit) -> Option<CallKey> {
+    let is_call = matches!(submit.work, Work::Call(_));
+    (is_call && !submit.key.is_empty()).then(|| CallKey {
+        workspace: submit.workspace.clone(),
+        text: submit.key.clone(),
+    })
+}
+
+/// An answer that an earlier run left, marked as such.
+fn replayed(answer: RecordedAnswer) -> CallAnswer {
+    CallAnswer {
+        status: answer.status,
+        headers: vec![Header {
+            name: REPLAYED_HEADER.to_string(),
+            value: b"true".to_vec(),
+        }],
+        body: answer.body.into(),
+    }
+}
+
+/// Marks an answer that was kept from an earlier run of the same key.
+const REPLAYED_HEADER: &str = "idempotent-replayed";
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// Characters of a prompt that count as one token before the engine has counted them.
 const CHARS_PER_TOKEN: usize = 4;
 
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -408,6 +408,8 @@
                 body,
             }),
             Some(StreamFrame::NoTrace) => {
+                // The agent answers, and its tombstone covers the lost attempt only.
+                self.tried.pop();
                 let refusal = NotRun::never_sent(RefusalReason::ConnectFailed);
                 self.refused(RetryReason::ConnectFailed, refusal).await
             }
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use cicada_lib::claims::KeyDigest;
 use cicada_lib::handshake::PeerKey;
 use cicada_lib::ids::Name;
 use cicada_lib::load::LoadSummary;
@@ -170,11 +171,9 @@
         if request.key.is_empty() {
             return None;
         }
-        let text = format!("{}\0{}", request.workspace, request.key);
-        let digest = blake3::hash(text.as_bytes());
-        let mut bytes = [0; 8];
-        bytes.copy_from_slice(&digest.as_bytes()[..8]);
-        Some(u64::from_le_bytes(bytes))
+        // All keys of a shard go to one agent, so that it alone commits the shard's claims.
+        let shard = KeyDigest::new(&request.workspace, &request.key).shard();
+        Some(u64::from(shard))
     }
 
     /// Tokens that the workspace got on other agents since its last request at this one.
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -110,7 +110,8 @@
         connect_time: settings.millis("link", "connect_time"),
     };
     let platform = platform(settings)?;
-    let agent = traffic.block_on(Agent::start(&process, identity, &metrics, open))?;
+    let starting = Agent::start(&process, identity, platform.clone(), &metrics, open);
+    let agent = traffic.block_on(starting)?;
     let sinks = vec![agent.config_sink()];
     let controllers: Vec<Box<dyn Controller>> =
         vec![Box::new(config_controller(&process, platform, sinks))];
--- a/daemon/src/record.rs
+++ b/daemon/src/record.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use cicada_lib::backend::CallAnswer;
+use cicada_lib::claims::ClaimTicket;
 use cicada_lib::ids::Attempt;
 use cicada_lib::ids::Name;
 use cicada_lib::ids::RequestId;
@@ -24,6 +25,15 @@
     pub(crate) struct ConnKey;
 }
 
+/// A workspace's key for a call that must run at most once.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct CallKey {
+    /// The workspace; two workspaces may use the same text.
+    pub(crate) workspace: Name,
+    /// The key's text.
+    pub(crate) text: String,
+}
+
 /// Where a request stands.
 #[derive(Debug)]
 pub(crate) enum Stage {
@@ -77,6 +87,12 @@
     pub(crate) attempt: Attempt,
     /// The workspace that is charged.
     pub(crate) workspace: Name,
+    /// The caller's key for a call that must run at most once.
+    pub(crate) call_key: Option<CallKey>,
+    /// The right to run such a call; held from the claim to the end.
+    pub(crate) ticket: Option<ClaimTicket>,
+    /// Other requests that came with the same key and read this record.
+    pub(crate) aliases: Vec<RequestId>,
     /// The work; taken when it starts.
     pub(crate) work: Option<Work>,
     /// When the caller no longer wants the answer.
@@ -209,17 +225,49 @@
 pub(crate) struct Records {
     records: SlotMap<RecordKey, Record>,
     by_request: HashMap<RequestId, RecordKey>,
+    // Keyed calls that run, wait, or have an answer.
+    by_key: HashMap<CallKey, RecordKey>,
 }
 
 impl Records {
     /// Adds a record.
     pub(crate) fn add(&mut self, record: Record) -> RecordKey {
         let request = record.request;
+        let call_key = record.call_key.clone();
         let key = self.records.insert(record);
         self.by_request.insert(request, key);
+        if let Some(call_key) = call_key {
+            self.by_key.insert(call_key, key);
+        }
         key
     }
 
+    /// Finds a keyed call.
+    pub(crate) fn find_keyed(&self, call_key: &CallKey) -> Option<RecordKey> {
+        self.by_key.get(call_key).copied()
+    }
+
+    /// Lets another request read a record.
+    pub(crate) fn alias(&mut self, request: RequestId, key: RecordKey) {
+        if let Some(record) = self.records.get_mut(key) {
+            record.aliases.push(request);
+            self.by_request.insert(request, key);
+        }
+    }
+
+    /// Lets later requests with the record's key find it no more.
+    pub(crate) fn forget_key(&mut self, key: RecordKey) {
+        let call_key = self
+            .records
+            .get(key)
+            .and_then(|record| record.call_key.as_ref());
+        if let Some(call_key) = call_key
+            && self.by_key.get(call_key) == Some(&key)
+        {
+            self.by_key.remove(call_key);
+        }
+    }
+
     /// Finds a request.
     pub(crate) fn find(&self, request: RequestId) -> Option<RecordKey> {
         self.by_request.get(&request).copied()
@@ -237,8 +285,12 @@
 
     /// Forgets a record.
     pub(crate) fn remove(&mut self, key: RecordKey) -> Option<Record> {
+        self.forget_key(key);
         let record = self.records.remove(key)?;
         self.by_request.remove(&record.request);
+        for alias in &record.aliases {
+            self.by_request.remove(alias);
+        }
         Some(record)
     }
 
--- a/daemon/src/runs.rs
+++ b/daemon/src/runs.rs
@@ -220,11 +220,7 @@
         match self.service.call(&call).await {
             Ok(answer) => {
                 let _ = events.send(BackendEvent::Run(record, RunEvent::Answer(answer)));
-                Outcome::Completed(Completion {
-                    prompt_tokens: 0,
-                    output_tokens: 0,
-                    truncated: false,
-                })
+                Outcome::Completed(Completion::default())
             }
             // A call that was sent and not answered may have run: it is never rounded to "not run".
             Err(BackendError::Lost(_)) => Outcome::Unknown(UnknownReason::AnswerLost),
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -167,6 +167,7 @@
     }
 
     /// How a request that ran to its end went.
+    #[derive(Default)]
     pub struct Completion {
         /// Tokens of the prompt; zero for a plain call.
         pub prompt_tokens: u32,
