cicada: a process ahead of a restored store is not taken for reached

A version above the store's newest comes from before a restore and does not hold the change; `--wait` says so, `show versions` tells how each stands, and `--above` gives a change a number that such processes follow. Chunks out of use are collected after each 64th version.

Breakage tried and seen to fail the test: every version above the committed one counts as reached.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -38,6 +38,8 @@
     pub(crate) wait: Option<Duration>,
     /// The version that a change must be based on.
     pub(crate) base: Option<Version>,
+    /// The version that a change's own must be above.
+    pub(crate) above: Version,
 }
 
 /// A setting given as a flag.
@@ -83,6 +85,8 @@
         "refuse if this is not the newest version",
         "VERSION",
     );
+    let above = "make the new version larger than this one, after a restore of the store";
+    options.optopt("", "above", above, "VERSION");
     options.optflag("h", "help", "print this text");
     options.optflag("V", "version", "print the version");
     options
@@ -112,6 +116,7 @@
         dry_run: matches.opt_present("dry-run"),
         wait: number(&matches, "wait")?.map(Duration::from_secs),
         base: number(&matches, "base")?.map(Version),
+        above: Version(number(&matches, "above")?.unwrap_or(0)),
         words: matches.free,
     })))
 }
--- a/cli/src/cmd_change.rs
+++ b/cli/src/cmd_change.rs
@@ -5,25 +5,34 @@
 
 use cicada_lib::config::Config;
 use cicada_lib::config::Rights;
+use cicada_lib::config_apply::ConfigMark;
 use cicada_lib::config_chunks::Loaded;
 use cicada_lib::config_edit::Change;
 use cicada_lib::config_store::CommitError;
 use cicada_lib::config_store::Committed;
+use cicada_lib::platform::HostRecord;
 use cicada_lib::query::Statement;
 use cicada_lib::query_eval::Evaluator;
 use cicada_lib::secrets::Secret;
 use serde_json::Value;
 use serde_json::json;
 
+use crate::cmd_collect;
 use crate::error::Error;
 use crate::error::Result;
 use crate::output::print_json;
 use crate::output::print_line;
 use crate::session::Session;
+use crate::status::ProcessReport;
+use crate::status::Standing;
 
 // Between two rounds of questions. A change is in force within seconds.
 const ROUND: Duration = Duration::from_millis(500);
 
+// A change leaves a chunk or two behind. 64 of them are some hundred calls, 53 times on a day of 3,400
+// changes.
+const COLLECT_EVERY: u64 = 64;
+
 struct Issued {
     object: String,
     secret: Secret,
@@ -131,7 +140,7 @@
         print_secrets(&worked.issued);
     }
     let reached = match session.run.wait {
-        Some(limit) => Some(wait(session, version, limit).await),
+        Some(limit) => Some(wait(session, ConfigMark::of(&committed.loaded), limit).await),
         None => None,
     };
     if session.run.json {
@@ -139,6 +148,10 @@
     } else {
         print_reached(version, reached.as_ref());
     }
+    if version.is_multiple_of(COLLECT_EVERY) {
+        // What stays behind now goes the next time.
+        let _ = cmd_collect::collect(session).await;
+    }
     match reached {
         Some(reached) if !reached.is_everywhere() => Err(Error::NotEverywhere),
         _ => Ok(()),
@@ -146,11 +159,11 @@
 }
 
 // Asks until every process of the platform's list follows the version, or the time is over.
-async fn wait(session: &Session, version: u64, limit: Duration) -> Reached {
+async fn wait(session: &Session, ours: ConfigMark, limit: Duration) -> Reached {
     let end = Instant::now() + limit;
     loop {
         let reached = match session.hosts().await {
-            Ok(hosts) => round(session, version, hosts).await,
+            Ok(hosts) => round(session, &ours, hosts).await,
             Err(error) => unlisted(&error),
         };
         if reached.is_everywhere() || Instant::now() + ROUND > end {
@@ -160,21 +173,20 @@
     }
 }
 
-async fn round(
-    session: &Session,
-    version: u64,
-    hosts: Vec<cicada_lib::platform::HostRecord>,
-) -> Reached {
+async fn round(session: &Session, ours: &ConfigMark, hosts: Vec<HostRecord>) -> Reached {
     let reports = session.ask(hosts).await;
-    let behind = reports.iter().filter(|r| !r.follows(version));
-    let missing = behind.map(|r| Missing {
-        host: r.host.name.to_string(),
-        why: match &r.page {
-            Ok(page) => format!("at version {}", page.version),
-            Err(why) => format!("unreachable: {why}"),
+    // Others may have committed on top, and their versions hold this change too.
+    let newest = match session.store.root().await {
+        Ok(Some(found)) => ConfigMark {
+            version: found.root.version,
+            digest: found.digest,
         },
-    });
-    let missing: Vec<Missing> = missing.collect();
+        _ => ours.clone(),
+    };
+    let missing: Vec<Missing> = reports
+        .iter()
+        .filter_map(|r| missing(r, ours, &newest))
+        .collect();
     Reached {
         count: reports.len() - missing.len(),
         total: reports.len(),
@@ -182,6 +194,27 @@
     }
 }
 
+// Failure: the store was restored, and a process follows a version of the time before with a larger
+// number. Symptom: its number would pass for one that holds the change. The store's newest version
+// bounds the numbers that do.
+fn missing(report: &ProcessReport, ours: &ConfigMark, newest: &ConfigMark) -> Option<Missing> {
+    let why = match &report.page {
+        Err(why) => format!("unreachable: {why}"),
+        Ok(page) => match (report.standing(ours), report.standing(newest)) {
+            (Standing::Newest, _) | (Standing::Ahead, Standing::Newest | Standing::Behind) => {
+                return None;
+            }
+            (Standing::Behind, _) => format!("at version {}", page.version),
+            _ => format!(
+                "at version {}, which is not the store's; see --above",
+                page.version
+            ),
+        },
+    };
+    let host = report.host.name.to_string();
+    Some(Missing { host, why })
+}
+
 // Without the list it is not known how many processes there are.
 fn unlisted(error: &Error) -> Reached {
     let missing = Missing {
--- a/cli/src/cmd_collect.rs
+++ b/cli/src/cmd_collect.rs
@@ -17,11 +17,7 @@
         print_line("dry run: nothing was deleted");
         return Ok(());
     }
-    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    let count = session
-        .store
-        .collect(now.map_or(0, |d| d.as_secs()))
-        .await?;
+    let count = collect(session).await?;
     if session.run.json {
         print_json(&json!({ "collected": count }));
     } else {
@@ -29,3 +25,13 @@
     }
     Ok(())
 }
+
+/// Deletes what is out of use, and returns how much it was.
+pub(crate) async fn collect(session: &Session) -> Result<usize> {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let count = session
+        .store
+        .collect(now.map_or(0, |d| d.as_secs()))
+        .await?;
+    Ok(count)
+}
--- a/cli/src/cmd_show.rs
+++ b/cli/src/cmd_show.rs
@@ -1,5 +1,6 @@
 //! `show`: tables of the configuration and of what processes say.
 
+use cicada_lib::config_apply::ConfigMark;
 use cicada_lib::query::Show;
 use cicada_lib::query_rows::check_show;
 
@@ -21,7 +22,12 @@
     let table = if is_live(show.table) {
         let hosts = session.hosts().await?;
         let reports = session.ask(hosts).await;
-        live_table(show.table, &loaded.config, &loaded.root, &reports)
+        live_table(
+            show.table,
+            &loaded.config,
+            &ConfigMark::of(&loaded),
+            &reports,
+        )
     } else {
         config_table(show.table, &loaded.config, &loaded.root)
     };
--- a/cli/src/session.rs
+++ b/cli/src/session.rs
@@ -35,7 +35,7 @@
         let platform = HttpPlatform::new(settings.platform, token);
         let platform: Arc<dyn Platform> = Arc::new(platform.with_caller(Name::new("cicada")));
         Ok(Session {
-            store: ConfigStore::new(platform.clone()),
+            store: ConfigStore::new(platform.clone()).with_floor(run.above),
             status: StatusClient::new(settings.status_timeout),
             settings,
             run,
--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -1,8 +1,10 @@
 //! Asks processes for their state over HTTP.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
+use cicada_lib::config_apply::ConfigMark;
 use cicada_lib::platform::HostRecord;
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -52,9 +54,45 @@
         self.page.as_ref().map_or("unreachable", |p| &p.state)
     }
 
-    /// Whether the process follows this version or a newer one.
-    pub(crate) fn follows(&self, version: u64) -> bool {
-        self.page.as_ref().is_ok_and(|p| p.version >= version)
+    /// How the version that the process follows stands to the store's newest.
+    pub(crate) fn standing(&self, newest: &ConfigMark) -> Standing {
+        let Ok(page) = &self.page else {
+            return Standing::Unreachable;
+        };
+        match page.version.cmp(&newest.version.0) {
+            Ordering::Less => Standing::Behind,
+            Ordering::Greater => Standing::Ahead,
+            Ordering::Equal if page.digest == newest.digest.to_string() => Standing::Newest,
+            Ordering::Equal => Standing::Conflicting,
+        }
+    }
+}
+
+/// How a process's version stands to the store's newest.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Standing {
+    /// It is the newest.
+    Newest,
+    /// It is older.
+    Behind,
+    /// It is newer than the store's: the store was restored from a backup.
+    Ahead,
+    /// It has the newest's number and other content: the store was restored, and changed since.
+    Conflicting,
+    /// The process does not answer.
+    Unreachable,
+}
+
+impl Standing {
+    /// The name in tables.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Standing::Newest => "newest",
+            Standing::Behind => "behind",
+            Standing::Ahead => "ahead",
+            Standing::Conflicting => "conflicting",
+            Standing::Unreachable => "unreachable",
+        }
     }
 }
 
--- a/cli/src/tables.rs
+++ b/cli/src/tables.rs
@@ -1,5 +1,7 @@
 //! The tables that can be shown. Names and order of their columns are stable.
 
+use std::collections::BTreeMap;
+
 use cicada_lib::config::Config;
 use cicada_lib::config::EngineRole;
 use cicada_lib::config::Fencing;
@@ -8,6 +10,7 @@
 use cicada_lib::config::Rights;
 use cicada_lib::config::ServiceConfig;
 use cicada_lib::config::ServiceKind;
+use cicada_lib::config_apply::ConfigMark;
 use cicada_lib::config_chunks::Root;
 use cicada_lib::ids::Name;
 use cicada_lib::platform::HostRole;
@@ -17,6 +20,7 @@
 use cicada_lib::query_rows::Table;
 
 use crate::status::ProcessReport;
+use crate::status::Standing;
 use crate::status::StatusPage;
 
 const SERVICES: [Column; 12] = [
@@ -78,7 +82,7 @@
 const VERSIONS: [Column; 5] = [
     Column::number("version"),
     Column::text("digest"),
-    Column::text("committed"),
+    Column::text("standing"),
     Column::number("processes"),
     Column::list("hosts"),
 ];
@@ -138,14 +142,14 @@
 pub(crate) fn live_table(
     kind: TableKind,
     config: &Config,
-    root: &Root,
+    newest: &ConfigMark,
     reports: &[ProcessReport],
 ) -> Table {
     let agents = reports.iter().filter(|r| r.host.role == HostRole::Agent);
     let rows = match kind {
         TableKind::Hosts => reports.iter().map(host).collect(),
         TableKind::BackendServers => agents.map(|r| backend_server(r, config)).collect(),
-        _ => versions(root, reports),
+        _ => versions(newest, reports),
     };
     let columns = columns(kind);
     Table { columns, rows }
@@ -204,7 +208,7 @@
 }
 
 fn workspaces(config: &Config) -> Vec<Vec<Cell>> {
-    let mut keys = std::collections::BTreeMap::new();
+    let mut keys = BTreeMap::new();
     for key in config.keys.values() {
         *keys.entry(&key.workspace).or_insert(0_u64) += 1;
     }
@@ -331,46 +335,53 @@
     ]
 }
 
-// The store's version stands first, also where no process follows it yet. Processes that do not
-// answer stand last, under no version.
-fn versions(root: &Root, reports: &[ProcessReport]) -> Vec<Vec<Cell>> {
-    let mut groups: std::collections::BTreeMap<(u64, String), Vec<String>> = Default::default();
-    let mut silent = Vec::new();
+// The store's version is listed also where no process follows it yet. Processes that do not answer
+// stand last, under no version.
+fn versions(newest: &ConfigMark, reports: &[ProcessReport]) -> Vec<Vec<Cell>> {
+    let mut groups: BTreeMap<Group, Vec<String>> = BTreeMap::new();
+    groups.insert(Group::of_mark(newest), Vec::new());
     for report in reports {
         let name = report.host.name.to_string();
-        match &report.page {
-            Ok(page) => {
-                let key = (page.version, page.digest.clone());
-                groups.entry(key).or_default().push(name);
-            }
-            Err(_) => silent.push(name),
-        }
+        groups
+            .entry(Group::of(report, newest))
+            .or_default()
+            .push(name);
     }
-    let newest = root.version.0;
-    if !groups.keys().any(|(version, _)| *version == newest) {
-        groups.insert((newest, String::new()), Vec::new());
-    }
-    let mut rows: Vec<Vec<Cell>> = Vec::new();
-    for ((version, digest), hosts) in groups.into_iter().rev() {
-        let short: String = digest.chars().take(12).collect();
-        rows.push(vec![
-            number(version),
-            text(short),
-            text(if version == newest { "newest" } else { "other" }),
+    let row = |(group, hosts): (Group, Vec<String>)| {
+        let digest: String = group.digest.chars().take(12).collect();
+        vec![
+            group.version.map_or(Cell::Missing, Cell::Number),
+            text(digest),
+            text(group.standing.name()),
             number(hosts.len() as u64),
             Cell::List(hosts),
-        ]);
+        ]
+    };
+    groups.into_iter().rev().map(row).collect()
+}
+
+#[derive(Eq, Ord, PartialEq, PartialOrd)]
+struct Group {
+    version: Option<u64>,
+    digest: String,
+    standing: Standing,
+}
+
+impl Group {
+    fn of_mark(newest: &ConfigMark) -> Self {
+        Group {
+            version: Some(newest.version.0),
+            digest: newest.digest.to_string(),
+            standing: Standing::Newest,
+        }
     }
-    if !silent.is_empty() {
-        let count = number(silent.len() as u64);
-        let hosts = Cell::List(silent);
-        rows.push(vec![
-            Cell::Missing,
-            text(""),
-            text("unreachable"),
-            count,
-            hosts,
-        ]);
+
+    fn of(report: &ProcessReport, newest: &ConfigMark) -> Self {
+        let page = report.page.as_ref().ok();
+        Group {
+            version: page.map(|p| p.version),
+            digest: page.map(|p| p.digest.clone()).unwrap_or_default(),
+            standing: report.standing(newest),
+        }
     }
-    rows
 }
--- a/cli/tests/cicada.rs
+++ b/cli/tests/cicada.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use cicada_lib::config_chunks::Root;
+use cicada_lib::config_chunks::root_digest;
 use cicada_lib::ids::Name;
 use cicada_lib::platform::HostRecord;
 use cicada_lib::platform::HostRole;
@@ -23,7 +25,7 @@
 use testutils::platform::PlatformSettings;
 
 struct Bench {
-    platform: PlatformServer,
+    platform: Arc<PlatformServer>,
     dir: PathBuf,
 }
 
@@ -33,16 +35,27 @@
     err: String,
 }
 
-// Answers as a process at the given version does.
+// Answers as a process does that follows the store, or keeps to a version of its own.
 struct Status {
     name: String,
-    version: u64,
+    platform: Arc<PlatformServer>,
+    version: Option<u64>,
 }
 
 impl Handler for Status {
     fn handle(self: Arc<Self>, _call: Call) -> BoxFuture<'static, Reply> {
+        let root = self.platform.object("config/root").unwrap().value;
+        let newest = Root::decode(&root).unwrap().version.0;
+        let digest = match self.version {
+            Some(_) => "other".to_owned(),
+            None => root_digest(&root).to_string(),
+        };
         let page = json!({
-            "name": self.name, "state": "ready", "version": self.version, "digest": "d", "in_flight": 2,
+            "name": self.name,
+            "state": "ready",
+            "version": self.version.unwrap_or(newest),
+            "digest": digest,
+            "in_flight": 2,
         });
         async move { Reply::json(&page) }.boxed()
     }
@@ -60,7 +73,7 @@
         let number = BENCHES.fetch_add(1, Ordering::Relaxed);
         let dir = format!("cicada-cli-{}-{number}", std::process::id());
         let bench = Bench {
-            platform: PlatformServer::start(settings).unwrap(),
+            platform: Arc::new(PlatformServer::start(settings).unwrap()),
             dir: std::env::temp_dir().join(dir),
         };
         std::fs::create_dir_all(&bench.dir).unwrap();
@@ -116,9 +129,10 @@
         });
     }
 
-    fn process(&self, name: &str, role: HostRole, version: u64) -> Arc<HttpServer> {
+    fn process(&self, name: &str, role: HostRole, version: Option<u64>) -> Arc<HttpServer> {
         let status = Status {
             name: name.to_owned(),
+            platform: self.platform.clone(),
             version,
         };
         let server =
@@ -313,11 +327,11 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn what_is_in_force_is_told_truthfully() {
     let bench = Bench::new();
-    let _a = bench.process("a", HostRole::Entry, 2);
-    let _b = bench.process("b", HostRole::Agent, 1);
+    let _a = bench.process("a", HostRole::Entry, None);
+    let _b = bench.process("b", HostRole::Agent, Some(1));
     // Nothing listens on the discard port.
     bench.host("c", HostRole::Agent, SocketAddr::from(([127, 0, 0, 1], 9)));
-    let e = bench.process("e", HostRole::Agent, 2);
+    let e = bench.process("e", HostRole::Agent, None);
     bench.host("d", HostRole::Agent, e.addr());
 
     let done = bench.ann(&[
@@ -392,3 +406,23 @@
     let rows = bench.ann(&["--json", "show workspaces"]).json();
     assert_eq!(rows.as_array().unwrap().len(), committed);
 }
+
+/// The store was restored from a backup while a process follows version 9 of the time before. A commit
+/// gets a smaller number, which the process refuses, and the operator is told so; one above 9 is
+/// followed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_ahead_of_a_restored_store_is_not_taken_for_reached() {
+    let bench = Bench::new();
+    let _a = bench.process("a", HostRole::Entry, Some(9));
+    let done = bench.ann(&["--wait", "0", "create workspace chapel"]);
+    assert_eq!(done.code, 9);
+    let told = "not reached: a (at version 9, which is not the store's; see --above)";
+    assert!(done.out.contains(told), "{}", done.out);
+    let versions = bench.ann(&["--json", "show versions"]).json();
+    assert_eq!(
+        (&versions[0]["version"], &versions[0]["standing"]),
+        (&json!(9), &json!("ahead"))
+    );
+    let done = bench.ann(&["--json", "--above", "9", "create workspace font"]);
+    assert_eq!(done.json()["version"], 10);
+}
--- a/lib/src/config_apply.rs
+++ b/lib/src/config_apply.rs
@@ -52,6 +52,16 @@
     }
 }
 
+impl ConfigMark {
+    /// The mark of a version.
+    pub fn of(loaded: &Loaded) -> Self {
+        ConfigMark {
+            version: loaded.version,
+            digest: loaded.digest,
+        }
+    }
+}
+
 /// The version in force in one process.
 #[derive(Clone, Debug, Default)]
 pub struct ConfigState {
@@ -80,11 +90,7 @@
 
     /// The number and digest of the version in force.
     pub fn mark(&self) -> Option<ConfigMark> {
-        let current = self.current.as_ref()?;
-        Some(ConfigMark {
-            version: current.version,
-            digest: current.digest,
-        })
+        self.current.as_ref().map(|l| ConfigMark::of(l))
     }
 
     /// When the version in force was applied; the origin before the first one.
@@ -133,11 +139,7 @@
     ///
     /// A [`Loaded`] is made only by validating all its parts, so that nothing is left to check.
     pub fn offer(&mut self, loaded: Loaded, now: Time) -> Verdict {
-        let mark = ConfigMark {
-            version: loaded.version,
-            digest: loaded.digest,
-        };
-        let verdict = self.note(mark, now);
+        let verdict = self.note(ConfigMark::of(&loaded), now);
         if verdict == Verdict::Newer {
             self.current = Some(Arc::new(loaded));
             self.applied_at = now;
--- a/lib/src/config_plan.rs
+++ b/lib/src/config_plan.rs
@@ -33,6 +33,8 @@
     pub author: Name,
     /// Seconds since 1970.
     pub at: u64,
+    /// A version that the new one must be above, as where the store was restored from a backup.
+    pub floor: Version,
 }
 
 /// A change worked out: what would be written.
@@ -65,7 +67,8 @@
         change: &Change,
         signature: Signature,
     ) -> Result<Self, ChunkError> {
-        let version = Version(base.map_or(0, |b| b.version.0) + 1);
+        let before = base.map_or(Version(0), |b| b.version);
+        let version = Version(before.max(signature.floor).0 + 1);
         // The number of buckets never falls: a change of it rewrites every chunk.
         let chunks = split(&config, base.map_or(1, |b| b.chunks.len()))?;
         let old: &[ChunkRef] = base.map_or(&[], |b| &b.chunks);
--- a/lib/src/config_store.rs
+++ b/lib/src/config_store.rs
@@ -136,6 +136,7 @@
     platform: Arc<dyn Platform>,
     tries: u32,
     pause: Duration,
+    floor: Version,
 }
 
 impl ConfigStore {
@@ -145,9 +146,17 @@
             platform,
             tries: CALL_TRIES,
             pause: FIRST_PAUSE,
+            floor: Version(0),
         }
     }
 
+    /// Gives commits versions above `floor`. Processes refuse a version that is not above theirs, so
+    /// that after a restore of the store the next commit must be above the newest one in force.
+    pub fn with_floor(mut self, floor: Version) -> Self {
+        self.floor = floor;
+        self
+    }
+
     /// Makes each write `tries` times at most, the first pause between two of them being `pause`.
     pub fn with_tries(mut self, tries: u32, pause: Duration) -> Self {
         self.tries = tries;
@@ -244,7 +253,7 @@
             return Err(CommitError::Invalid(faults));
         }
         let root = base.map(|b| b.root.as_ref());
-        Plan::new(root, config, change, signature(author))
+        Plan::new(root, config, change, self.signature(author))
             .map_err(|error| CommitError::NotCommitted(error.into()))
     }
 
@@ -267,6 +276,16 @@
         Ok(committed(plan, stored))
     }
 
+    fn signature(&self, author: &Name) -> Signature {
+        let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        Signature {
+            writer: WriterId(fastrand::u128(..)),
+            author: author.clone(),
+            at: now.map_or(0, |d| d.as_secs()),
+            floor: self.floor,
+        }
+    }
+
     async fn write_chunks(&self, plan: &Plan) -> std::result::Result<(), PlatformError> {
         stream::iter(plan.chunks.iter().map(|c| self.write_chunk(c)))
             .buffer_unordered(FAN_OUT)
@@ -406,15 +425,6 @@
     }
 }
 
-fn signature(author: &Name) -> Signature {
-    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    Signature {
-        writer: WriterId(fastrand::u128(..)),
-        author: author.clone(),
-        at: now.map_or(0, |d| d.as_secs()),
-    }
-}
-
 fn given_up(plan: &Plan, cause: PlatformError, in_doubt: bool) -> CommitError {
     if !in_doubt {
         return CommitError::NotCommitted(cause.into());
