--- a/cli/src/cmd_change.rs
+++ b/cli/src/cmd_change.rs
@@ -8,8 +8,10 @@
 use cicada_lib::config_apply::ConfigMark;
 use cicada_lib::config_chunks::Loaded;
 use cicada_lib::config_edit::Change;
+use cicada_lib::config_edit::Edit;
 use cicada_lib::config_store::CommitError;
 use cicada_lib::config_store::Committed;
+use cicada_lib::ids::Name;
 use cicada_lib::platform::HostRecord;
 use cicada_lib::query::Statement;
 use cicada_lib::query_eval::Evaluator;
@@ -59,8 +61,9 @@
     let base = session.load(Rights::Full).await?;
     check_base(session, base.as_ref())?;
     let worked = work_out(source, base.as_ref(), statements)?;
+    warn_unlisted(session, &worked.change).await;
     if session.run.dry_run {
-        return dry_run(session, base.as_ref(), &worked.change);
+        return dry_run(session, base.as_ref(), statements, &worked.change);
     }
     let author = session.author();
     let result = session
@@ -109,9 +112,34 @@
     Ok(Worked { change, issued })
 }
 
-fn dry_run(session: &Session, base: Option<&Loaded>, change: &Change) -> Result<()> {
+// A mistyped host drains nothing, and the command succeeds. The list lags, so that this is no error.
+async fn warn_unlisted(session: &Session, change: &Change) {
+    let drained = change.edits.iter().filter_map(|e| match e {
+        Edit::Drain(host) => Some(host),
+        _ => None,
+    });
+    let drained: Vec<&Name> = drained.collect();
+    if drained.is_empty() {
+        return;
+    }
+    let Ok(hosts) = session.hosts().await else {
+        return;
+    };
+    for name in drained {
+        if !hosts.iter().any(|h| h.name == *name) {
+            eprintln!("warning: the platform lists no host '{name}'; see `show backend-servers`");
+        }
+    }
+}
+
+fn dry_run(
+    session: &Session,
+    base: Option<&Loaded>,
+    statements: &[Statement],
+    change: &Change,
+) -> Result<()> {
     let plan = session.store.plan(base, change, &session.author())?;
-    let edits: Vec<String> = change.edits.iter().map(|e| e.to_string()).collect();
+    let edits: Vec<String> = statements.iter().map(Statement::to_string).collect();
     if session.run.json {
         print_json(&json!({
             "outcome": "dry_run",
--- a/cli/tests/cicada.rs
+++ b/cli/tests/cicada.rs
@@ -194,7 +194,8 @@
     let done = bench.ann(&["--dry-run", "create operator bob rights read"]);
     assert_eq!(done.code, 0);
     assert!(
-        done.out.starts_with("would create operator bob\n"),
+        done.out
+            .starts_with("would create operator 'bob' rights ('read')\n"),
         "{}",
         done.out
     );
@@ -341,6 +342,8 @@
         "create service drafts models hymns",
     ]);
     assert_eq!(done.code, 9, "{}", done.err);
+    let drained = bench.ann(&["--dry-run", "drain backend-server x"]);
+    assert!(drained.err.contains("lists no host 'x'") && drained.code == 0);
     let in_force = &done.json()["in_force"];
     assert_eq!(
         (&in_force["processes"], &in_force["of"]),
