--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -180,8 +180,8 @@
         }
     }
 
-    /// Whether `job` may join those that run.
-    pub(crate) fn fits(&mut self, jobs: &SlotMap<JobKey, Job>, job: &Job) -> bool {
+    /// Whether `job` may join those that run within `part` of the memory.
+    pub(crate) fn fits(&mut self, jobs: &SlotMap<JobKey, Job>, job: &Job, part: f64) -> bool {
         if self.plan.capacity() == 0 || self.open() == 0 {
             return true;
         }
@@ -189,7 +189,7 @@
         let open = self.running.iter().chain(&self.displaced);
         self.scratch.extend(open.map(|&key| jobs[key].footprint()));
         self.scratch.push(job.footprint());
-        self.plan.fits(&mut self.scratch)
+        self.plan.fits(&mut self.scratch, part)
     }
 
     /// Whom to displace before the engine does, if it would soon.
--- a/lib/src/memory_plan.rs
+++ b/lib/src/memory_plan.rs
@@ -85,34 +85,30 @@
         self.capacity = capacity;
     }
 
-    /// Whether all of these can run together. Sorts them.
-    pub fn fits(&self, all: &mut [Footprint]) -> bool {
+    /// Whether all of these can run together in `part` of the memory. Sorts them.
+    pub fn fits(&self, all: &mut [Footprint], part: f64) -> bool {
         if self.capacity == 0 {
             return true;
         }
+        let capacity = (self.capacity as f64 * part) as u64;
         let held: u64 = all.iter().map(|footprint| footprint.held).sum();
         let next = held + STEPS_AHEAD * all.len() as u64;
-        if next > self.capacity {
+        if next > capacity {
             return false;
         }
         match self.headroom {
             Headroom::None => true,
-            Headroom::Fixed(part) => next as f64 <= self.capacity as f64 * (1.0 - part),
+            Headroom::Fixed(part) => next as f64 <= capacity as f64 * (1.0 - part),
             Headroom::Limit => {
                 for footprint in all.iter_mut() {
                     footprint.mean = footprint.most as f64;
                 }
-                peak(all, 0.0) <= self.usable(all.len())
+                peak(all, 0.0) <= usable(capacity, all.len())
             }
-            Headroom::Expected(deviations) => peak(all, deviations) <= self.usable(all.len()),
+            Headroom::Expected(deviations) => peak(all, deviations) <= usable(capacity, all.len()),
         }
     }
 
-    // What is left of the memory when so many run and none is displaced.
-    fn usable(&self, running: usize) -> f64 {
-        self.capacity.saturating_sub(STEPS_AHEAD * running as u64) as f64
-    }
-
     /// Whether the engine would soon displace someone, with `held` tokens of `running` jobs.
     pub fn is_short(&self, held: u64, running: u64) -> bool {
         self.capacity > 0 && running > 1 && held + STEPS_AHEAD * running > self.capacity
@@ -129,6 +125,11 @@
     }
 }
 
+// What is left of the memory when so many run and none is displaced.
+fn usable(capacity: u64, running: usize) -> f64 {
+    capacity.saturating_sub(STEPS_AHEAD * running as u64) as f64
+}
+
 /// The highest point of the memory, as expected. In the order of ends, the last first, each point
 /// just before an end holds that generation and all that end later, grown as long as it.
 fn peak(all: &mut [Footprint], deviations: f64) -> f64 {
--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -85,9 +85,17 @@
 // Two seconds: the time after which a leaving process is out of every entry's view.
 const DRAIN_RETRY: Duration = Duration::from_secs(2);
 
+/// Microseconds between tokens before any was seen: what the engines of today need in a full batch.
+const COLD_GAP: f64 = 41_000.0;
+
 /// Workspaces whose first job is tried when that of the workspace before does not fit in memory.
 const BACKFILL: usize = 4;
 
+/// The part of the batch and of the memory that may be lent to workspaces over their share. The rest
+/// is kept for the others: a generation that runs gives its room back only at its end, and whoever
+/// asks for less than its share would wait for that.
+const LENT: f64 = 0.85;
+
 /// A job that does not fit is passed by others for this long. Then room is left for it.
 const BACKFILL_TIME: Duration = Duration::from_secs(2);
 
@@ -113,6 +121,8 @@
     blocked: Option<(JobKey, Time)>,
     // Whether something changed that could let a job start.
     changed: bool,
+    // Whether the last attempt to start a waiting job found no room.
+    stuck: bool,
     preemptions: u64,
     draining: bool,
 }
@@ -138,6 +148,7 @@
             pacer: Pacer::new(settings.prompt_rate),
             blocked: None,
             changed: false,
+            stuck: false,
             preemptions: 0,
             draining: false,
             settings,
@@ -151,6 +162,7 @@
             let account = &mut self.tenants[key].account;
             self.shares.set_share(key, account, share);
             self.relist(key);
+            self.tenants.recount(key);
         }
     }
 
@@ -189,6 +201,7 @@
         }
         let action = self.next_resume().or_else(|| self.next_start(now));
         self.changed = action.is_some();
+        self.stuck = action.is_none() && self.queued > 0;
         action
     }
 
@@ -287,7 +300,7 @@
 
     /// The engine's report of its load.
     pub fn engine_load(&mut self, _now: Time, load: &EngineLoad) {
-        if load.capacity_tokens > 0 && self.batch.plan.capacity() > 0 {
+        if load.capacity_tokens > 0 {
             self.batch.plan.set_capacity(load.capacity_tokens);
         }
         if self.gap.micros() == 0.0 && load.step_micros > 0 {
@@ -314,9 +327,10 @@
     /// The load, for entries.
     pub fn summary(&self, _now: Time) -> LoadSummary {
         let capacity = self.batch.plan.capacity();
-        let wait = match self.drain.rate() {
-            Some(rate) if self.shares.is_contended() => self.bands.up_to(1) as f64 / rate,
-            _ => 0.0,
+        let wait = if self.shares.is_contended() {
+            self.bands.up_to(1) as f64 / self.drain_rate()
+        } else {
+            0.0
         };
         LoadSummary {
             expected_wait: seconds(wait).as_micros() as u64,
@@ -407,14 +421,12 @@
     }
 
     fn expected_wait(&self, job: &Job) -> Duration {
-        let Some(rate) = self.drain.rate() else {
-            return Duration::ZERO;
-        };
         if !self.shares.is_contended() {
             return Duration::ZERO;
         }
+        let rate = self.drain_rate();
         let wait = self.queue_before(job).wait(rate);
-        wait.mul_f64(self.correction.get())
+        wait.mul_f64(self.correction.get() * (1.0 - self.free_part()))
     }
 
     fn queue_before(&self, job: &Job) -> Queue {
@@ -428,6 +440,45 @@
         }
     }
 
+    /// Cost a second that leaves the queue. Before it was measured, what a batch of the mean job
+    /// would bring at the present gap between tokens.
+    fn drain_rate(&self) -> f64 {
+        let gap = if self.gap.micros() > 0.0 {
+            self.gap.micros()
+        } else {
+            COLD_GAP
+        };
+        let projected = || self.slots() * TOKEN as f64 * 1e6 / gap;
+        self.drain.rate().unwrap_or_else(projected).max(1.0)
+    }
+
+    /// The jobs of mean cost that fit into batch and memory.
+    fn slots(&self) -> f64 {
+        let most = self.cap.get() as f64;
+        let capacity = self.batch.plan.capacity() as f64;
+        if capacity == 0.0 || self.queued == 0 {
+            return most;
+        }
+        let mean = self.bands.total() as f64 / TOKEN as f64 / self.queued as f64;
+        (capacity / mean.max(1.0)).min(most)
+    }
+
+    /// The part of the queue that goes into free room at once.
+    fn free_part(&self) -> f64 {
+        if self.stuck {
+            return 0.0;
+        }
+        let capacity = self.batch.plan.capacity() as f64;
+        let held = if capacity > 0.0 {
+            self.batch.held() as f64 / capacity
+        } else {
+            0.0
+        };
+        let open = self.batch.open() as f64 / self.cap.get() as f64;
+        let free = self.slots() * (1.0 - open.max(held)).max(0.0);
+        (free / self.queued.max(1) as f64).min(1.0)
+    }
+
     /// The part of the drain that a workspace is due while it waits.
     fn part(&self, tenant: TenantKey) -> f64 {
         let account = &self.tenants[tenant].account;
@@ -446,7 +497,7 @@
     }
 
     fn promise(&mut self, now: Time, job: &Job, excess: Duration) -> Option<Duration> {
-        let rate = self.drain.rate()?;
+        let rate = self.drain_rate();
         let service = seconds(job.cost as f64 / (rate * self.part(job.tenant)));
         let promises = &mut self.tenants[job.tenant].promises;
         Some(promises.promise(now, excess, service))
@@ -534,7 +585,9 @@
 
     fn next_resume(&mut self) -> Option<Action> {
         let &key = self.batch.paused.front()?;
-        if self.batch.running() >= self.cap.get() || !self.batch.fits(&self.jobs, &self.jobs[key]) {
+        if self.batch.running() >= self.cap.get()
+            || !self.batch.fits(&self.jobs, &self.jobs[key], 1.0)
+        {
             return None;
         }
         let job = &mut self.jobs[key];
@@ -550,22 +603,29 @@
         if self.pacer.wait_until(now).is_some() {
             return None;
         }
-        let order = self.shares.in_order().take(BACKFILL);
-        let heads: Vec<JobKey> = order
-            .filter_map(|key| self.tenants[key].queue.first().map(|&(_, job)| job))
-            .collect();
-        for &key in &heads {
-            if self.batch.fits(&self.jobs, &self.jobs[key]) {
+        for tenant in self.shares.in_order().take(BACKFILL).collect::<Vec<_>>() {
+            let Some(&(_, key)) = self.tenants[tenant].queue.first() else {
+                continue;
+            };
+            let capacity = self.batch.plan.capacity();
+            let over = self.tenants.is_over(tenant, capacity, self.cap.get());
+            if self.has_room(key, if over { LENT } else { 1.0 }) {
                 self.start(now, key);
                 return Some(Action::Start(key));
             }
-            if !self.may_pass(now, key) {
+            if !over && !self.may_pass(now, key) {
                 return None;
             }
         }
         None
     }
 
+    /// Whether a job may start within `part` of the batch and of the memory.
+    fn has_room(&mut self, key: JobKey, part: f64) -> bool {
+        let most = self.cap.get() as f64 * part;
+        (self.batch.open() as f64) < most && self.batch.fits(&self.jobs, &self.jobs[key], part)
+    }
+
     /// Whether others may start before a job that does not fit.
     fn may_pass(&mut self, now: Time, key: JobKey) -> bool {
         match self.blocked {
--- a/lib/src/shares.rs
+++ b/lib/src/shares.rs
@@ -8,7 +8,7 @@
 //! held against its workspace from the start, since otherwise a workspace on a low level starts a
 //! whole burst before the first token is charged. The difference is settled as the job goes on.
 //!
-//! - Idle room is lent: what is produced while nobody else waits is not charged.
+//! - Idle room is lent: what is produced while nobody waits is not charged.
 //! - Nothing is hoarded: a workspace that begins to wait is lifted to the level of the next to be
 //!   served (the floor), so neither a newcomer nor a returner has credit; one that has jobs running
 //!   keeps [`CREDIT`] at most.
@@ -200,13 +200,12 @@
     pub fn charge(&mut self, key: K, account: &mut Account, cost: u64, held: u64) {
         account.given += cost;
         account.ahead = account.ahead.saturating_sub(held);
-        let alone = usize::from(account.is_listed());
-        if self.waiting.len() > alone {
+        if self.is_contended() {
             account.level = account.level.saturating_add(account.levels(cost));
         }
-        // The rank stays as it is where all of the cost had been held, which saves the reordering
+        // The place stays as it is where all of the cost had been held, which saves the reordering
         // at nearly each token.
-        if cost != held || self.waiting.len() <= alone {
+        if cost != held {
             self.relist(key, account);
         }
     }
--- a/lib/src/tenants.rs
+++ b/lib/src/tenants.rs
@@ -29,6 +29,10 @@
 /// A debt against workspaces that stopped waiting is void after this time.
 const DEBT_ENDS: Duration = Duration::from_secs(600);
 
+/// A workspace is over its part when it holds half as much again: generations are few and large, so
+/// that one with a small share is over and under its part by turns.
+const OVER: f64 = 1.5;
+
 slotmap::new_key_type! {
     pub(crate) struct TenantKey;
 }
@@ -53,6 +57,8 @@
     pub(crate) promises: Promises,
     // None while jobs are open.
     idle: Option<Time>,
+    // Whether its share counts in `Tenants::active`.
+    active: bool,
 }
 
 /// The workspaces that a scheduler knows.
@@ -61,6 +67,8 @@
     all: SlotMap<TenantKey, Tenant>,
     names: HashMap<Name, TenantKey>,
     policies: HashMap<Name, WorkspacePolicy>,
+    // The sum of the shares of those with open jobs.
+    active: u64,
     // Those that became idle, the first one first. May hold some that are no longer.
     idle: VecDeque<TenantKey>,
 }
@@ -106,6 +114,7 @@
             ceiling: RateCeiling::default(),
             promises: Promises::default(),
             idle: None,
+            active: false,
         }
     }
 
@@ -131,7 +140,11 @@
     pub(crate) fn set_policy(&mut self, name: &Name, policy: WorkspacePolicy) -> Option<TenantKey> {
         self.policies.insert(name.clone(), policy.clone());
         let key = *self.names.get(name)?;
-        self.all[key].policy = policy;
+        let tenant = &mut self.all[key];
+        tenant.policy = policy;
+        if std::mem::take(&mut tenant.active) {
+            self.active -= u64::from(tenant.account.share());
+        }
         Some(key)
     }
 
@@ -146,8 +159,35 @@
         key
     }
 
+    /// Whether the workspace holds clearly more than its part while others are active: of `capacity`
+    /// tokens, or of `slots` where there is no memory plan.
+    pub(crate) fn is_over(&self, key: TenantKey, capacity: u64, slots: usize) -> bool {
+        let tenant = &self.all[key];
+        let part = f64::from(tenant.account.share()) / self.active.max(1) as f64;
+        if capacity == 0 {
+            return f64::from(tenant.running) > OVER * part * slots as f64;
+        }
+        tenant.held as f64 > OVER * part * capacity as f64
+    }
+
+    /// Counts the workspace's share where it has open jobs.
+    pub(crate) fn recount(&mut self, key: TenantKey) {
+        let tenant = &mut self.all[key];
+        let active = !tenant.is_idle();
+        if active != tenant.active {
+            let share = u64::from(tenant.account.share());
+            tenant.active = active;
+            self.active = if active {
+                self.active + share
+            } else {
+                self.active - share
+            };
+        }
+    }
+
     /// Notes whether the workspace has become idle, and forgets one that was so for long.
     pub(crate) fn settle(&mut self, now: Time, key: TenantKey, shares: &Shares<TenantKey>) {
+        self.recount(key);
         let tenant = &mut self.all[key];
         if !tenant.is_idle() {
             tenant.idle = None;
