--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use crate::config_apply::ConfigMark;
+use crate::config_seen::ConfigNews;
 use crate::gossip::Life;
 use crate::gossip::MemberId;
 use crate::gossip::Message;
@@ -52,7 +53,7 @@
 // Others who are asked to ping a silent member, on paths that have little in common.
 const HELPERS: [Distance; 3] = [Distance::Zone, Distance::Region, Distance::Far];
 
-// Members that were lost and are pinged with each beat once one of them came back.
+// Members that are pinged besides, with each beat, since there is doubt about them.
 const RECHECKS: usize = 3;
 
 // Of 100 processes that hear of a new suspect so many ping one of its neighbours. In a system of 50
@@ -62,9 +63,6 @@
 // Processes of an availability zone that watch the store.
 const WATCHERS: usize = 2;
 
-// Processes named as holders of the newest version.
-const HOLDERS: usize = 16;
-
 // Bytes of a datagram without words, and of a word, with all that is sent around them.
 const EMPTY_BYTES: usize = OVERHEAD + 80;
 const WORD_BYTES: usize = 14;
@@ -116,8 +114,7 @@
     order: Vec<MemberId>,
     recheck: Vec<MemberId>,
     config: Option<ConfigMark>,
-    best: Option<ConfigMark>,
-    holders: Vec<MemberId>,
+    news: ConfigNews,
     counts: MembershipCounts,
 }
 
@@ -141,8 +138,7 @@
             order: Vec::new(),
             recheck: Vec::new(),
             config: None,
-            best: None,
-            holders: Vec::new(),
+            news: ConfigNews::default(),
             counts: MembershipCounts::default(),
         }
     }
@@ -165,7 +161,7 @@
     /// Says which version of the configuration this process has in force and hands on.
     pub fn set_config(&mut self, now: Time, mark: ConfigMark) {
         if self.config.as_ref() != Some(&mark) {
-            self.note_config(None, &mark);
+            self.news.note(None, &mark);
             self.config = Some(mark);
             self.rumours.own_news(now);
         }
@@ -183,9 +179,13 @@
 
     /// The newest version heard of, this process's own included.
     pub fn best_config(&self) -> Option<ConfigSeen> {
-        let members = self.holders.iter().filter_map(|id| self.roster.get(*id));
+        let members = self
+            .news
+            .holders
+            .iter()
+            .filter_map(|id| self.roster.get(*id));
         Some(ConfigSeen {
-            mark: self.best.clone()?,
+            mark: self.news.best.clone()?,
             holders: members.filter_map(|entry| entry.member.clone()).collect(),
         })
     }
@@ -200,7 +200,10 @@
 
     /// What was met so far.
     pub fn counts(&self) -> MembershipCounts {
-        self.counts
+        MembershipCounts {
+            conflicting: self.news.conflicting,
+            ..self.counts
+        }
     }
 
     /// What to send now. To be called every [`TICK`].
@@ -248,7 +251,6 @@
             return out;
         }
         self.heard = now;
-        let was_missing = self.is_missing(now, message.id);
         let word = Word {
             id: message.id,
             life: message.life,
@@ -257,11 +259,8 @@
         if self.roster.hear_directly(now, word) {
             self.rumours.add(now, word);
         }
-        if was_missing {
-            self.recheck_neighbours(now, message.id);
-        }
         if let Some(mark) = &message.config {
-            self.note_config(Some(message.id), mark);
+            self.news.note(Some(message.id), mark);
         }
         for word in &message.words {
             self.hear(now, *word, rng);
@@ -330,31 +329,6 @@
         }
     }
 
-    fn note_config(&mut self, holder: Option<MemberId>, mark: &ConfigMark) {
-        let newer = self
-            .best
-            .as_ref()
-            .is_none_or(|best| mark.version > best.version);
-        if newer {
-            self.best = Some(mark.clone());
-            self.holders.clear();
-        }
-        let Some(best) = &self.best else {
-            return;
-        };
-        if best.version == mark.version && best.digest != mark.digest {
-            self.counts.conflicting += 1;
-            return;
-        }
-        if let Some(holder) = holder
-            && best == mark
-            && !self.holders.contains(&holder)
-            && self.holders.len() < HOLDERS
-        {
-            self.holders.push(holder);
-        }
-    }
-
     fn answer(
         &mut self,
         now: Time,
@@ -367,8 +341,8 @@
             Purpose::Tell => {}
             Purpose::Ping(nonce) => {
                 let most = if message.fresh { NEWCOMER } else { REMINDERS };
-                let mut words = self.roster.unready(most, rng);
-                words.extend(self.roster.word_on(message.id));
+                // One of them may be on the receiver itself, which objects.
+                let words = self.roster.unready(most, rng);
                 let message = self.message(now, Purpose::Ack(nonce), words);
                 out.push(Datagram { to: from, message });
             }
@@ -520,14 +494,12 @@
         now: Time,
         to: Option<MemberId>,
         purpose: Purpose,
-        mut words: Vec<Word>,
+        words: Vec<Word>,
         out: &mut Vec<Datagram>,
     ) {
         let Some(to) = to else {
             return;
         };
-        // Whoever is suspected must learn of it to object.
-        words.extend(self.roster.word_on(to));
         if let Some(address) = self.roster.address(to) {
             let message = self.message(now, purpose, words);
             out.push(Datagram {
@@ -549,26 +521,4 @@
             words,
         }
     }
-
-    fn is_missing(&self, now: Time, id: MemberId) -> bool {
-        let state = self.state(now, id);
-        matches!(state, Some(MemberState::Suspect | MemberState::Lost))
-    }
-
-    // One that was lost is back: a cut may have ended, behind which others of its zone are.
-    fn recheck_neighbours(&mut self, now: Time, back: MemberId) {
-        if !self.recheck.is_empty() {
-            return;
-        }
-        let zone = |id| {
-            let member = self.roster.get(id)?.member.as_ref()?;
-            Some((&member.region, &member.zone))
-        };
-        let missing = self.roster.missing(now);
-        let neighbours: Vec<_> = missing.filter(|id| zone(*id) == zone(back)).collect();
-        self.recheck = neighbours;
-        // All who hear of it begin elsewhere in the zone.
-        let start = self.recheck.partition_point(|id| *id < self.id);
-        self.recheck.rotate_left(start);
-    }
 }
