--- a/lib/src/config_chunks.rs
+++ b/lib/src/config_chunks.rs
@@ -197,7 +197,8 @@
             return Err(ChunkError::Format(format));
         }
         let root: Root = postcard::from_bytes(bytes).map_err(malformed)?;
-        if root.history.is_empty() || root.chunks.len() > MAX_BUCKETS {
+        let newest = root.history.last().map(|r| r.version);
+        if newest != Some(root.version) || root.chunks.len() > MAX_BUCKETS {
             return Err(ChunkError::Malformed("root"));
         }
         Ok(root)
