daemon: members and configuration by gossip, with pulls from peers

Before, each process polled the host list and watched the root by itself, and none could start while the store was down. Now two processes of an availability zone watch, the others hear of a version by gossip and take it from a peer; hosts come from a seed where the platform does not answer.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -19,13 +19,10 @@
 use cicada_lib::service_http::HttpService;
 use cicada_lib::settings::SchedulerSettings;
 use cicada_lib::settings::WorkspacePolicy;
-use eyre::Context;
 use eyre::OptionExt;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use crate::agent_server;
-use crate::agent_server::ServerIdentity;
 use crate::config_controller::ConfigSink;
 use crate::desk::Channels;
 use crate::desk::Desk;
@@ -33,6 +30,8 @@
 use crate::desk::DeskSettings;
 use crate::metrics::AgentMetrics;
 use crate::metrics::Metrics;
+use crate::peer_server;
+use crate::peer_server::ServerIdentity;
 use crate::runs::Backend;
 use crate::runs::BackendEvent;
 use crate::runs::EngineBackend;
@@ -55,6 +54,7 @@
     /// Starts an agent on the current runtime.
     pub(crate) async fn start(
         process: &Arc<Process>,
+        listener: TcpListener,
         identity: ServerIdentity,
         platform: Arc<dyn Platform>,
         metrics: &Metrics,
@@ -64,12 +64,6 @@
         let backend = backend(settings)?;
         let (events, backend_queue) = mpsc::unbounded_channel();
         let (desk, orders) = mpsc::channel(DESK_QUEUE);
-        let address = settings
-            .address("process", "peer")
-            .ok_or_eyre("[process] peer is missing")?;
-        let listener = TcpListener::bind(address).await.wrap_err_with(|| {
-            format!("agent: {address} cannot be listened on; see [process] peer")
-        })?;
         tokio::spawn(poll(
             backend.clone(),
             events.clone(),
@@ -89,7 +83,12 @@
             open,
         );
         tokio::spawn(worker.run(orders, backend_queue));
-        tokio::spawn(agent_server::serve(listener, identity, desk.clone()));
+        tokio::spawn(peer_server::serve(
+            listener,
+            identity,
+            process.clone(),
+            Some(desk.clone()),
+        ));
         Ok(Agent { desk })
     }
 
--- a/daemon/src/config_controller.rs
+++ b/daemon/src/config_controller.rs
@@ -1,20 +1,37 @@
-//! Keeps the newest configuration in force.
+//! Keeps the newest configuration in force: told of it by the store or by gossip, and pulled from
+//! peers or the store as [`cicada_lib::spread`] decides.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use cicada_lib::config_apply::ConfigState;
+use cicada_lib::config_apply::Verdict;
 use cicada_lib::config_chunks::Loaded;
 use cicada_lib::config_chunks::Parts;
+use cicada_lib::config_store;
 use cicada_lib::config_store::ConfigStore;
+use cicada_lib::config_store::StoredRoot;
+use cicada_lib::gossip_net::GossipNet;
 use cicada_lib::ids::Version;
+use cicada_lib::roster::Member;
+use cicada_lib::spread::Pull;
+use cicada_lib::spread::Spread;
+use cicada_lib::spread::SpreadView;
+use cicada_lib::time::Clock;
 
 use crate::control::Controller;
 use crate::control::Running;
+use crate::link::LinkSettings;
+use crate::metrics::ConfigMetrics;
+use crate::peer_ask;
+use crate::peer_ask::mark_of;
 use crate::status::Process;
 
-/// Longest pause after a failed call. Short against the 11 s in which a change is in force, and long
-/// enough that 1,370 processes after an outage stay under the store's reads a second.
-const RETRY: Duration = Duration::from_millis(2_000);
+/// How often the plan is looked at. Well below the second in which gossip brings news.
+const STEP: Duration = Duration::from_millis(100);
+
+/// Pause after a watch that failed: two watchers of ten availability zones make 20 calls a second.
+const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
 /// Told of each configuration that comes into force.
 pub(crate) trait ConfigSink: Send + Sync {
@@ -22,68 +39,212 @@
     fn changed(&self, loaded: &Arc<Loaded>);
 }
 
-/// Watches the root at the store.
+/// Where versions come from.
+pub(crate) struct ConfigSources {
+    /// The platform's store.
+    pub(crate) store: ConfigStore,
+    /// Who tells of versions.
+    pub(crate) net: GossipNet,
+    /// How peers are reached.
+    pub(crate) links: LinkSettings,
+    /// How long a watch waits.
+    pub(crate) wait: Duration,
+}
+
+/// Follows the configuration.
 pub(crate) struct ConfigController {
     process: Arc<Process>,
-    store: ConfigStore,
-    wait: Duration,
+    sources: ConfigSources,
+    clock: Clock,
+    metrics: ConfigMetrics,
     sinks: Vec<Arc<dyn ConfigSink>>,
+    state: ConfigState,
+    // The version of the root object that a watch goes on from; `None` before the first reading.
+    watched: Option<Version>,
 }
 
 impl ConfigController {
-    /// A controller over the store; one watch waits for `wait`.
+    /// A controller with nothing in force.
     pub(crate) fn new(
         process: Arc<Process>,
-        store: ConfigStore,
-        wait: Duration,
+        sources: ConfigSources,
+        clock: Clock,
+        metrics: ConfigMetrics,
         sinks: Vec<Arc<dyn ConfigSink>>,
     ) -> Self {
         ConfigController {
             process,
-            store,
-            wait,
+            sources,
+            clock,
+            metrics,
             sinks,
+            state: ConfigState::new(),
+            watched: None,
         }
     }
 
-    async fn follow(self) {
+    async fn follow(mut self) {
+        let mut rng = fastrand::Rng::new();
+        let settings = self.process.settings();
+        let region = settings.name("process", "region");
+        let zone = settings.name("process", "zone");
+        let mut spread = Spread::new(self.clock.now(), region, zone, &mut rng);
         loop {
-            if let Err(err) = self.step().await {
-                tracing::warn!(%err, "config: the store cannot be read, the old version stays in force");
-                let pause = RETRY.mul_f64(fastrand::f64().max(0.1));
-                tokio::time::sleep(pause).await;
+            let now = self.clock.now();
+            let watcher = self.sources.net.membership().is_watcher(now);
+            let seen = self.sources.net.membership().best_config();
+            let own = self.state.mark();
+            let view = SpreadView {
+                own: own.as_ref(),
+                seen: seen.as_ref(),
+                watcher,
+            };
+            if let Some(pull) = spread.next(now, view, &mut rng) {
+                let succeeded = self.pull(pull).await;
+                spread.done(self.clock.now(), succeeded, &mut rng);
+            } else if watcher && self.watched.is_some() {
+                self.watch(&mut spread).await;
+            } else {
+                tokio::time::sleep(STEP).await;
             }
         }
     }
 
-    async fn step(&self) -> cicada_lib::config_store::Result<()> {
-        let held = self.process.config();
-        let after = held.as_ref().and_then(|held| held.stored);
-        if let Some(after) = after
-            && self.store.watch_root(after, self.wait).await?.is_none()
-        {
-            return Ok(());
+    /// Waits for a change at the store, and looks up now and then for news from elsewhere.
+    async fn watch(&mut self, spread: &mut Spread) {
+        let Some(after) = self.watched else { return };
+        let store = self.sources.store.clone();
+        let watching = store.watch_root(after, self.sources.wait);
+        let result = tokio::select! {
+            result = watching => result,
+            () = self.news() => return,
+        };
+        match result {
+            Ok(Some(root)) => {
+                self.note_root(&root);
+                self.load().await;
+            }
+            Ok(None) => {}
+            Err(err) => {
+                tracing::warn!(%err, "config: the watch failed, the version in force stays");
+                tokio::time::sleep(WATCH_PAUSE).await;
+                return;
+            }
         }
-        let parts = held.as_ref().map(|held| held.parts.clone());
+        spread.watched(self.clock.now());
+    }
+
+    /// Returns once gossip tells of a newer version, or this process is no watcher any more.
+    async fn news(&self) {
+        loop {
+            tokio::time::sleep(STEP).await;
+            let now = self.clock.now();
+            let membership = self.sources.net.membership();
+            let newer = membership
+                .best_config()
+                .is_some_and(|seen| self.state.judge(seen.mark) == Verdict::Newer);
+            if newer || !membership.is_watcher(now) {
+                return;
+            }
+        }
+    }
+
+    async fn pull(&mut self, pull: Pull) -> bool {
+        match pull {
+            Pull::Store => self.load().await,
+            Pull::Peer(peer) => self.pull_from(&peer).await,
+        }
+    }
+
+    async fn pull_from(&mut self, peer: &Member) -> bool {
+        let seen = self.sources.net.membership().best_config();
+        let Some(seen) = seen else { return false };
+        let links = &self.sources.links;
+        let held = self.state.current();
+        match peer_ask::config(peer.address, links, &seen.mark, held).await {
+            Ok(Some(loaded)) => {
+                self.metrics.pulled_from_peer();
+                self.apply(loaded);
+                true
+            }
+            Ok(None) => false,
+            Err(err) => {
+                tracing::info!(peer = %peer.name, %err, "config: a peer could not be asked");
+                false
+            }
+        }
+    }
+
+    /// Reads the newest version from the store; true where the store answered.
+    async fn load(&mut self) -> bool {
+        let parts = self.state.current().map(|held| held.parts.clone());
         let parts = parts.unwrap_or_else(|| Arc::new(Parts::default()));
-        match self.store.load_after(&parts).await? {
-            Some(loaded) => self.apply(Arc::new(loaded), held.as_ref().map(|held| held.version)),
-            None => tokio::time::sleep(RETRY / 4).await,
+        match self.read(&parts).await {
+            Ok(Some(loaded)) => {
+                self.metrics.read_from_store();
+                self.watched = loaded.stored;
+                self.apply(loaded);
+                true
+            }
+            Ok(None) => false,
+            Err(err) => {
+                tracing::warn!(%err, "config: the store cannot be read, the version in force stays");
+                false
+            }
         }
-        Ok(())
     }
 
-    /// Puts a newer version in force. An older one, as from a store that was restored from a copy, is
-    /// refused: a configuration that was in force never comes back.
-    fn apply(&self, loaded: Arc<Loaded>, held: Option<Version>) {
-        if held.is_some_and(|held| loaded.version <= held) {
+    /// Reads the root, and the rest only where the root is newer than what is in force.
+    async fn read(&mut self, parts: &Parts) -> config_store::Result<Option<Loaded>> {
+        let Some(root) = self.sources.store.root().await? else {
+            return Ok(None);
+        };
+        let newer = self.note_root(&root);
+        if !newer && self.state.current().is_some() {
+            return Ok(self.state.current().map(|held| Loaded {
+                stored: Some(root.stored),
+                ..held.as_ref().clone()
+            }));
+        }
+        self.sources.store.load_after(parts).await
+    }
+
+    /// Judges a root that the store gave; true where it is newer than what is in force. An older one,
+    /// as from a store that was restored from a copy, is counted and refused.
+    fn note_root(&mut self, root: &StoredRoot) -> bool {
+        self.watched = Some(root.stored);
+        let mark = cicada_lib::config_apply::ConfigMark {
+            version: root.root.version,
+            digest: root.digest,
+        };
+        let verdict = self.state.note(mark, self.clock.now());
+        if matches!(verdict, Verdict::Older | Verdict::Conflicting) {
+            tracing::warn!(
+                version = root.root.version.0,
+                "config: the store gave an older version, which is refused"
+            );
+            self.metrics.refused();
+        }
+        verdict == Verdict::Newer
+    }
+
+    fn apply(&mut self, loaded: Loaded) {
+        if self.state.judge(mark_of(&loaded)) != Verdict::Newer {
             return;
         }
+        let now = self.clock.now();
+        self.state.offer(loaded, now);
+        let Some(loaded) = self.state.current().cloned() else {
+            return;
+        };
         tracing::info!(version = loaded.version.0, digest = %loaded.digest, "config: in force");
+        self.metrics.in_force(loaded.version);
         self.process.set_config(loaded.clone());
         for sink in &self.sinks {
             sink.changed(&loaded);
         }
+        let mark = mark_of(&loaded);
+        self.sources.net.membership().set_config(now, mark);
     }
 }
 
--- a/daemon/src/desk.rs
+++ b/daemon/src/desk.rs
@@ -213,6 +213,8 @@
                 self.release(conn, stream);
             }
             ToAgent::Cancel(stream) => self.cancel(conn, stream),
+            // Answered before the connection came here.
+            ToAgent::Ask(_) => {}
             ToAgent::Ping(number) => {
                 let load = self.load();
                 self.conns.send_frame(conn, ToEntry::Pong(number, load));
--- a/daemon/src/drain.rs
+++ b/daemon/src/drain.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::signal;
 
 use crate::agent::Agent;
+use crate::common::Common;
 use crate::status::Process;
 
 /// How often the requests in flight are counted while draining.
@@ -40,13 +41,18 @@
 }
 
 /// Waits for a signal, drains, and returns when nothing is in flight or a second signal comes.
-pub(crate) async fn wait(process: &Arc<Process>, agent: Option<&Agent>) -> eyre::Result<()> {
+pub(crate) async fn wait(
+    process: &Arc<Process>,
+    common: &Common,
+    agent: Option<&Agent>,
+) -> eyre::Result<()> {
     let mut signals = Signals::new()?;
     signals.next().await;
     tracing::info!(in_flight = process.in_flight(), "drain: begun");
     // Readiness fails first. New callers are still served during the notice, for the balancer needs
     // a moment to turn away; an agent says at once that it takes no new work.
     process.drain();
+    common.say_draining();
     if let Some(agent) = agent {
         agent.drain().await;
     }
@@ -57,6 +63,7 @@
         () = signals.next() => cut(process, "a second signal"),
         () = tokio::time::sleep(limit) => cut(process, "[drain] limit"),
     }
+    common.say_leaving().await;
     Ok(())
 }
 
--- a/daemon/src/hosts_controller.rs
+++ b/daemon/src/hosts_controller.rs
@@ -1,90 +1,92 @@
-//! Keeps an entry's list of agents as the platform has it.
+//! Keeps the list of hosts: from the platform, or from a peer while the platform is down at the
+//! start; and runs the gossip by which processes tell of themselves.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cicada_lib::config::Config;
-use cicada_lib::config::ServiceKind;
-use cicada_lib::config_chunks::Loaded;
-use cicada_lib::ids::Name;
+use cicada_lib::gossip_net::GossipNet;
 use cicada_lib::platform::HostRecord;
-use cicada_lib::platform::HostRole;
 use cicada_lib::platform::Platform;
-use cicada_lib::routing::ServerState;
-use cicada_lib::routing::ServerView;
+use cicada_lib::time::Clock;
 
-use tokio::sync::Notify;
-
-use crate::config_controller::ConfigSink;
 use crate::control::Controller;
 use crate::control::Running;
-use crate::entry::Addresses;
-use crate::entry::Entry;
-
-/// Wakes the controller when a configuration comes into force: it says what is placed where.
-#[derive(Default)]
-pub(crate) struct HostsWake {
-    changed: Notify,
-}
+use crate::link::LinkSettings;
+use crate::peer_ask;
+use crate::status::Process;
 
-impl ConfigSink for HostsWake {
-    fn changed(&self, _loaded: &Arc<Loaded>) {
-        self.changed.notify_one();
-    }
-}
+/// Pause before the list is asked for again while none is known. With the jitter, 1,370 processes
+/// that start while the platform is down ask it 900 times a second.
+const FIRST_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Reads the list of hosts.
 pub(crate) struct HostsController {
+    process: Arc<Process>,
     platform: Arc<dyn Platform>,
-    entry: Arc<Entry>,
-    poll: Duration,
-    wake: Arc<HostsWake>,
+    net: GossipNet,
+    clock: Clock,
+    links: LinkSettings,
 }
 
 impl HostsController {
-    /// A controller that reads the list every `poll`.
+    /// A controller that has read nothing yet.
     pub(crate) fn new(
+        process: Arc<Process>,
         platform: Arc<dyn Platform>,
-        entry: Arc<Entry>,
-        poll: Duration,
-        wake: Arc<HostsWake>,
+        net: GossipNet,
+        clock: Clock,
+        links: LinkSettings,
     ) -> Self {
         HostsController {
+            process,
             platform,
-            entry,
-            poll,
-            wake,
+            net,
+            clock,
+            links,
         }
     }
 
     async fn follow(self) {
-        let mut hosts = Vec::new();
+        let net = self.net.clone();
+        tokio::task::spawn_local(async move { net.run().await });
+        let poll = self.process.settings().millis("platform", "hosts_poll");
+        let seeds = self.process.settings().addresses("platform", "seeds");
         loop {
-            match self.platform.hosts().await {
-                Ok(found) => hosts = found,
+            let hosts = match self.platform.hosts().await {
+                Ok(hosts) => hosts,
                 Err(err) => {
                     tracing::warn!(%err, "hosts: the list cannot be read, the old one stays");
+                    self.ask_seed(&seeds).await
                 }
+            };
+            if !hosts.is_empty() {
+                self.net.membership().hosts(self.clock.now(), &hosts);
+                self.process.set_hosts(hosts);
             }
-            if let Some(loaded) = self.entry.process().config() {
-                self.apply(&hosts, &loaded.config);
-            }
-            // Spread over the interval, so that entries which started together do not ask together.
-            let pause = self.poll.mul_f64(0.75 + 0.5 * fastrand::f64());
-            let _ = tokio::time::timeout(pause, self.wake.changed.notified()).await;
+            // Spread over the interval, so that processes which started together do not ask together.
+            let every = match self.process.hosts().is_empty() {
+                true => FIRST_PAUSE.min(poll),
+                false => poll,
+            };
+            tokio::time::sleep(every.mul_f64(0.75 + 0.5 * fastrand::f64())).await;
         }
     }
 
-    fn apply(&self, hosts: &[HostRecord], config: &Config) {
-        let agents = hosts.iter().filter(|host| host.role == HostRole::Agent);
-        let views: Vec<ServerView> = agents.clone().map(|host| view(host, config)).collect();
-        let addresses: Addresses = agents
-            .map(|host| (host.name.clone(), host.address))
-            .collect();
-        self.entry.links().set_addresses(addresses);
-        self.entry.routing().set_servers(&views);
-        if !views.is_empty() {
-            self.entry.process().set_has_servers();
+    /// The list of a seed, where this process has none.
+    async fn ask_seed(&self, seeds: &[SocketAddr]) -> Vec<HostRecord> {
+        if !self.process.hosts().is_empty() {
+            return Vec::new();
+        }
+        let Some(seed) = fastrand::choice(seeds) else {
+            return Vec::new();
+        };
+        match peer_ask::hosts(*seed, &self.links).await {
+            Ok(hosts) => hosts,
+            Err(err) => {
+                tracing::info!(%seed, %err, "hosts: the seed could not be asked");
+                Vec::new()
+            }
         }
     }
 }
@@ -94,30 +96,3 @@
         Box::pin(self.follow())
     }
 }
-
-/// A host as routing sees it. An engine without a placement holds every model of its service.
-fn view(host: &HostRecord, config: &Config) -> ServerView {
-    let leaving = host.leaving || config.drains.contains(&host.name);
-    ServerView {
-        name: host.name.clone(),
-        service: host.service.clone(),
-        region: host.region.clone(),
-        zone: host.zone.clone(),
-        models: models(host, config),
-        state: match leaving {
-            true => ServerState::Draining,
-            false => ServerState::Ready,
-        },
-    }
-}
-
-fn models(host: &HostRecord, config: &Config) -> Vec<Name> {
-    if let Some(placement) = config.placements.get(&host.name) {
-        let held = placement.models.iter().chain(&placement.adapters);
-        return held.cloned().collect();
-    }
-    match config.services.get(&host.service).map(|found| &found.kind) {
-        Some(ServiceKind::Model { models }) => models.iter().cloned().collect(),
-        _ => Vec::new(),
-    }
-}
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -234,7 +234,11 @@
         .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
-async fn connect(address: SocketAddr, settings: &LinkSettings) -> Result<(TcpStream, Peer)> {
+/// Connects and proves the key both ways. Without a limit of time.
+pub(crate) async fn connect(
+    address: SocketAddr,
+    settings: &LinkSettings,
+) -> Result<(TcpStream, Peer)> {
     let mut stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
     let peer = handshake::connect(&mut stream, &settings.key, &settings.name).await?;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,9 +1,9 @@
 //! `cicadad`, the daemon of cicadastream: an entry or an agent, by its settings.
 
 mod agent;
-mod agent_server;
 mod args;
 mod callers;
+mod common;
 mod config_controller;
 mod control;
 mod desk;
@@ -19,11 +19,14 @@
 mod logs;
 mod metrics;
 mod openai;
+mod peer_ask;
+mod peer_server;
 mod process;
 mod readers;
 mod record;
 mod refusal;
 mod runs;
+mod servers_controller;
 mod sse;
 mod status;
 mod tombstones;
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cicada_lib::ids::Version;
 use cicada_lib::load::LoadSummary;
 use cicada_lib::outcome::FailureReason;
 use cicada_lib::outcome::Outcome;
@@ -124,6 +125,54 @@
     counters.with_label_values(&[reason.code()]).inc();
 }
 
+/// The figures of the configuration.
+#[derive(Debug)]
+pub(crate) struct ConfigMetrics {
+    version: IntGauge,
+    peers: IntCounter,
+    store: IntCounter,
+    refused: IntCounter,
+}
+
+impl ConfigMetrics {
+    /// The figures, in the registry.
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        ConfigMetrics {
+            version: metrics.gauge("cicada_config_version", "Version in force."),
+            peers: metrics.counter(
+                "cicada_config_peer_pulls_total",
+                "Versions pulled from a peer.",
+            ),
+            store: metrics.counter("cicada_config_store_reads_total", "Readings of the store."),
+            refused: metrics.counter(
+                "cicada_config_refused_total",
+                "Older or conflicting versions that the store gave.",
+            ),
+        }
+    }
+
+    /// Notes the version in force.
+    pub(crate) fn in_force(&self, version: Version) {
+        self.version
+            .set(i64::try_from(version.0).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a pull from a peer.
+    pub(crate) fn pulled_from_peer(&self) {
+        self.peers.inc();
+    }
+
+    /// Counts a reading of the store.
+    pub(crate) fn read_from_store(&self) {
+        self.store.inc();
+    }
+
+    /// Counts a refused version.
+    pub(crate) fn refused(&self) {
+        self.refused.inc();
+    }
+}
+
 /// An agent's figures.
 #[derive(Debug)]
 pub(crate) struct AgentMetrics {
--- /dev/null
+++ b/daemon/src/peer_ask.rs
@@ -0,0 +1,105 @@
+//! What one process asks another for itself: the configuration and the list of hosts.
+//!
+//! Load pattern: 3,400 changes a day, restarts of everything, and outages of the store. Without it
+//! every process would read every change from the store, and none could start while the store is
+//! down. One exchange over a connection of its own, so that it waits behind no stream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cicada_lib::config_apply::ConfigMark;
+use cicada_lib::config_chunks::Chunk;
+use cicada_lib::config_chunks::Loaded;
+use cicada_lib::config_chunks::Parts;
+use cicada_lib::config_chunks::assemble;
+use cicada_lib::handshake;
+use cicada_lib::platform::HostRecord;
+use cicada_lib::wire::ConfigParts;
+use cicada_lib::wire::MAX_FRAME;
+use cicada_lib::wire::PeerAnswer;
+use cicada_lib::wire::PeerAsk;
+use cicada_lib::wire::Result;
+use cicada_lib::wire::ToAgent;
+use cicada_lib::wire::WireError;
+
+use crate::link;
+use crate::link::LinkSettings;
+use crate::status::Process;
+
+/// The answer of this process.
+pub(crate) fn answer(process: &Process, ask: &PeerAsk) -> PeerAnswer {
+    match ask {
+        PeerAsk::Hosts => PeerAnswer::Hosts(process.hosts().as_ref().clone()),
+        PeerAsk::Config { mark, held } => {
+            let loaded = process.config().filter(|loaded| mark_of(loaded) == *mark);
+            PeerAnswer::Config(loaded.map(|loaded| parts_for(&loaded, held)))
+        }
+    }
+}
+
+/// The number and digest of a version.
+pub(crate) fn mark_of(loaded: &Loaded) -> ConfigMark {
+    ConfigMark {
+        version: loaded.version,
+        digest: loaded.digest,
+    }
+}
+
+fn parts_for(loaded: &Loaded, held: &[cicada_lib::config_chunks::ChunkDigest]) -> ConfigParts {
+    let lacking = loaded
+        .parts
+        .chunks
+        .iter()
+        .filter(|(digest, _)| !held.contains(digest));
+    ConfigParts {
+        root: loaded.parts.root.to_vec(),
+        chunks: lacking.map(|(_, bytes)| bytes.to_vec()).collect(),
+    }
+}
+
+/// Asks a peer for a version of the configuration; `None` where it does not have it.
+pub(crate) async fn config(
+    peer: SocketAddr,
+    settings: &LinkSettings,
+    mark: &ConfigMark,
+    held: Option<&Arc<Loaded>>,
+) -> Result<Option<Loaded>> {
+    let mut parts = held.map_or_else(Parts::default, |held| held.parts.as_ref().clone());
+    let ask = PeerAsk::Config {
+        mark: mark.clone(),
+        held: parts.chunks.keys().copied().collect(),
+    };
+    let PeerAnswer::Config(Some(found)) = exchange(peer, settings, ask).await? else {
+        return Ok(None);
+    };
+    parts.root = found.root.into();
+    for bytes in found.chunks {
+        // A chunk's digest is worked out here: a faulty peer can give no other bytes for it.
+        let chunk = Chunk::new(bytes.into());
+        parts.chunks.insert(chunk.digest, chunk.bytes);
+    }
+    let loaded = assemble(&parts, None).ok();
+    Ok(loaded.filter(|loaded| mark_of(loaded) == *mark))
+}
+
+/// Asks a peer for its list of hosts.
+pub(crate) async fn hosts(peer: SocketAddr, settings: &LinkSettings) -> Result<Vec<HostRecord>> {
+    match exchange(peer, settings, PeerAsk::Hosts).await? {
+        PeerAnswer::Hosts(hosts) => Ok(hosts),
+        PeerAnswer::Config(_) => Err(WireError::Foreign),
+    }
+}
+
+async fn exchange(peer: SocketAddr, settings: &LinkSettings, ask: PeerAsk) -> Result<PeerAnswer> {
+    let connecting = link::connect(peer, settings);
+    let (mut stream, _) = within(settings.connect_time, connecting).await?;
+    handshake::write(&mut stream, &ToAgent::Ask(ask)).await?;
+    handshake::read_within(&mut stream, MAX_FRAME, settings.silent).await
+}
+
+async fn within<T>(limit: Duration, work: impl Future<Output = Result<T>>) -> Result<T> {
+    tokio::time::timeout(limit, work)
+        .await
+        .map_err(|_| WireError::Slow)?
+}
--- a/daemon/src/agent_server.rs
+++ b/daemon/src/peer_server.rs
@@ -1,5 +1,7 @@
-//! Takes connections from entries and joins them to the desk.
+//! Takes connections from other processes: those of entries are joined to an agent's desk, and
+//! questions are answered.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cicada_lib::handshake;
@@ -21,7 +23,9 @@
 use tokio::sync::oneshot;
 
 use crate::desk::DeskEvent;
+use crate::peer_ask;
 use crate::record::ConnKey;
+use crate::status::Process;
 
 /// Who this process is towards those that connect.
 #[derive(Clone)]
@@ -45,15 +49,17 @@
 pub(crate) async fn serve(
     listener: TcpListener,
     identity: ServerIdentity,
-    desk: mpsc::Sender<DeskEvent>,
+    process: Arc<Process>,
+    desk: Option<mpsc::Sender<DeskEvent>>,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, address)) => {
                 let identity = identity.clone();
+                let process = process.clone();
                 let desk = desk.clone();
                 tokio::spawn(async move {
-                    if let Err(err) = converse(stream, identity, desk).await {
+                    if let Err(err) = converse(stream, identity, &process, desk).await {
                         tracing::info!(%address, %err, "link: closed");
                     }
                 });
@@ -69,7 +75,8 @@
 async fn converse(
     mut stream: TcpStream,
     identity: ServerIdentity,
-    desk: mpsc::Sender<DeskEvent>,
+    process: &Process,
+    desk: Option<mpsc::Sender<DeskEvent>>,
 ) -> Result<()> {
     stream.set_nodelay(true)?;
     let exchange = handshake::accept(
@@ -81,6 +88,13 @@
     let peer = tokio::time::timeout(identity.connect_time, exchange)
         .await
         .map_err(|_| WireError::Slow)??;
+    let first: ToAgent = handshake::read_within(&mut stream, MAX_FRAME, identity.silent).await?;
+    if let ToAgent::Ask(ask) = &first {
+        return handshake::write(&mut stream, &peer_ask::answer(process, ask)).await;
+    }
+    let Some(desk) = desk else {
+        return Err(WireError::Foreign);
+    };
     let (tx, rx) = mpsc::unbounded_channel();
     let (reply, opened) = oneshot::channel();
     let _ = desk.send(DeskEvent::Opened(tx, reply)).await;
@@ -88,6 +102,7 @@
         return Ok(());
     };
     tracing::debug!(entry = %peer.name, "link: opened");
+    let _ = desk.send(DeskEvent::Frame(conn, first)).await;
     let (reader, writer) = stream.into_split();
     let end = tokio::select! {
         end = read_frames(reader, conn, &desk, identity.silent) => end,
--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -5,11 +5,15 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
+use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use cicada_lib::config_chunks::Loaded;
 use cicada_lib::daemon_settings::Settings;
 use cicada_lib::ids::Name;
+use cicada_lib::platform::HostRecord;
 use cicada_lib::platform::HostRole;
 use eyre::Context;
 use serde::Serialize;
@@ -59,6 +63,8 @@
     incarnation: u64,
     metrics: Metrics,
     config: ArcSwapOption<Loaded>,
+    // As the platform gave it last.
+    hosts: ArcSwap<Vec<HostRecord>>,
     state: AtomicU8,
     // Whether an entry has learned of a backend server; an agent has its own from the start.
     has_servers: AtomicBool,
@@ -76,9 +82,10 @@
         Process {
             name: settings.name("process", "name"),
             settings,
-            incarnation: fastrand::u64(1..),
+            incarnation: start_millis(),
             metrics,
             config: ArcSwapOption::empty(),
+            hosts: ArcSwap::default(),
             state: AtomicU8::new(ProcessState::Starting as u8),
             has_servers: AtomicBool::new(has_servers),
             in_flight,
@@ -105,6 +112,16 @@
         self.config.load_full()
     }
 
+    /// The platform's list of hosts, as last read.
+    pub(crate) fn hosts(&self) -> Arc<Vec<HostRecord>> {
+        self.hosts.load_full()
+    }
+
+    /// Keeps the list of hosts.
+    pub(crate) fn set_hosts(&self, hosts: Vec<HostRecord>) {
+        self.hosts.store(Arc::new(hosts));
+    }
+
     /// Puts a configuration in force.
     pub(crate) fn set_config(&self, loaded: Arc<Loaded>) {
         self.config.store(Some(loaded));
@@ -169,6 +186,15 @@
     }
 }
 
+/// The time of the start in milliseconds of Unix time: a later start of the same host has a larger
+/// one, so that words on its predecessor do not hit it.
+fn start_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(1, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 type Page<'a> = WebContext<'a, Arc<Process>>;
 
 /// Serves the pages on a thread of its own.
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -13,6 +13,8 @@
     Address,
     /// An IP address with a port, or nothing.
     OptionalAddress,
+    /// IP addresses with ports and commas between them, or nothing.
+    Addresses,
     /// The path of a file that is there.
     Path,
     /// A whole number within bounds.
@@ -59,6 +61,7 @@
             Kind::Name | Kind::OptionalName => check_name(text),
             Kind::Address if text.is_empty() => Err("is missing".into()),
             Kind::Address | Kind::OptionalAddress => check_address(text),
+            Kind::Addresses => addresses(text).try_for_each(check_address),
             Kind::Path if text.is_empty() => Err("is missing".into()),
             Kind::Path => check_path(text),
             Kind::Count { min, max } | Kind::Millis { min, max } => check_count(text, *min, *max),
@@ -75,6 +78,13 @@
     }
 }
 
+/// The parts of a list of addresses.
+pub(crate) fn addresses(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+}
+
 fn check_name(text: &str) -> Result<(), String> {
     let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || "-_.".contains(c);
     if text.len() <= LONGEST_NAME && text.chars().all(fits) {
@@ -137,8 +147,9 @@
     key("process", "threads", Kind::Count { min: 1, max: 64 }, "2", "Threads for traffic, besides the one for control state."),
     key("platform", "address", Kind::Address, "", "The platform's object API."),
     key("platform", "token_file", Kind::Path, "", "File with the bearer token for the platform."),
-    key("platform", "hosts_poll", Kind::Millis { min: 200, max: 60_000 }, "5000", "How often the list of hosts is read. The list itself lags by seconds, so that a shorter time buys nothing."),
-    key("platform", "config_wait", Kind::Millis { min: 200, max: 60_000 }, "20000", "How long one watch on the configuration waits; each counts as one call."),
+    key("platform", "hosts_poll", Kind::Millis { min: 200, max: 60_000 }, "10000", "How often the list of hosts is read. The list itself lags by seconds, and processes tell of their own leaving: 1,370 processes make 137 reads a second of it."),
+    key("platform", "config_wait", Kind::Millis { min: 200, max: 60_000 }, "5000", "How long one watch on the configuration waits; each counts as one call. Only two processes of an availability zone watch."),
+    key("platform", "seeds", Kind::Addresses, "", "Processes, as IP addresses and ports with commas between, that are asked for the list of hosts while the platform does not answer and none is known yet."),
     key("entry", "listen", Kind::OptionalAddress, "", "Where callers are served. Needed by an entry."),
     key("entry", "max_body", Kind::Count { min: 1_024, max: 16_777_216 }, "1048576", "Largest request body, in bytes."),
     key("entry", "send_time", Kind::Millis { min: 100, max: 600_000 }, "10000", "Time for a caller to send a whole request."),
--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -12,6 +12,7 @@
 use ini::Ini;
 use thiserror::Error;
 
+use crate::daemon_keys;
 use crate::daemon_keys::KEYS;
 use crate::daemon_keys::Key;
 use crate::daemon_keys::Kind;
@@ -179,6 +180,13 @@
         self.text(section, name).parse().ok()
     }
 
+    /// A key that holds a list of addresses.
+    pub fn addresses(&self, section: &str, name: &str) -> Vec<SocketAddr> {
+        daemon_keys::addresses(self.text(section, name))
+            .filter_map(|text| text.parse().ok())
+            .collect()
+    }
+
     /// A key that holds a path; `None` where it is empty.
     pub fn path(&self, section: &str, name: &str) -> Option<PathBuf> {
         let text = self.text(section, name);
@@ -318,6 +326,7 @@
             Kind::OptionalName => f.write_str("name, or empty"),
             Kind::Address => f.write_str("IP address and port"),
             Kind::OptionalAddress => f.write_str("IP address and port, or empty"),
+            Kind::Addresses => f.write_str("IP addresses and ports with commas, or empty"),
             Kind::Path => f.write_str("path of a file"),
             Kind::Count { min, max } => write!(f, "number from {min} to {max}"),
             Kind::Millis { min, max } => write!(f, "milliseconds from {min} to {max}"),
--- a/lib/src/handshake.rs
+++ b/lib/src/handshake.rs
@@ -34,6 +34,11 @@
         PeerKey(blake3::derive_key("cicadastream peer key 1", secret))
     }
 
+    /// A key of its own for one use, so that no proof of one use is worth anything in another.
+    pub fn derived(&self, purpose: &str) -> [u8; blake3::KEY_LEN] {
+        *blake3::keyed_hash(&self.0, purpose.as_bytes()).as_bytes()
+    }
+
     /// A keyed hash over the parts, in order. Not for secrets of differing length: the parts are of
     /// fixed length or come last.
     pub fn proof(&self, parts: &[&[u8]]) -> [u8; PROOF_LEN] {
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -7,12 +7,15 @@
 
 use crate::backend::CallSpec;
 use crate::backend::Header;
+use crate::config_apply::ConfigMark;
+use crate::config_chunks::ChunkDigest;
 use crate::ids::Attempt;
 use crate::ids::GenerationId;
 use crate::ids::Name;
 use crate::ids::RequestId;
 use crate::load::LoadSummary;
 use crate::outcome::Outcome;
+use crate::platform::HostRecord;
 use crate::value_type;
 
 /// The first bytes of a connection; anything else is no process of this system.
@@ -132,6 +135,38 @@
         Cancel(u32),
         /// A heartbeat with a number that the answer repeats.
         Ping(u64),
+        /// A question between any two processes: the only frame of its connection, answered by a
+        /// [`PeerAnswer`].
+        Ask(PeerAsk),
+    }
+
+    /// What a process asks another for itself.
+    pub enum PeerAsk {
+        /// A version of the configuration.
+        Config {
+            /// Which one.
+            mark: ConfigMark,
+            /// The chunks that the asker has.
+            held: Vec<ChunkDigest>,
+        },
+        /// The platform's list of hosts, as the asked one has it.
+        Hosts,
+    }
+
+    /// The answer to a [`PeerAsk`].
+    pub enum PeerAnswer {
+        /// The version's parts; `None` where that version is not in force there.
+        Config(Option<ConfigParts>),
+        /// The hosts.
+        Hosts(Vec<HostRecord>),
+    }
+
+    /// A version's root, and the chunks that the asker lacked.
+    pub struct ConfigParts {
+        /// The root's bytes.
+        pub root: Vec<u8>,
+        /// The chunks' bytes.
+        pub chunks: Vec<Vec<u8>>,
     }
 
     /// What an agent says of one stream.
--- a/lib/testutils/src/deployment.rs
+++ b/lib/testutils/src/deployment.rs
@@ -36,6 +36,7 @@
 use crate::proxy::FaultProxy;
 use crate::service::ServiceServer;
 use crate::service::ServiceSettings;
+use crate::udp_proxy::UdpProxy;
 
 /// The service of model engines.
 pub const MODEL_SERVICE: &str = "language";
@@ -127,6 +128,8 @@
     pub agent: Daemon,
     /// The way from entries to the agent.
     pub front: Arc<FaultProxy>,
+    /// The way of datagrams to the agent.
+    pub datagrams: UdpProxy,
     /// The way from the agent to the engine.
     pub back: Arc<FaultProxy>,
 }
@@ -139,6 +142,8 @@
     pub agent: Daemon,
     /// The way from entries to the agent.
     pub front: Arc<FaultProxy>,
+    /// The way of datagrams to the agent.
+    pub datagrams: UdpProxy,
     /// The way from the agent to the service.
     pub back: Arc<FaultProxy>,
 }
@@ -218,11 +223,12 @@
             "[backend]\nkind = engine\nservice = {MODEL_SERVICE}\naddress = {}\npoll = 50\n",
             back.addr()
         );
-        let (agent, front) = self.add_agent(&name, place, MODEL_SERVICE, &backend)?;
+        let (agent, front, datagrams) = self.add_agent(&name, place, MODEL_SERVICE, &backend)?;
         self.engines.push(EngineHost {
             engine,
             agent,
             front,
+            datagrams,
             back,
         });
         Ok(())
@@ -238,11 +244,12 @@
             "[backend]\nkind = service\nservice = {PLAIN_SERVICE}\naddress = {}\npoll = 50\n",
             back.addr()
         );
-        let (agent, front) = self.add_agent(&name, place, PLAIN_SERVICE, &backend)?;
+        let (agent, front, datagrams) = self.add_agent(&name, place, PLAIN_SERVICE, &backend)?;
         self.services.push(ServiceHost {
             service,
             agent,
             front,
+            datagrams,
             back,
         });
         Ok(())
@@ -288,10 +295,11 @@
         place: usize,
         service: &str,
         backend: &str,
-    ) -> Result<(Daemon, Arc<FaultProxy>)> {
+    ) -> Result<(Daemon, Arc<FaultProxy>, UdpProxy)> {
         let peer = free_addr()?;
         let agent = self.spawn(name, "agent", place, peer, peer, backend)?;
         let front = proxy(peer)?;
+        let datagrams = UdpProxy::start(front.addr(), peer)?;
         let record = host(
             name,
             HostRole::Agent,
@@ -301,7 +309,7 @@
             place,
         );
         self.platform.put_host(record);
-        Ok((agent, front))
+        Ok((agent, front, datagrams))
     }
 
     fn spawn(
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod rate;
 pub mod service;
 pub mod token_text;
+pub mod udp_proxy;
 pub mod weight_store;
