config: a watch that ends empty is followed by a reading

Cause: after a restore the store's versions start lower, and a watch above the old one never ends: the refusal was not counted, and a change committed after the restore would have been seen only at the rare look. Cost: one read of the root per watcher and watch.

--- a/daemon/src/config_controller.rs
+++ b/daemon/src/config_controller.rs
@@ -124,7 +124,11 @@
                 self.note_root(&root);
                 self.load().await;
             }
-            Ok(None) => {}
+            // A store that was restored from a copy counts its versions from an older one, and would
+            // not end a watch on the newer one: a change made there would go unseen.
+            Ok(None) => {
+                self.load().await;
+            }
             Err(err) => {
                 tracing::warn!(%err, "config: the watch failed, the version in force stays");
                 tokio::time::sleep(WATCH_PAUSE).await;
