config: a watcher that began from a peer watches

Cause: a watch went on from the root object's version, and a process that had its first version from a peer knew none; it never watched. Seen as 'has refused nothing' in one of three runs of the test of a restored store.

--- a/daemon/src/config_controller.rs
+++ b/daemon/src/config_controller.rs
@@ -102,7 +102,7 @@
             if let Some(pull) = spread.next(now, view, &mut rng) {
                 let succeeded = self.pull(pull).await;
                 spread.done(self.clock.now(), succeeded, &mut rng);
-            } else if watcher && self.watched.is_some() {
+            } else if watcher && own.is_some() {
                 self.watch(&mut spread).await;
             } else {
                 tokio::time::sleep(STEP).await;
@@ -112,7 +112,15 @@
 
     /// Waits for a change at the store, and looks up now and then for news from elsewhere.
     async fn watch(&mut self, spread: &mut Spread) {
-        let Some(after) = self.watched else { return };
+        // A watcher that had its first version from a peer has not seen the root yet. Without a
+        // reading it would never watch, and with two such watchers an availability zone would learn
+        // of changes from others only.
+        let Some(after) = self.watched else {
+            if !self.load().await {
+                tokio::time::sleep(WATCH_PAUSE).await;
+            }
+            return;
+        };
         let store = self.sources.store.clone();
         let watching = store.watch_root(after, self.sources.wait);
         let result = tokio::select! {
