config: a load goes on from what an earlier try read

Cause: one refused read threw away the chunks read beside and before it. Measured by the start of all processes at once: 25 processes at 36 reads a second had no configuration after 91 s. Each try keeps what it read now; at a store that refuses half of all reads a load of 2,000 workspaces ends within 50 tries. Broken on purpose (chunks not kept): the test fails.

--- a/daemon/src/config_controller.rs
+++ b/daemon/src/config_controller.rs
@@ -61,6 +61,8 @@
     state: ConfigState,
     // The version of the root object that a watch goes on from; `None` before the first reading.
     watched: Option<Version>,
+    // What was read of a version that is not whole yet, and of the one in force.
+    parts: Parts,
 }
 
 impl ConfigController {
@@ -80,6 +82,7 @@
             sinks,
             state: ConfigState::new(),
             watched: None,
+            parts: Parts::default(),
         }
     }
 
@@ -189,9 +192,7 @@
 
     /// Reads the newest version from the store; true where the store answered.
     async fn load(&mut self) -> bool {
-        let parts = self.state.current().map(|held| held.parts.clone());
-        let parts = parts.unwrap_or_else(|| Arc::new(Parts::default()));
-        match self.read(&parts).await {
+        match self.read().await {
             Ok(Some(loaded)) => {
                 self.metrics.read_from_store();
                 self.watched = loaded.stored;
@@ -207,7 +208,7 @@
     }
 
     /// Reads the root, and the rest only where the root is newer than what is in force.
-    async fn read(&mut self, parts: &Parts) -> config_store::Result<Option<Loaded>> {
+    async fn read(&mut self) -> config_store::Result<Option<Loaded>> {
         let Some(root) = self.sources.store.root().await? else {
             return Ok(None);
         };
@@ -218,7 +219,7 @@
                 ..held.as_ref().clone()
             }));
         }
-        self.sources.store.load_after(parts).await
+        self.sources.store.load_into(&mut self.parts).await
     }
 
     /// Judges a root that the store gave; true where it is newer than what is in force. An older one,
@@ -249,6 +250,7 @@
         let Some(loaded) = self.state.current().cloned() else {
             return;
         };
+        self.parts = loaded.parts.as_ref().clone();
         tracing::info!(version = loaded.version.0, digest = %loaded.digest, "config: in force");
         self.metrics.in_force(loaded.version);
         self.process.set_config(loaded.clone());
--- a/lib/src/config_store.rs
+++ b/lib/src/config_store.rs
@@ -18,7 +18,6 @@
 use crate::config_check::check;
 use crate::config_chunks::CHUNK_PREFIX;
 use crate::config_chunks::Chunk;
-use crate::config_chunks::ChunkDigest;
 use crate::config_chunks::ChunkError;
 use crate::config_chunks::ChunkRef;
 use crate::config_chunks::CommitRecord;
@@ -194,13 +193,21 @@
 
     /// Reads the whole configuration, but for the chunks that `held` has.
     pub async fn load_after(&self, held: &Parts) -> Result<Option<Loaded>> {
-        let mut held = held.clone();
+        self.load_into(&mut held.clone()).await
+    }
+
+    /// Reads the whole configuration, but for the chunks that `held` has, and adds what it reads.
+    ///
+    /// After an error `held` has what was read before it. A store that refuses a part of all reads, as
+    /// when every process starts at once, would else see each load begin with the first chunk again
+    /// and none of them end.
+    pub async fn load_into(&self, held: &mut Parts) -> Result<Option<Loaded>> {
         let mut last = None;
         for _ in 0..LOAD_TRIES {
             let Some(found) = self.root().await? else {
                 return Ok(None);
             };
-            match self.complete(&found, &mut held).await {
+            match self.complete(&found, held).await {
                 // Failure: a chunk was collected between the two reads. Symptom: it is missing. A
                 // newer root no longer names it; if the root is the same one, it is truly missing.
                 Err(ConfigError::Chunk(ChunkError::Missing(digest))) => {
@@ -230,11 +237,22 @@
             let bytes = self.chunk(&place).await?;
             Ok::<_, ConfigError>((place.digest, bytes))
         });
-        let read: Vec<(ChunkDigest, Bytes)> = stream::iter(reads)
+        let read: Vec<_> = stream::iter(reads)
             .buffer_unordered(FAN_OUT)
-            .try_collect()
-            .await?;
-        held.chunks.extend(read);
+            .collect()
+            .await;
+        let mut failed = None;
+        for result in read {
+            match result {
+                Ok((digest, bytes)) => {
+                    held.chunks.insert(digest, bytes);
+                }
+                Err(error) => failed = Some(error),
+            }
+        }
+        if let Some(error) = failed {
+            return Err(error);
+        }
         Ok(assemble(held, Some(found.stored))?)
     }
 
--- a/lib/tests/config_store.rs
+++ b/lib/tests/config_store.rs
@@ -11,6 +11,7 @@
 use cicada_lib::config::ServiceConfig;
 use cicada_lib::config::WorkspaceConfig;
 use cicada_lib::config_chunks::Loaded;
+use cicada_lib::config_chunks::Parts;
 use cicada_lib::config_edit::Action;
 use cicada_lib::config_edit::Change;
 use cicada_lib::config_edit::Edit;
@@ -20,6 +21,7 @@
 use cicada_lib::ids::Name;
 use cicada_lib::platform::MAX_VALUE;
 use cicada_lib::secrets::Secret;
+use testutils::memory_platform::Faults;
 use testutils::memory_platform::MemoryPlatform;
 
 fn author() -> Name {
@@ -207,3 +209,24 @@
     assert!(matches!(error, CommitError::NotCommitted(_)), "{error}");
     assert_eq!(platform.objects(), before);
 }
+
+/// A store refuses half of all reads, as when every process starts at once. Each try gets further,
+/// so that the process has its configuration after some of them.
+#[tokio::test]
+async fn a_load_goes_on_from_what_an_earlier_try_read() {
+    let platform = Arc::new(MemoryPlatform::with_faults(7, Faults::default()));
+    let store = ConfigStore::new(platform.clone());
+    store.commit(None, &first(2_000), &author()).await.unwrap();
+    platform.set_faults(Faults {
+        refused: 50,
+        ..Faults::default()
+    });
+    let mut parts = Parts::default();
+    for _ in 0..50 {
+        if let Ok(Some(loaded)) = store.load_into(&mut parts).await {
+            assert_eq!(loaded.config.workspaces.len(), 2_000);
+            return;
+        }
+    }
+    panic!("50 tries did not bring a whole configuration");
+}
