--- a/lib/tests/scheduler_properties.rs
+++ b/lib/tests/scheduler_properties.rs
@@ -303,3 +303,26 @@
         slots.scheduler.workspaces()
     );
 }
+
+// Two workspaces come at once to an empty engine. Nothing has been charged before the first token;
+// still neither may take all the slots with its whole burst.
+#[test]
+fn slots_are_shared_before_the_first_token() {
+    let mut slots = Slots::new(16);
+    // Both have been seen, so that lengths are known.
+    for name in ["a", "b"] {
+        slots.offer(name, 50, 0);
+    }
+    for _ in 0..60 {
+        slots.step();
+    }
+    slots.feed("a", || 50);
+    slots.feed("b", || 50);
+    slots.step();
+    let of = |name: &str| {
+        let name = Name::new(name);
+        let owned = |(key, _): &&(JobKey, u32)| slots.owners[key] == name;
+        slots.running.iter().filter(owned).count()
+    };
+    assert!((7..=9).contains(&of("a")), "{} {}", of("a"), of("b"));
+}
