dispatch: never 'not run' after an attempt that may have run

Found by the test of a booking whose agent dies: its resend to another agent was refused, and the entry told that refusal, 'ran: no', though the first attempt may have run. A caller would have booked again. The entry now remembers the doubt. A test of its own has one agent and kills it; with the safeguard taken out it fails.

hosts: two processes of an availability zone read the list, and only when it changed

The list now carries a tag, and the other processes ask the two for a newer one.

--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -115,6 +115,9 @@
     longest: Duration,
     release: Release,
     lost: Option<RetryReason>,
+    // What became of an earlier attempt that was given up on and may have run. While there is one,
+    // "not run" is never said, whatever becomes of later attempts.
+    doubt: Option<Outcome>,
     ended: bool,
 }
 
@@ -140,6 +143,7 @@
             longest: Duration::ZERO,
             release,
             lost: None,
+            doubt: None,
             ended: false,
         }
     }
@@ -350,6 +354,7 @@
             true => Outcome::Failed(FailureReason::BackendLost),
             false => Outcome::Unknown(UnknownReason::AnswerLost),
         };
+        self.doubt = Some(fallback.clone());
         self.again(RetryReason::LostBeforeFirstToken, fallback)
             .await?;
         self.submit_boxed().await
@@ -477,6 +482,7 @@
             Outcome::Failed(FailureReason::BackendLost) if self.may_move() => {
                 self.stream = None;
                 self.leave(EndResult::Failed);
+                self.doubt = Some(outcome.clone());
                 let reason = RetryReason::LostBeforeFirstToken;
                 match self.again(reason, outcome).await {
                     Ok(()) => None,
@@ -486,6 +492,7 @@
             Outcome::Unknown(_) if self.may_move() => {
                 self.stream = None;
                 self.leave(EndResult::Lost);
+                self.doubt = Some(outcome.clone());
                 match self.again(RetryReason::LostBeforeFirstToken, outcome).await {
                     Ok(()) => None,
                     Err(outcome) => Some(self.end(outcome, preemptions)),
@@ -521,6 +528,10 @@
     }
 
     fn end(&mut self, outcome: Outcome, preemptions: u32) -> Part {
+        let outcome = match (outcome, self.doubt.take()) {
+            (Outcome::NotRun(_), Some(doubt)) => doubt,
+            (outcome, _) => outcome,
+        };
         self.ended = true;
         self.stream = None;
         self.leave(match &outcome {
--- a/daemon/src/peer_ask.rs
+++ b/daemon/src/peer_ask.rs
@@ -30,7 +30,11 @@
 /// The answer of this process.
 pub(crate) fn answer(process: &Process, ask: &PeerAsk) -> PeerAnswer {
     match ask {
-        PeerAsk::Hosts => PeerAnswer::Hosts(process.hosts().as_ref().clone()),
+        PeerAsk::Hosts { held } => {
+            let hosts = process.hosts();
+            let differs = digest(&hosts) != *held;
+            PeerAnswer::Hosts(differs.then(|| hosts.as_ref().clone()))
+        }
         PeerAsk::Config { mark, held } => {
             let loaded = process.config().filter(|loaded| mark_of(loaded) == *mark);
             PeerAnswer::Config(loaded.map(|loaded| parts_for(&loaded, held)))
@@ -83,9 +87,25 @@
     Ok(loaded.filter(|loaded| mark_of(loaded) == *mark))
 }
 
-/// Asks a peer for its list of hosts.
-pub(crate) async fn hosts(peer: SocketAddr, settings: &LinkSettings) -> Result<Vec<HostRecord>> {
-    match exchange(peer, settings, PeerAsk::Hosts).await? {
+/// The digest of a list of hosts; zero for an empty one.
+fn digest(hosts: &[HostRecord]) -> u64 {
+    if hosts.is_empty() {
+        return 0;
+    }
+    let bytes = postcard::to_stdvec(hosts).unwrap_or_default();
+    let mut start = [0; 8];
+    start.copy_from_slice(&blake3::hash(&bytes).as_bytes()[..8]);
+    u64::from_le_bytes(start)
+}
+
+/// Asks a peer for its list of hosts; `None` where it is the one that is held.
+pub(crate) async fn hosts(
+    peer: SocketAddr,
+    settings: &LinkSettings,
+    held: &[HostRecord],
+) -> Result<Option<Vec<HostRecord>>> {
+    let ask = PeerAsk::Hosts { held: digest(held) };
+    match exchange(peer, settings, ask).await? {
         PeerAnswer::Hosts(hosts) => Ok(hosts),
         PeerAnswer::Config(_) => Err(WireError::Foreign),
     }
--- a/daemon/tests/call_faults.rs
+++ b/daemon/tests/call_faults.rs
@@ -263,3 +263,22 @@
     assert_eq!(all_effects(&deployment), 1);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn not_run_is_never_said_after_an_attempt_that_may_have_run() -> Result<()> {
+    // The only agent dies while the plain service runs a keyed booking, and nobody takes its place.
+    // The entry's next attempt finds no backend server, and did not run. The first one did: the caller
+    // must not be told "not run", or it would book again under a new key.
+    let mut deployment = start(1, 1).await?;
+    deployment.services[0].service.set_faults(ServiceFaults {
+        slow: 400,
+        ..ServiceFaults::default()
+    });
+    let caller = deployment.caller(0);
+    let call = tokio::spawn(async move { book(&caller, "doubt").await });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    deployment.services[0].agent.process.signal(Signal::Kill)?;
+    let answer = call.await??;
+    assert_eq!(error_of(&answer)?["ran"], "unknown", "{answer:?}");
+    Ok(())
+}
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -147,7 +147,7 @@
     key("process", "threads", Kind::Count { min: 1, max: 64 }, "2", "Threads for traffic, besides the one for control state."),
     key("platform", "address", Kind::Address, "", "The platform's object API."),
     key("platform", "token_file", Kind::Path, "", "File with the bearer token for the platform."),
-    key("platform", "hosts_poll", Kind::Millis { min: 200, max: 60_000 }, "10000", "How often the list of hosts is read. The list itself lags by seconds, and processes tell of their own leaving: 1,370 processes make 137 reads a second of it."),
+    key("platform", "hosts_poll", Kind::Millis { min: 200, max: 60_000 }, "5000", "How often the list of hosts is read: by two processes of each availability zone from the platform, by the others from those. The list itself lags by seconds, and processes tell of their own leaving."),
     key("platform", "config_wait", Kind::Millis { min: 200, max: 60_000 }, "5000", "How long one watch on the configuration waits; each counts as one call. Only two processes of an availability zone watch."),
     key("platform", "seeds", Kind::Addresses, "", "Processes, as IP addresses and ports with commas between, that are asked for the list of hosts while the platform does not answer and none is known yet."),
     key("entry", "listen", Kind::OptionalAddress, "", "Where callers are served. Needed by an entry."),
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -60,8 +60,8 @@
 // that is five pings, enough to find out about all others within seconds.
 const CURIOUS: u32 = 10;
 
-// Processes of an availability zone that watch the store.
-const WATCHERS: usize = 2;
+/// Processes of an availability zone that watch the store: those with the greatest identifiers.
+pub const WATCHERS: usize = 2;
 
 // Bytes of a datagram without words, and of a word, with all that is sent around them.
 const EMPTY_BYTES: usize = OVERHEAD + 80;
--- a/lib/src/platform_http.rs
+++ b/lib/src/platform_http.rs
@@ -1,13 +1,19 @@
 //! The platform's service behind HTTP. The protocol is published in docs/standins.md.
 
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use http::HeaderValue;
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::header::ETAG;
+use http::header::IF_NONE_MATCH;
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
 
@@ -35,6 +41,16 @@
     http: HttpClient,
     token: String,
     caller: Name,
+    known: Mutex<KnownHosts>,
+}
+
+// The list of hosts as it came last. It changes some 200 times a day and has some 300 KB at 1,370
+// hosts, so that reading it whole each time would cost more than all other control state together.
+#[derive(Debug, Default)]
+struct KnownHosts {
+    // As the answer carried it; empty before the first one.
+    tag: String,
+    hosts: Vec<HostRecord>,
 }
 
 impl HttpPlatform {
@@ -49,6 +65,7 @@
             http: HttpClient::new(addr, limits),
             token: token.into(),
             caller: Name::default(),
+            known: Mutex::default(),
         }
     }
 
@@ -86,11 +103,19 @@
     async fn json<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         let response = self.http.fetch(self.get(path)?, Reuse::Pooled).await?;
         let response = accepted(response)?;
-        serde_json::from_slice(response.body())
-            .map_err(|error| PlatformError::Unknown(format!("the answer cannot be read: {error}")))
+        parsed(response.body())
+    }
+
+    fn known(&self) -> MutexGuard<'_, KnownHosts> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn parsed<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    serde_json::from_slice(body)
+        .map_err(|error| PlatformError::Unknown(format!("the answer cannot be read: {error}")))
+}
+
 #[async_trait]
 impl Platform for HttpPlatform {
     async fn read(&self, key: &str) -> Result<Option<Object>> {
@@ -143,7 +168,28 @@
     }
 
     async fn hosts(&self) -> Result<Vec<HostRecord>> {
-        self.json("/hosts").await
+        let mut request = self.get("/hosts")?;
+        let tag = self.known().tag.clone();
+        if let Ok(tag) = HeaderValue::from_str(&tag)
+            && !tag.is_empty()
+        {
+            request.headers_mut().insert(IF_NONE_MATCH, tag);
+        }
+        let response = self.http.fetch(request, Reuse::Pooled).await?;
+        if response.status() == StatusCode::NOT_MODIFIED {
+            return Ok(self.known().hosts.clone());
+        }
+        let response = accepted(response)?;
+        let hosts: Vec<HostRecord> = parsed(response.body())?;
+        let tag = response
+            .headers()
+            .get(ETAG)
+            .and_then(|tag| tag.to_str().ok());
+        *self.known() = KnownHosts {
+            tag: tag.unwrap_or_default().to_string(),
+            hosts: hosts.clone(),
+        };
+        Ok(hosts)
     }
 }
 
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -150,15 +150,18 @@
             held: Vec<ChunkDigest>,
         },
         /// The platform's list of hosts, as the asked one has it.
-        Hosts,
+        Hosts {
+            /// The digest of the list that the asker has; zero for none.
+            held: u64,
+        },
     }
 
     /// The answer to a [`PeerAsk`].
     pub enum PeerAnswer {
         /// The version's parts; `None` where that version is not in force there.
         Config(Option<ConfigParts>),
-        /// The hosts.
-        Hosts(Vec<HostRecord>),
+        /// The hosts; `None` where the asker has the same list.
+        Hosts(Option<Vec<HostRecord>>),
     }
 
     /// A version's root, and the chunks that the asker lacked.
--- a/lib/testutils/src/platform.rs
+++ b/lib/testutils/src/platform.rs
@@ -123,6 +123,8 @@
     hosts: BTreeMap<String, HostRecord>,
     // In the order in which they become due: the lag is constant.
     changes: Vec<HostChange>,
+    // Changes that are visible; the version of the list.
+    host_changes: u64,
     writes: RateLimit,
     reads: RateLimit,
     faults: PlatformFaults,
@@ -149,6 +151,7 @@
             store: ObjectStore::new(),
             hosts: BTreeMap::new(),
             changes: Vec::new(),
+            host_changes: 0,
             writes: RateLimit::new(settings.write_rate),
             reads: RateLimit::new(settings.read_rate),
             faults: PlatformFaults::default(),
@@ -252,7 +255,7 @@
 
     async fn serve(self: &Arc<Self>, call: &Call, path: &[String]) -> Reply {
         if path[0] == "hosts" {
-            return self.hosts();
+            return self.hosts(call.header("if-none-match"));
         }
         if path[0] != "objects" {
             return Reply::text(StatusCode::NOT_FOUND, "no such path");
@@ -307,11 +310,15 @@
         Reply::Cut
     }
 
-    fn hosts(&self) -> Reply {
+    fn hosts(&self, held: &str) -> Reply {
         let mut state = self.state();
         state.settle_hosts(Instant::now());
+        let tag = format!("\"{}\"", state.host_changes);
+        if held == tag {
+            return Reply::bytes(StatusCode::NOT_MODIFIED, Bytes::new());
+        }
         let hosts: Vec<_> = state.hosts.values().collect();
-        Reply::json(&hosts)
+        Reply::json(&hosts).with_header("etag", tag)
     }
 
     fn change_host(&self, name: String, record: Option<HostRecord>) {
@@ -420,6 +427,7 @@
     fn settle_hosts(&mut self, now: Instant) {
         let due = self.changes.partition_point(|change| change.due <= now);
         for change in self.changes.drain(..due) {
+            self.host_changes += 1;
             match change.record {
                 Some(record) => self.hosts.insert(change.name, record),
                 None => self.hosts.remove(&change.name),
