testutils: ports for started processes lie below those that the kernel gives

Cause: a datagram socket of another test took the port between its choice and the daemon's start; '(UDP) cannot be bound' in one of four runs of 29 tests.

--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -3,6 +3,8 @@
 use std::fs;
 use std::fs::File;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -19,9 +21,6 @@
 use eyre::WrapErr;
 use eyre::bail;
 use eyre::ensure;
-use socket2::Domain;
-use socket2::Socket;
-use socket2::Type;
 
 use crate::http_call;
 
@@ -230,20 +229,33 @@
     })
 }
 
-/// An address of the loopback for a process that is started next.
+// Below the ports that the kernel gives by itself, so that no connection takes one meanwhile.
+const PORTS: std::ops::Range<u16> = 10_000..32_000;
+
+// Half of the pairs may be in use before a test gives up.
+const PORT_TRIES: usize = 1_000;
+
+/// An address of the loopback for a process that is started next, free for TCP and UDP.
 ///
-/// Tests run side by side, and the kernel would soon give a port that is only free to another one.
-/// So the port stays bound, and never listened on, until this process ends; a listener that allows
-/// the reuse of addresses, as those of the daemon do, can still take it.
+/// Tests run side by side as processes of their own. So ports go in pairs: the even one is given out,
+/// and the odd one above it is held until this process ends and tells the others that the pair is
+/// taken.
 pub fn free_addr() -> Result<SocketAddr> {
-    static HELD: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
-    let addr = socket.local_addr()?.as_socket();
-    let mut held = HELD.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-    held.push(socket);
-    addr.ok_or_else(|| eyre::eyre!("the socket has no address"))
+    static HELD: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+    for _ in 0..PORT_TRIES {
+        let port = fastrand::u16(PORTS) & !1;
+        let Ok(mark) = TcpListener::bind(("127.0.0.1", port + 1)) else {
+            continue;
+        };
+        let free = TcpListener::bind(("127.0.0.1", port)).is_ok()
+            && UdpSocket::bind(("127.0.0.1", port)).is_ok();
+        if free {
+            let mut held = HELD.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+            held.push(mark);
+            return Ok(SocketAddr::from(([127, 0, 0, 1], port)));
+        }
+    }
+    bail!("no free port was found; end what is left of earlier runs")
 }
 
 fn new_dir() -> Result<PathBuf> {
