scheduler: a token that crosses the order to displace is counted

It was dropped: the job was taken for smaller than it is once it ran again, and the workspace was not charged. Broken on purpose: token of a paused job ignored, or held against the memory (token_that_crosses_a_pause_is_counted); the engine's capacity ignored (plans_with_the_capacity_that_the_engine_reports).

--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -205,15 +205,19 @@
             self.resumed(now, key);
         }
         let job = &mut self.jobs[key];
-        if job.state != State::Running {
+        if job.state == State::Queued {
             return;
         }
         job.produced += 1;
         let held = job.held.saturating_sub(job.ahead());
         job.held -= held;
-        self.batch.grow();
         let tenant = &mut self.tenants[job.tenant];
-        tenant.held += 1;
+        // A token may cross the order to displace its generation: its memory is given back already,
+        // but it counts, or the job would be taken for smaller than it is once it runs again.
+        if job.state != State::Paused {
+            self.batch.grow();
+            tenant.held += 1;
+        }
         self.shares
             .charge(job.tenant, &mut tenant.account, TOKEN, held);
         self.drain.done(TOKEN);
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -1,5 +1,8 @@
 //! The scheduler's interface as the daemon uses it.
 
+use std::time::Duration;
+
+use cicada_lib::backend::EngineLoad;
 use cicada_lib::ids::Name;
 use cicada_lib::outcome::RefusalReason;
 use cicada_lib::preset::Preset;
@@ -78,3 +81,74 @@
     assert_eq!(refusal.reason(), RefusalReason::Draining);
     assert_eq!(scheduler.summary(Time::ZERO).running, 1);
 }
+
+fn report(capacity_tokens: u64) -> EngineLoad {
+    EngineLoad {
+        running: 0,
+        waiting: 0,
+        used_tokens: 0,
+        capacity_tokens,
+        preemptions: 0,
+        step_micros: 20_000,
+        incarnation: 1,
+        models: Vec::new(),
+        role: Name::new("mixed"),
+        fence: 0,
+    }
+}
+
+// The agent starts before its engine has said how much memory it has. From the first report on, no
+// more may be started than fits.
+#[test]
+fn plans_with_the_capacity_that_the_engine_reports() {
+    let mut scheduler = scheduler(8);
+    scheduler.engine_load(Time::ZERO, &report(1_500));
+    let mut large = job("a");
+    large.prompt_tokens = 1_000;
+    let first = scheduler.offer(Time::ZERO, large.clone()).unwrap();
+    scheduler.offer(Time::ZERO, large).unwrap();
+    assert_eq!(scheduler.next(Time::ZERO), Some(Action::Start(first)));
+    assert_eq!(scheduler.next(Time::ZERO), None);
+    assert_eq!(scheduler.summary(Time::ZERO).free_tokens, 500);
+}
+
+// A token is on its way while the order to displace its generation goes out. The account of the
+// memory must come out even when the generation has run again and ended.
+#[test]
+fn token_that_crosses_a_pause_is_counted() {
+    let mut scheduler = scheduler(8);
+    scheduler.engine_load(Time::ZERO, &report(2_000));
+    let mut spec = job("a");
+    spec.prompt_tokens = 900;
+    let keys = [spec.clone(), spec].map(|spec| scheduler.offer(Time::ZERO, spec).unwrap());
+    for key in keys {
+        assert_eq!(scheduler.next(Time::ZERO), Some(Action::Start(key)));
+    }
+    let mut now = Time::ZERO;
+    let mut steps = 0;
+    let paused = loop {
+        steps += 1;
+        now = now + Duration::from_millis(20);
+        keys.iter().for_each(|&key| scheduler.token(now, key));
+        match scheduler.next(now) {
+            Some(Action::Pause(key)) => break key,
+            other => assert_eq!(other, None),
+        }
+    };
+    scheduler.token(now, paused);
+    let other = if keys[0] == paused { keys[1] } else { keys[0] };
+    scheduler.finished(now, other);
+    assert_eq!(scheduler.next(now), Some(Action::Resume(paused)));
+    scheduler.token(now, paused);
+    scheduler.finished(now, paused);
+    // Both prompts at a tenth, a token for each step of both, and two of the one displaced.
+    assert_eq!(
+        scheduler.service_given(&Name::new("a")),
+        180 + 2 * steps + 2
+    );
+    let load = scheduler.summary(now);
+    assert_eq!(
+        (load.free_tokens, load.running, load.preemptions),
+        (2_000, 0, 1)
+    );
+}
