--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cicada_lib::backend::Engine;
 use cicada_lib::claims::ClaimSettings;
 use cicada_lib::claims::Claims;
 use cicada_lib::config::WorkspaceConfig;
@@ -114,18 +115,25 @@
     }
 }
 
+/// The adapter to the model engine; `None` before a plain service.
+pub(crate) fn engine(settings: &Settings) -> Option<Arc<dyn Engine>> {
+    let address = settings.address("backend", "address")?;
+    let limits = HttpLimits::new().with_silence(settings.millis("backend", "silent"));
+    match settings.backend_kind() {
+        BackendKind::Engine => Some(Arc::new(HttpEngine::with_limits(address, limits))),
+        BackendKind::Service => None,
+    }
+}
+
 fn backend(settings: &Settings) -> eyre::Result<Arc<dyn Backend>> {
+    if let Some(engine) = engine(settings) {
+        return Ok(Arc::new(EngineBackend::new(engine)));
+    }
     let address = settings
         .address("backend", "address")
         .ok_or_eyre("[backend] address is missing")?;
-    let limits = HttpLimits::new().with_silence(settings.millis("backend", "silent"));
-    Ok(match settings.backend_kind() {
-        BackendKind::Engine => {
-            let engine = HttpEngine::with_limits(address, limits);
-            Arc::new(EngineBackend::new(Arc::new(engine)))
-        }
-        BackendKind::Service => Arc::new(ServiceBackend::new(Arc::new(HttpService::new(address)))),
-    })
+    let service = HttpService::new(address);
+    Ok(Arc::new(ServiceBackend::new(Arc::new(service))))
 }
 
 fn desk_settings(settings: &Settings) -> DeskSettings {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -22,6 +22,7 @@
 mod logs;
 mod metrics;
 mod openai;
+mod orders_controller;
 mod peer_ask;
 mod peer_server;
 mod process;
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -173,6 +173,34 @@
     }
 }
 
+/// The figures of orders to an engine.
+#[derive(Debug)]
+pub(crate) struct OrderMetrics {
+    taken: IntCounter,
+    refused: IntCounter,
+}
+
+impl OrderMetrics {
+    /// The figures, in the registry.
+    pub(crate) fn new(metrics: &Metrics) -> Self {
+        OrderMetrics {
+            taken: metrics.counter("cicada_orders_total", "Orders that the engine took."),
+            refused: metrics.counter(
+                "cicada_orders_failed_total",
+                "Orders that the engine refused or that were lost.",
+            ),
+        }
+    }
+
+    /// Counts an order.
+    pub(crate) fn given(&self, taken: bool) {
+        match taken {
+            true => self.taken.inc(),
+            false => self.refused.inc(),
+        }
+    }
+}
+
 /// An agent's figures.
 #[derive(Debug)]
 pub(crate) struct AgentMetrics {
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -14,12 +14,16 @@
 use crate::agent::Agent;
 use crate::callers::Callers;
 use crate::common::Common;
+use crate::control::Controller;
 use crate::drain;
 use crate::entry::Entry;
 use crate::entry::Routing;
 use crate::links::Links;
 use crate::metrics::EntryMetrics;
 use crate::metrics::Metrics;
+use crate::metrics::OrderMetrics;
+use crate::orders_controller::OrderTools;
+use crate::orders_controller::OrdersController;
 use crate::peer_server;
 use crate::servers_controller::ServersController;
 use crate::status::Process;
@@ -87,7 +91,18 @@
     let identity = common.identity();
     let starting = Agent::start(&process, listener, identity, platform, &metrics, open);
     let agent = traffic.block_on(starting)?;
-    common.start(vec![agent.config_sink()], Vec::new())?;
+    let mut controllers: Vec<Box<dyn Controller>> = Vec::new();
+    if let Some(engine) = agent::engine(process.settings()) {
+        let tools = OrderTools {
+            engine,
+            platform: common.platform().clone(),
+            net: common.net().clone(),
+            clock: common.clock(),
+            metrics: OrderMetrics::new(&metrics),
+        };
+        controllers.push(Box::new(OrdersController::new(process.clone(), tools)));
+    }
+    common.start(vec![agent.config_sink()], controllers)?;
     tracing::info!(name = %process.name(), "process: agent started");
     traffic.block_on(drain::wait(&process, &common, Some(&agent)))
 }
