--- a/lib/src/rumours.rs
+++ b/lib/src/rumours.rs
@@ -20,9 +20,9 @@
 const SECOND_ROUND: Duration = Duration::from_millis(300);
 
 // With more words than this under way only the first copies go out, and fewer: a zone that restarts
-// would else take a minute to be heard of. Corrections reach those whom three copies miss.
+// would else take a minute to be heard of. Corrections reach those whom two copies miss.
 const CROWD: usize = 20;
-const CROWD_COPIES: usize = 3;
+const CROWD_COPIES: usize = 2;
 
 // After this a word travels no more. A datagram goes out three times a second.
 const LIFETIME: Duration = Duration::from_secs(8);
@@ -31,8 +31,8 @@
 /// half of the 8 KB that a process may spend on control.
 pub const NEWS_BYTES: f64 = 3_000.0;
 
-// News of a dozen processes goes out at once.
-const BURST: f64 = 2_500.0;
+// News of some processes goes out at once.
+const BURST: f64 = 1_500.0;
 
 struct Rumour {
     word: Word,
