--- a/lib/src/lengths.rs
+++ b/lib/src/lengths.rs
@@ -5,7 +5,7 @@
 //! fills up in the midst of decoding and it displaces generations blindly.
 //!
 //! Lengths are counted in buckets a fifth apart, so one sketch takes 64 words for any range. Newer
-//! observations weigh more: a sketch forgets half of its past in [`HALF_LIFE`] observations, and at
+//! observations weigh more: a sketch forgets half of its past in `HALF_LIFE` observations, and at
 //! once when the recent mean leaves the range that the past makes likely (drift). A workspace with
 //! few observations is filled up from all workspaces' lengths of that kind, and these from a
 //! cold-start rule: every order of magnitude up to the caller's limit is equally likely.
@@ -14,7 +14,7 @@
 //! short answers name short limits.
 //!
 //! One observation is O(1), one expectation is one pass over 64 buckets. Memory is bounded by
-//! [`MAX_SKETCHES`].
+//! `MAX_SKETCHES`.
 
 use std::collections::HashMap;
 
