suspects: a request that kills costs two engines, through whichever entry

Agents note what ran at a crash; a suspect runs alone, and one that ends an engine alone is refused everywhere.

--- a/daemon/src/agent.rs
+++ b/daemon/src/agent.rs
@@ -20,6 +20,7 @@
 use cicada_lib::service_http::HttpService;
 use cicada_lib::settings::SchedulerSettings;
 use cicada_lib::settings::WorkspacePolicy;
+use cicada_lib::suspects::Mark;
 use eyre::OptionExt;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -29,6 +30,8 @@
 use crate::desk::Desk;
 use crate::desk::DeskEvent;
 use crate::desk::DeskSettings;
+use crate::mark_spread::MarkSink;
+use crate::mark_spread::MarkSpread;
 use crate::metrics::AgentMetrics;
 use crate::metrics::Metrics;
 use crate::peer_server;
@@ -58,6 +61,7 @@
         listener: TcpListener,
         identity: ServerIdentity,
         platform: Arc<dyn Platform>,
+        spread: MarkSpread,
         metrics: &Metrics,
         open: OpenCount,
     ) -> eyre::Result<Agent> {
@@ -78,6 +82,7 @@
             Channels {
                 events,
                 orders: desk.clone(),
+                spread,
             },
             Arc::new(claims),
             Arc::new(AgentMetrics::new(metrics)),
@@ -88,6 +93,7 @@
             listener,
             identity,
             process.clone(),
+            Arc::new(DeskSink(desk.clone())),
             Some(desk.clone()),
         ));
         Ok(Agent { desk })
@@ -136,6 +142,13 @@
     Ok(Arc::new(ServiceBackend::new(Arc::new(service))))
 }
 
+impl MarkSink for DeskSink {
+    fn learn(&self, marks: &[Mark]) {
+        // Lost where the desk is far behind; others push the same evidence.
+        let _ = self.0.try_send(DeskEvent::Marks(marks.to_vec()));
+    }
+}
+
 fn desk_settings(settings: &Settings) -> DeskSettings {
     DeskSettings {
         service: settings.name("backend", "service"),
--- a/daemon/src/common.rs
+++ b/daemon/src/common.rs
@@ -27,6 +27,7 @@
 use crate::control::Controller;
 use crate::hosts_controller::HostsController;
 use crate::link::LinkSettings;
+use crate::mark_spread::MarkSpread;
 use crate::metrics::ConfigMetrics;
 use crate::metrics::Metrics;
 use crate::peer_server::ServerIdentity;
@@ -96,6 +97,17 @@
         &self.net
     }
 
+    /// The way of evidence to other processes.
+    pub(crate) fn mark_spread(&self, traffic: &Runtime) -> MarkSpread {
+        let net = self.net.clone();
+        MarkSpread::new(
+            net,
+            self.links.clone(),
+            self.clock,
+            traffic.handle().clone(),
+        )
+    }
+
     /// Says to all other processes that this one takes no new work.
     pub(crate) fn say_draining(&self) {
         self.net.membership().set_draining(self.clock.now());
--- a/daemon/src/desk.rs
+++ b/daemon/src/desk.rs
@@ -17,6 +17,7 @@
 use cicada_lib::outcome::Outcome;
 use cicada_lib::scheduler::JobKey;
 use cicada_lib::scheduler::Scheduler;
+use cicada_lib::suspects::Mark;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
 use cicada_lib::wire::ToAgent;
@@ -27,6 +28,8 @@
 
 use crate::agent::OpenCount;
 use crate::agent::policy;
+use crate::isolation::Isolation;
+use crate::mark_spread::MarkSpread;
 use crate::metrics::AgentMetrics;
 use crate::record::ConnKey;
 use crate::record::Conns;
@@ -53,6 +56,8 @@
     Config(Arc<Loaded>),
     /// The store's word on a keyed call.
     Claimed(RecordKey, claims::Result<Claim>),
+    /// Evidence from another process.
+    Marks(Vec<Mark>),
     /// A keyed call that did not run has given its claim back.
     Released(RecordKey, Outcome),
 }
@@ -76,6 +81,8 @@
     pub(crate) events: Events,
     /// Of orders. The desk's end is also one of its senders, so that it never closes by itself.
     pub(crate) orders: mpsc::Sender<DeskEvent>,
+    /// To other processes, of evidence.
+    pub(crate) spread: MarkSpread,
 }
 
 /// How often the scheduler is asked for what time alone brings about. A tenth of the shortest time
@@ -98,6 +105,8 @@
     pub(crate) by_job: SecondaryMap<JobKey, RecordKey>,
     pub(crate) conns: Conns,
     pub(crate) tombstones: Tombstones,
+    pub(crate) isolation: Isolation,
+    pub(crate) spread: MarkSpread,
     pub(crate) claims: Arc<Claims>,
     pub(crate) orders: mpsc::Sender<DeskEvent>,
     pub(crate) metrics: Arc<AgentMetrics>,
@@ -129,6 +138,8 @@
             by_job: SecondaryMap::new(),
             conns: Conns::default(),
             tombstones: Tombstones::new(),
+            isolation: Isolation::default(),
+            spread: channels.spread,
             metrics,
             open,
             reachable: true,
@@ -159,6 +170,10 @@
     pub(crate) fn take(&mut self, event: DeskEvent) {
         match event {
             DeskEvent::Opened(tx, reply) => {
+                let known = self.isolation.all(self.clock.now());
+                if !known.is_empty() {
+                    let _ = tx.send(ToEntry::Marks(known));
+                }
                 let _ = reply.send(self.conns.add(tx));
             }
             DeskEvent::Closed(conn) => self.close(conn),
@@ -166,6 +181,7 @@
             DeskEvent::Drain => self.drain(),
             DeskEvent::Config(loaded) => self.configure(&loaded),
             DeskEvent::Claimed(key, claim) => self.claimed(key, claim),
+            DeskEvent::Marks(marks) => self.learn_marks(&marks),
             DeskEvent::Released(key, outcome) => self.finish(key, outcome),
         }
     }
@@ -187,6 +203,7 @@
             ToAgent::Cancel(stream) => self.cancel(conn, stream),
             // Answered before the connection came here.
             ToAgent::Ask(_) => {}
+            ToAgent::Marks(marks) => self.learn_marks(&marks),
             ToAgent::Ping(number) => {
                 let load = self.load();
                 self.conns.send_frame(conn, ToEntry::Pong(number, load));
--- a/daemon/src/desk_runs.rs
+++ b/daemon/src/desk_runs.rs
@@ -67,6 +67,7 @@
                     self.scheduler.token(now, job);
                 }
                 self.metrics.token();
+                self.isolation.token(key);
                 readers::pump(record, &mut self.conns);
             }
             EngineEvent::Preempted => {
@@ -86,6 +87,9 @@
     }
 
     pub(crate) fn act(&mut self) {
+        if !self.open_gate() {
+            return;
+        }
         while let Some(action) = self.scheduler.next(self.clock.now()) {
             match action {
                 Action::Start(job) => self.start(job),
@@ -102,9 +106,12 @@
     }
 
     pub(crate) fn start(&mut self, job: JobKey) {
-        let Some(key) = self.by_job.get(job).copied() else {
-            return;
-        };
+        if let Some(key) = self.by_job.get(job).copied() {
+            self.start_record(key, Stage::Running(job));
+        }
+    }
+
+    pub(crate) fn start_record(&mut self, key: RecordKey, stage: Stage) {
         let now = self.clock.now();
         let Some(record) = self.records.at_mut(key) else {
             return;
@@ -121,7 +128,7 @@
         let Some(work) = record.work.take() else {
             return;
         };
-        record.stage = Stage::Running(job);
+        record.stage = stage;
         self.metrics.queue_waited(now.since(record.arrived));
         let spec = match work {
             Work::Call(call) => RunSpec::Call(call),
@@ -182,7 +189,9 @@
             return;
         };
         let outcome = match record.stage {
-            Stage::Queued(_) => Outcome::NotRun(NotRun::left_queue(RefusalReason::Cancelled, None)),
+            Stage::Queued(_) | Stage::Suspected => {
+                Outcome::NotRun(NotRun::left_queue(RefusalReason::Cancelled, None))
+            }
             _ => Outcome::Failed(reason),
         };
         if let Some(generation) = self.generation(key) {
@@ -200,6 +209,13 @@
 
     pub(crate) fn end(&mut self, key: RecordKey, outcome: Outcome) {
         let now = self.clock.now();
+        match &outcome {
+            Outcome::Failed(FailureReason::BackendLost) => self.note_lost(key),
+            Outcome::Completed(_) => self.isolation.clear(key),
+            _ => {}
+        }
+        self.isolation.forget(key);
+        self.tell_marks();
         let Some(record) = self.records.at_mut(key) else {
             return;
         };
@@ -207,7 +223,11 @@
             return;
         }
         if let Stage::Queued(job) | Stage::Running(job) = record.stage {
-            self.scheduler.finished(now, job);
+            match outcome {
+                // What was broken off says nothing of lengths.
+                Outcome::Failed(_) | Outcome::NotRun(_) => self.scheduler.cancelled(now, job),
+                _ => self.scheduler.finished(now, job),
+            }
             self.by_job.remove(job);
             record.stage = Stage::Claiming;
         }
--- a/daemon/src/desk_streams.rs
+++ b/daemon/src/desk_streams.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
+use cicada_lib::ids::Name;
 use cicada_lib::outcome::FailureReason;
 use cicada_lib::outcome::NotRun;
 use cicada_lib::outcome::Outcome;
 use cicada_lib::outcome::RefusalReason;
+use cicada_lib::suspects::Fingerprint;
 use cicada_lib::transcript::Transcript;
 use cicada_lib::wire::Attach;
 use cicada_lib::wire::StreamFrame;
@@ -51,7 +53,7 @@
         self.join(key, reader);
         match call_key {
             Some(call_key) => self.claim(key, call_key),
-            None => self.queue(key),
+            None => self.queue_free(key),
         }
     }
 
@@ -76,6 +78,7 @@
         let now = self.clock.now();
         Record {
             call_key: call_key(&submit),
+            fingerprint: fingerprint(&submit.service, &submit.work),
             ticket: None,
             aliases: Vec::new(),
             request: submit.request,
@@ -124,6 +127,7 @@
         let now = self.clock.now();
         let key = self.records.add(Record {
             call_key: None,
+            fingerprint: None,
             ticket: None,
             aliases: Vec::new(),
             request: attach.request,
@@ -229,3 +233,13 @@
         text: submit.key.clone(),
     })
 }
+
+/// What tells a generation from others; `None` for a call.
+pub(crate) fn fingerprint(service: &Name, work: &Work) -> Option<Fingerprint> {
+    match work {
+        Work::Generate { model, prompt, .. } => {
+            Some(Fingerprint::new(service, model, prompt.as_bytes()))
+        }
+        Work::Call(_) => None,
+    }
+}
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -25,6 +25,7 @@
 use cicada_lib::routing::End;
 use cicada_lib::routing::EndResult;
 use cicada_lib::routing::ServerKey;
+use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Time;
 use cicada_lib::wire::Attach;
 use cicada_lib::wire::StreamFrame;
@@ -232,6 +233,9 @@
 
     async fn submit(&mut self) -> Result<(), Outcome> {
         loop {
+            if self.entry.verdict(&self.request) == Verdict::Refuse {
+                return Err(Outcome::Failed(FailureReason::KillsBackends));
+            }
             let server = self.choose().map_err(Outcome::NotRun)?;
             self.tried.push(server.key);
             self.attempt = Attempt(self.attempt.0 + 1);
@@ -587,7 +591,6 @@
         reason,
         RefusalReason::RateLimited
             | RefusalReason::ConcurrencyLimited
-            | RefusalReason::Suspected
             | RefusalReason::Cancelled
             | RefusalReason::StoreUnavailable
     )
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -19,13 +19,19 @@
 use cicada_lib::routing::ServerKey;
 use cicada_lib::routing::ServerState;
 use cicada_lib::routing::ServerView;
+use cicada_lib::suspects::Fingerprint;
+use cicada_lib::suspects::Mark;
+use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Clock;
 
+use crate::desk_streams::fingerprint;
 use crate::dispatch::Chosen;
 use crate::dispatch::Request;
 use crate::elsewhere::Elsewhere;
+use crate::evidence::Evidence;
 use crate::link::LoadSink;
 use crate::links::Links;
+use crate::mark_spread::MarkSink;
 use crate::metrics::EntryMetrics;
 use crate::status::Process;
 
@@ -34,13 +40,15 @@
 pub(crate) struct Routing {
     clock: Clock,
     router: Mutex<Router>,
+    evidence: Arc<Evidence>,
 }
 
 impl Routing {
     /// A routing over the router.
-    pub(crate) fn new(clock: Clock, router: Router) -> Self {
+    pub(crate) fn new(clock: Clock, router: Router, evidence: Arc<Evidence>) -> Self {
         Routing {
             clock,
+            evidence,
             router: Mutex::new(router),
         }
     }
@@ -69,6 +77,10 @@
             router.report(now, server, load);
         }
     }
+
+    fn marks(&self, marks: &[Mark]) {
+        self.evidence.learn(marks);
+    }
 }
 
 /// An entry.
@@ -76,7 +88,7 @@
     process: Arc<Process>,
     clock: Clock,
     routing: Arc<Routing>,
-    links: Links,
+    links: Arc<Links>,
     metrics: EntryMetrics,
     peer_key: PeerKey,
     elsewhere: Mutex<Elsewhere>,
@@ -87,7 +99,7 @@
     pub(crate) fn new(
         process: Arc<Process>,
         routing: Arc<Routing>,
-        links: Links,
+        links: Arc<Links>,
         metrics: EntryMetrics,
         peer_key: PeerKey,
     ) -> Self {
@@ -166,10 +178,20 @@
         self.routing.lock().may_retry(now, service, reason)
     }
 
-    /// The hash by which keyed calls keep to one agent.
+    /// What is known of requests like this one.
+    pub(crate) fn verdict(&self, request: &Request) -> Verdict {
+        match fingerprint(&request.service, &request.work) {
+            Some(fingerprint) => self.routing.evidence.verdict(fingerprint),
+            None => Verdict::Free,
+        }
+    }
+
+    /// The hash by which keyed calls, and copies of a suspect, keep to one agent.
     pub(crate) fn affinity(&self, request: &Request) -> Option<u64> {
         if request.key.is_empty() {
-            return None;
+            let suspect = self.verdict(request) == Verdict::Alone;
+            let print = fingerprint(&request.service, &request.work).filter(|_| suspect);
+            return print.map(Fingerprint::affinity);
         }
         // All keys of a shard go to one agent, so that it alone commits the shard's claims.
         let shard = KeyDigest::new(&request.workspace, &request.key).shard();
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -18,6 +18,7 @@
 use cicada_lib::handshake::PeerKey;
 use cicada_lib::ids::Name;
 use cicada_lib::load::LoadSummary;
+use cicada_lib::suspects::Mark;
 use cicada_lib::wire::Attach;
 use cicada_lib::wire::MAX_FRAME;
 use cicada_lib::wire::StreamFrame;
@@ -40,6 +41,9 @@
 pub(crate) trait LoadSink: Send + Sync {
     /// Takes a report of the named agent.
     fn report(&self, agent: &Name, load: LoadSummary);
+
+    /// Takes evidence on requests that end engines.
+    fn marks(&self, marks: &[Mark]);
 }
 
 /// The figures and the identity with which links are opened.
@@ -127,6 +131,12 @@
         !self.frames.is_closed()
     }
 
+    /// Passes on evidence. A link whose queue is full loses it; evidence is sent again in full when a
+    /// link is opened.
+    pub(crate) fn tell(&self, marks: &[Mark]) {
+        let _ = self.frames.try_send(ToAgent::Marks(marks.to_vec()));
+    }
+
     /// Hands a request to the agent. An error means that nothing was sent.
     pub(crate) async fn submit(self: &Arc<Self>, mut submit: Submit) -> Option<LinkStream> {
         submit.credit = self.credit;
@@ -257,6 +267,7 @@
     loop {
         match handshake::read_within(&mut reader, MAX_FRAME, silent).await {
             Ok(ToEntry::Pong(_, load) | ToEntry::Load(load)) => sink.report(agent, load),
+            Ok(ToEntry::Marks(marks)) => sink.marks(&marks),
             Ok(ToEntry::Stream(id, frame)) => deliver(streams, id, frame),
             Err(err) => return err.to_string(),
         }
--- a/daemon/src/links.rs
+++ b/daemon/src/links.rs
@@ -7,8 +7,10 @@
 use std::sync::MutexGuard;
 
 use cicada_lib::ids::Name;
+use cicada_lib::suspects::Mark;
 use tokio::runtime::Handle;
 
+use crate::evidence::Evidence;
 use crate::link::Link;
 use crate::link::LinkSettings;
 use crate::link::LoadSink;
@@ -23,6 +25,7 @@
 pub(crate) struct Links {
     settings: LinkSettings,
     sink: Arc<dyn LoadSink>,
+    evidence: Arc<Evidence>,
     runtime: Handle,
     addresses: Mutex<HashMap<Name, SocketAddr>>,
     slots: Mutex<HashMap<Name, Arc<Slot>>>,
@@ -30,10 +33,16 @@
 
 impl Links {
     /// No links yet. Their tasks run on `runtime`.
-    pub(crate) fn new(settings: LinkSettings, sink: Arc<dyn LoadSink>, runtime: Handle) -> Self {
+    pub(crate) fn new(
+        settings: LinkSettings,
+        sink: Arc<dyn LoadSink>,
+        evidence: Arc<Evidence>,
+        runtime: Handle,
+    ) -> Self {
         Links {
             settings,
             sink,
+            evidence,
             runtime,
             addresses: Mutex::default(),
             slots: Mutex::default(),
@@ -49,6 +58,19 @@
         });
     }
 
+    /// Passes on evidence over every open link.
+    pub(crate) fn tell(&self, marks: &[Mark]) {
+        let slots: Vec<Arc<Slot>> = lock(&self.slots).values().cloned().collect();
+        for slot in slots {
+            // A slot that is locked is about to open its link, and will be told of everything then.
+            if let Ok(held) = slot.link.try_lock()
+                && let Some(link) = held.as_ref()
+            {
+                link.tell(marks);
+            }
+        }
+    }
+
     /// The link to an agent; `None` where it cannot be opened, so that nothing has been sent.
     pub(crate) async fn get(&self, agent: &Name) -> Option<Arc<Link>> {
         let slot = lock(&self.slots).entry(agent.clone()).or_default().clone();
@@ -64,6 +86,10 @@
             .spawn(async move { Link::open(address, &settings, sink).await });
         match opening.await.ok()? {
             Ok(link) => {
+                let known = self.evidence.all();
+                if !known.is_empty() {
+                    link.tell(&known);
+                }
                 *held = Some(link.clone());
                 Some(link)
             }
--- a/daemon/src/peer_ask.rs
+++ b/daemon/src/peer_ask.rs
@@ -15,6 +15,7 @@
 use cicada_lib::config_chunks::assemble;
 use cicada_lib::handshake;
 use cicada_lib::platform::HostRecord;
+use cicada_lib::suspects::Mark;
 use cicada_lib::wire::ConfigParts;
 use cicada_lib::wire::MAX_FRAME;
 use cicada_lib::wire::PeerAnswer;
@@ -25,11 +26,16 @@
 
 use crate::link;
 use crate::link::LinkSettings;
+use crate::mark_spread::MarkSink;
 use crate::status::Process;
 
 /// The answer of this process.
-pub(crate) fn answer(process: &Process, ask: &PeerAsk) -> PeerAnswer {
+pub(crate) fn answer(process: &Process, sink: &dyn MarkSink, ask: &PeerAsk) -> PeerAnswer {
     match ask {
+        PeerAsk::Marks(marks) => {
+            sink.learn(marks);
+            PeerAnswer::Taken
+        }
         PeerAsk::Hosts { held } => {
             let hosts = process.hosts();
             let differs = digest(&hosts) != *held;
@@ -107,10 +113,20 @@
     let ask = PeerAsk::Hosts { held: digest(held) };
     match exchange(peer, settings, ask).await? {
         PeerAnswer::Hosts(hosts) => Ok(hosts),
-        PeerAnswer::Config(_) => Err(WireError::Foreign),
+        _ => Err(WireError::Foreign),
     }
 }
 
+/// Tells a peer of evidence on requests that end engines.
+pub(crate) async fn marks(
+    peer: SocketAddr,
+    settings: &LinkSettings,
+    marks: Vec<Mark>,
+) -> Result<()> {
+    exchange(peer, settings, PeerAsk::Marks(marks)).await?;
+    Ok(())
+}
+
 async fn exchange(peer: SocketAddr, settings: &LinkSettings, ask: PeerAsk) -> Result<PeerAnswer> {
     let connecting = link::connect(peer, settings);
     let (mut stream, _) = within(settings.connect_time, connecting).await?;
--- a/daemon/src/peer_server.rs
+++ b/daemon/src/peer_server.rs
@@ -23,6 +23,7 @@
 use tokio::sync::oneshot;
 
 use crate::desk::DeskEvent;
+use crate::mark_spread::MarkSink;
 use crate::peer_ask;
 use crate::record::ConnKey;
 use crate::status::Process;
@@ -50,6 +51,7 @@
     listener: TcpListener,
     identity: ServerIdentity,
     process: Arc<Process>,
+    sink: Arc<dyn MarkSink>,
     desk: Option<mpsc::Sender<DeskEvent>>,
 ) {
     loop {
@@ -57,9 +59,10 @@
             Ok((stream, address)) => {
                 let identity = identity.clone();
                 let process = process.clone();
+                let sink = sink.clone();
                 let desk = desk.clone();
                 tokio::spawn(async move {
-                    if let Err(err) = converse(stream, identity, &process, desk).await {
+                    if let Err(err) = converse(stream, identity, &process, sink, desk).await {
                         tracing::info!(%address, %err, "link: closed");
                     }
                 });
@@ -76,6 +79,7 @@
     mut stream: TcpStream,
     identity: ServerIdentity,
     process: &Process,
+    sink: Arc<dyn MarkSink>,
     desk: Option<mpsc::Sender<DeskEvent>>,
 ) -> Result<()> {
     stream.set_nodelay(true)?;
@@ -90,7 +94,7 @@
         .map_err(|_| WireError::Slow)??;
     let first: ToAgent = handshake::read_within(&mut stream, MAX_FRAME, identity.silent).await?;
     if let ToAgent::Ask(ask) = &first {
-        return handshake::write(&mut stream, &peer_ask::answer(process, ask)).await;
+        return handshake::write(&mut stream, &peer_ask::answer(process, sink.as_ref(), ask)).await;
     }
     let Some(desk) = desk else {
         return Err(WireError::Foreign);
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -18,6 +18,7 @@
 use crate::drain;
 use crate::entry::Entry;
 use crate::entry::Routing;
+use crate::evidence::Evidence;
 use crate::links::Links;
 use crate::metrics::EntryMetrics;
 use crate::metrics::Metrics;
@@ -57,17 +58,23 @@
         settings.name("process", "region"),
         settings.name("process", "zone"),
     );
-    let routing = Arc::new(Routing::new(common.clock(), Router::new(router)));
+    let evidence = Arc::new(Evidence::new(common.clock(), common.mark_spread(traffic)));
+    let routing = Routing::new(common.clock(), Router::new(router), evidence.clone());
+    let routing = Arc::new(routing);
     let links = Links::new(
         common.links().clone(),
         routing.clone(),
+        evidence.clone(),
         traffic.handle().clone(),
     );
+    let links = Arc::new(links);
+    evidence.pass_on(&links);
     let key = common.links().key.clone();
     let entry = Entry::new(process.clone(), routing, links, figures, key);
     let entry = Arc::new(entry);
     let listener = traffic.block_on(common.listen())?;
-    let serving = peer_server::serve(listener, common.identity(), process.clone(), None);
+    let identity = common.identity();
+    let serving = peer_server::serve(listener, identity, process.clone(), evidence, None);
     traffic.spawn(serving);
     let servers = ServersController::new(entry.clone(), common.net().clone());
     common.start(Vec::new(), vec![Box::new(servers)])?;
@@ -89,7 +96,10 @@
     let listener = traffic.block_on(common.listen())?;
     let platform = common.platform().clone();
     let identity = common.identity();
-    let starting = Agent::start(&process, listener, identity, platform, &metrics, open);
+    let spread = common.mark_spread(traffic);
+    let starting = Agent::start(
+        &process, listener, identity, platform, spread, &metrics, open,
+    );
     let agent = traffic.block_on(starting)?;
     let mut controllers: Vec<Box<dyn Controller>> = Vec::new();
     if let Some(engine) = agent::engine(process.settings()) {
--- a/daemon/src/record.rs
+++ b/daemon/src/record.rs
@@ -9,6 +9,7 @@
 use cicada_lib::ids::RequestId;
 use cicada_lib::outcome::Outcome;
 use cicada_lib::scheduler::JobKey;
+use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Time;
 use cicada_lib::transcript::Transcript;
 use cicada_lib::wire::StreamFrame;
@@ -43,6 +44,10 @@
     Queued(JobKey),
     /// It was handed to the backend server.
     Running(JobKey),
+    /// It waits until the engine runs nothing else.
+    Suspected,
+    /// It runs alone, and the scheduler does not know it.
+    Alone,
     /// It was taken over from an agent process that is gone; the scheduler does not know it.
     Adopted,
     /// It is over.
@@ -93,6 +98,8 @@
     pub(crate) ticket: Option<ClaimTicket>,
     /// Other requests that came with the same key and read this record.
     pub(crate) aliases: Vec<RequestId>,
+    /// What tells a generation from others; `None` for calls and where the prompt is not known.
+    pub(crate) fingerprint: Option<Fingerprint>,
     /// The work; taken when it starts.
     pub(crate) work: Option<Work>,
     /// When the caller no longer wants the answer.
@@ -118,6 +125,14 @@
 }
 
 impl Record {
+    /// Whether the backend server has it.
+    pub(crate) fn is_running(&self) -> bool {
+        matches!(
+            self.stage,
+            Stage::Running(_) | Stage::Alone | Stage::Adopted
+        )
+    }
+
     /// Whether it is over.
     pub(crate) fn is_ended(&self) -> bool {
         matches!(self.stage, Stage::Ended(_))
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -16,6 +16,7 @@
 use crate::load::LoadSummary;
 use crate::outcome::Outcome;
 use crate::platform::HostRecord;
+use crate::suspects::Mark;
 use crate::value_type;
 
 /// The first bytes of a connection; anything else is no process of this system.
@@ -135,6 +136,8 @@
         Cancel(u32),
         /// A heartbeat with a number that the answer repeats.
         Ping(u64),
+        /// Evidence on requests that end engines.
+        Marks(Vec<Mark>),
         /// A question between any two processes: the only frame of its connection, answered by a
         /// [`PeerAnswer`].
         Ask(PeerAsk),
@@ -154,10 +157,14 @@
             /// The digest of the list that the asker has; zero for none.
             held: u64,
         },
+        /// Evidence on requests that end engines, to take in and pass on.
+        Marks(Vec<Mark>),
     }
 
     /// The answer to a [`PeerAsk`].
     pub enum PeerAnswer {
+        /// The marks were taken in.
+        Taken,
         /// The version's parts; `None` where that version is not in force there.
         Config(Option<ConfigParts>),
         /// The hosts; `None` where the asker has the same list.
@@ -214,6 +221,8 @@
         Pong(u64, LoadSummary),
         /// Load, without being asked, as when the agent begins to drain.
         Load(LoadSummary),
+        /// Evidence on requests that end engines.
+        Marks(Vec<Mark>),
     }
 }
 
--- a/lib/testutils/src/deployment.rs
+++ b/lib/testutils/src/deployment.rs
@@ -298,7 +298,8 @@
     ) -> Result<(Daemon, Arc<FaultProxy>, UdpProxy)> {
         let peer = free_addr()?;
         let agent = self.spawn(name, "agent", place, peer, peer, backend)?;
-        let front = proxy(peer)?;
+        // On a port that is free for datagrams too.
+        let front = FaultProxy::start(free_addr()?, peer, 1)?;
         let datagrams = UdpProxy::start(front.addr(), peer)?;
         let record = host(
             name,
