--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -4,8 +4,8 @@
 //! restart at any time, while the platform's list of hosts lags by seconds. If everyone watched
 //! everyone, a process would receive 1,369 heartbeats a second, 150 KB. Here each sends three
 //! datagrams a second whatever the number of processes, mostly within its availability zone, and
-//! news is passed on at once (see [`crate::rumours`]). One of the three is a ping (see
-//! [`crate::probes`]), so that each process is pinged about once a second by someone near.
+//! news is passed on at once (see `rumours`). One of the three is a ping (see
+//! `probes`), so that each process is pinged about once a second by someone near.
 //!
 //! A call takes O(words in the datagram); [`Membership::members`] O(processes).
 
--- a/lib/src/roster.rs
+++ b/lib/src/roster.rs
@@ -3,7 +3,7 @@
 //!
 //! The list lags by seconds, so a leaving process would go on to get new work from everyone who
 //! trusts the list alone. Words and direct evidence go above it; of several the worst counts for new
-//! work. Everything is O(1) per word; [`Roster::views`] is O(n).
+//! work. Everything is O(1) per word; `Roster::views` is O(n).
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
