testutils: the measuring program starts, kills and restarts all processes; links counted

With gossip in the daemon the relays before agents need datagrams too, and prompts need heads of their own, or all streams go where the first one's prefix is cached. New: all processes started at once and killed and started again, and two processes before a store short of reads.

--- a/lib/testutils/src/bin/cicada-measure/client.rs
+++ b/lib/testutils/src/bin/cicada-measure/client.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -31,7 +32,8 @@
     }
 
     fn request(self, tokens: usize) -> String {
-        let prompt = format!("Tell it. len={tokens}");
+        // Each with a head of its own, so that none goes where another's prompt is cached.
+        let prompt = format!("Tell {:x}. len={tokens}", fastrand::u64(..));
         let (path, body) = match self {
             Target::Entry(_) => (
                 "/v1/completions",
@@ -88,6 +90,9 @@
     }
 }
 
+// One refusal tells enough.
+static TOLD: AtomicBool = AtomicBool::new(false);
+
 /// Opens so many streams, and returns the count of their tokens.
 pub(crate) fn open(target: Target, streams: usize, tokens: usize) -> OpenStreams {
     let seen = Arc::new(AtomicU64::new(0));
@@ -99,6 +104,7 @@
         tasks.spawn(async move {
             if let Err(err) = target.run(tokens, &seen).await
                 && failed.fetch_add(1, Ordering::Relaxed) == 0
+                && !TOLD.swap(true, Ordering::Relaxed)
             {
                 eprintln!("first failed stream: {err}");
             }
--- a/lib/testutils/src/bin/cicada-measure/configs.rs
+++ b/lib/testutils/src/bin/cicada-measure/configs.rs
@@ -4,6 +4,8 @@
 use std::time::Instant;
 
 use eyre::Result;
+use eyre::ensure;
+use testutils::platform::PlatformCounts;
 use tokio::time::sleep;
 
 use crate::fit::Line;
@@ -97,41 +99,82 @@
     Ok(())
 }
 
-// The store's reads a second, and the processes among which they are shared at the target.
-const READS: f64 = 2_000.0;
-const PROCESSES: f64 = 1_370.0;
+// Reads a second that the store takes, and those that are left of them in the first second of a start
+// of 1,370 processes, each of which reads the list of hosts.
+const READS: [f64; 2] = [2_000.0, 830.0];
 const WORKSPACES: usize = 5_100;
-const LIMIT: Duration = Duration::from_secs(90);
+const LIMIT: Duration = Duration::from_secs(40);
 
-/// All processes started at once before a store whose rate has the same part for each as 2,000 reads
-/// a second have at 1,370 processes.
+/// All processes started at once, in ten availability zones as at the target.
 pub(crate) async fn run_restart(sizes: &[usize]) -> Result<()> {
-    println!("\n## All processes started at once, {WORKSPACES} workspaces");
     for &size in sizes {
-        let reads = READS * size as f64 / PROCESSES;
-        let mut rig = Rig::with_reads(WORKSPACES, reads).await?;
-        let engine = rig.add_engine(5_000).await?;
-        let start = Instant::now();
-        for _ in 0..size {
-            rig.add_agent(engine).await?;
+        for reads in READS {
+            start_all(Rig::with_reads(WORKSPACES, reads).await?, size, reads).await?;
         }
-        let mut configured = 0;
-        while configured < size && start.elapsed() < LIMIT {
-            sleep(Duration::from_secs(1)).await;
-            configured = rig.configured().await;
-        }
-        let counts = rig.platform.counts();
-        println!(
-            "{size} processes, {reads:.0} reads/s: {configured} have a configuration after {:.0} s; \
-             {} reads sent, {} calls refused",
-            start.elapsed().as_secs_f64(),
-            counts.kinds.get("read").unwrap_or(&0),
-            counts.limited
-        );
     }
     Ok(())
 }
 
+/// Two processes of one availability zone before a store that is short of reads: one load of 65 reads
+/// takes as many seconds as the rate says, if it ends.
+pub(crate) async fn run_short(rates: &[usize]) -> Result<()> {
+    for &reads in rates {
+        let mut rig = Rig::with_reads(WORKSPACES, reads as f64).await?;
+        rig.zones = 1;
+        start_all(rig, 2, reads as f64).await?;
+    }
+    Ok(())
+}
+
+async fn start_all(mut rig: Rig, size: usize, reads: f64) -> Result<()> {
+    println!("\n{size} processes, {reads:.0} reads/s, {WORKSPACES} workspaces");
+    let engine = rig.add_engine(5_000).await?;
+    let start = Instant::now();
+    for _ in 0..size {
+        rig.add_agent(engine).await?;
+    }
+    let none = PlatformCounts::default();
+    follow_start(&mut rig, "first start", start, &none).await?;
+    sleep(SETTLE).await;
+    let before = rig.platform.counts();
+    let start = Instant::now();
+    rig.restart_all().await?;
+    follow_start(&mut rig, "killed and started again", start, &before).await
+}
+
+async fn follow_start(
+    rig: &mut Rig,
+    what: &str,
+    start: Instant,
+    before: &PlatformCounts,
+) -> Result<()> {
+    let size = rig.daemons().count();
+    let mut configured = 0;
+    while configured < size && start.elapsed() < LIMIT {
+        sleep(Duration::from_millis(200)).await;
+        configured = rig.configured().await;
+    }
+    let took = start.elapsed().as_secs_f64();
+    let ended = rig.ended()?;
+    ensure!(
+        ended == 0,
+        "{ended} of {size} processes ended at their start"
+    );
+    let counts = rig.platform.counts();
+    let since = |kind: &str| {
+        let of = |counts: &PlatformCounts| counts.kinds.get(kind).copied().unwrap_or(0);
+        of(&counts) - of(before)
+    };
+    println!(
+        "  {what}: {configured} have a configuration after {took:.1} s; {} reads and {} lists of \
+         hosts asked for, {} calls refused",
+        since("read"),
+        since("hosts"),
+        counts.limited - before.limited
+    );
+    Ok(())
+}
+
 /// Means over the processes of a role: kB, and microseconds of processor time so far.
 #[derive(Default)]
 struct Means {
--- a/lib/testutils/src/bin/cicada-measure/idle.rs
+++ b/lib/testutils/src/bin/cicada-measure/idle.rs
@@ -15,8 +15,8 @@
 use crate::rig::Rig;
 
 const SETTLE: Duration = Duration::from_secs(6);
-// Longer than one watch of 20 s on the configuration.
-const WINDOW: Duration = Duration::from_secs(24);
+// Two intervals at which the list of hosts is read.
+const WINDOW: Duration = Duration::from_secs(20);
 const IDLE_ENGINE: u64 = 5_000;
 // Of 1,370 processes 370 are entries.
 const ENTRIES_IN_100: usize = 27;
@@ -68,7 +68,7 @@
         println!("{size} processes ({entries} entries), started and ready after {ready:.1} s");
         let rate = window(&rig).await?;
         points[0].push(Point {
-            x: entries as f64,
+            x: size as f64,
             y: rate.hosts,
         });
         points[1].push(Point {
@@ -76,7 +76,7 @@
             y: rate.watches,
         });
     }
-    Line::fit(&points[0]).print("reads of the host list", "calls/s an entry");
+    Line::fit(&points[0]).print("reads of the host list", "calls/s a process");
     Line::fit(&points[1]).print("watches", "calls/s a process");
     Ok(())
 }
@@ -93,7 +93,6 @@
     let counts = rig.platform.counts();
     let entry_bytes = rig.entry_relay.bytes();
     let agent_bytes = rig.agent_relay.bytes();
-    let link_bytes: u64 = rig.links.iter().map(|link| link.bytes()).sum();
     let start = Instant::now();
     sleep(WINDOW).await;
     let took = start.elapsed().as_secs_f64();
@@ -122,11 +121,6 @@
             each(bytes, daemons)
         );
     }
-    let links: u64 = rig.links.iter().map(|link| link.bytes()).sum();
-    println!(
-        "  links: {:.0} B/s in all",
-        (links - link_bytes) as f64 / took
-    );
     let after = rig.platform.counts();
     let rate = |kind: &str| {
         let of =
@@ -155,6 +149,8 @@
     for &size in sizes {
         let mut rig = Rig::start(10).await?;
         let engine = rig.add_engine(IDLE_ENGINE).await?;
+        rig.zones = 1;
+        rig.count_links = true;
         for _ in 0..size {
             rig.add_agent(engine).await?;
         }
--- a/lib/testutils/src/bin/cicada-measure/main.rs
+++ b/lib/testutils/src/bin/cicada-measure/main.rs
@@ -26,7 +26,8 @@
   links [N ...]     an idle entry with N open links (4 16 48)
   hosts [N ...]     an idle entry before a list of N hosts (10 100 1370)
   configs [N ...]   configurations of N workspaces (100 1000 5100)
-  restart [N ...]   N processes started at once before a store of the same rate for each (25 50 100)
+  restart [N ...]   N processes started at once, 5,100 workspaces (50 100 200)
+  short [N ...]     two processes before a store that takes N reads a second (50 200 500)
 
 Build with --release first: cargo build --release --workspace --locked";
 
@@ -49,7 +50,8 @@
         "links" => idle::run_links(&or(&[4, 16, 48])).await,
         "hosts" => idle::run_hosts(&or(&[10, 100, 1_370])).await,
         "configs" => configs::run(&or(&[100, 1_000, 5_100])).await,
-        "restart" => configs::run_restart(&or(&[25, 50, 100])).await,
+        "restart" => configs::run_restart(&or(&[50, 100, 200])).await,
+        "short" => configs::run_short(&or(&[50, 200, 500])).await,
         _ => bail!("{USAGE}"),
     }
 }
--- a/lib/testutils/src/bin/cicada-measure/relay.rs
+++ b/lib/testutils/src/bin/cicada-measure/relay.rs
@@ -21,9 +21,14 @@
 }
 
 impl Relay {
-    /// Starts a relay to `target`.
+    /// Starts a relay to `target`, on any free port.
     pub(crate) async fn start(target: SocketAddr) -> Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Relay::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), target).await
+    }
+
+    /// Starts a relay from `listen` to `target`.
+    pub(crate) async fn start_at(listen: SocketAddr, target: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
         let addr = listener.local_addr()?;
         let bytes = Arc::new(AtomicU64::new(0));
         let count = bytes.clone();
--- a/lib/testutils/src/bin/cicada-measure/rig.rs
+++ b/lib/testutils/src/bin/cicada-measure/rig.rs
@@ -26,6 +26,7 @@
 use eyre::Result;
 use eyre::bail;
 use testutils::cluster::Process;
+use testutils::cluster::Signal;
 use testutils::cluster::free_addr;
 use testutils::cluster::program;
 use testutils::deployment::KEY;
@@ -34,6 +35,7 @@
 use testutils::http_call;
 use testutils::platform::PlatformServer;
 use testutils::platform::PlatformSettings;
+use testutils::udp_proxy::UdpProxy;
 
 use crate::proc_stat::Usage;
 use crate::relay::Relay;
@@ -51,6 +53,7 @@
     pub(crate) status: SocketAddr,
     /// Where it serves callers; the peer address for an agent.
     pub(crate) listen: SocketAddr,
+    config: String,
 }
 
 impl Daemon {
@@ -88,6 +91,11 @@
     pub(crate) entries: Vec<Daemon>,
     /// The agents.
     pub(crate) agents: Vec<Daemon>,
+    /// The availability zones over which hosts are spread, 1 to 10.
+    pub(crate) zones: usize,
+    /// Whether a relay on each way to an agent counts bytes.
+    pub(crate) count_links: bool,
+    datagrams: Vec<UdpProxy>,
     held: Option<Loaded>,
     dir: PathBuf,
     engines: Vec<Process>,
@@ -119,6 +127,9 @@
             links: Vec::new(),
             entries: Vec::new(),
             agents: Vec::new(),
+            zones: ZONES,
+            count_links: false,
+            datagrams: Vec::new(),
             held: None,
             dir,
             engines: Vec::new(),
@@ -194,10 +205,22 @@
         let name = format!("agent-{place}");
         let relay = self.agent_relay.addr;
         let daemon = self.spawn(&name, "agent", place, relay, peer, &role)?;
-        let link = Relay::start(peer).await?;
-        let record = host(&name, HostRole::Agent, link.addr, daemon.status, place);
+        let mut address = peer;
+        if self.count_links {
+            address = free_addr()?;
+            let link = Relay::start_at(address, peer).await?;
+            self.datagrams.push(UdpProxy::start(address, peer)?);
+            self.links.push(link);
+        }
+        let record = host(
+            &name,
+            HostRole::Agent,
+            address,
+            daemon.status,
+            place,
+            self.zones,
+        );
         self.platform.put_host(record);
-        self.links.push(link);
         self.agents.push(daemon);
         Ok(())
     }
@@ -211,7 +234,14 @@
         let name = format!("entry-{place}");
         let relay = self.entry_relay.addr;
         let daemon = self.spawn(&name, "entry", place, relay, listen, &role)?;
-        let record = host(&name, HostRole::Entry, peer, daemon.status, place);
+        let record = host(
+            &name,
+            HostRole::Entry,
+            peer,
+            daemon.status,
+            place,
+            self.zones,
+        );
         self.platform.put_host(record);
         self.entries.push(daemon);
         Ok(())
@@ -223,7 +253,7 @@
         for place in held..count {
             let address = SocketAddr::from(([127, 0, 0, 1], 9));
             let name = format!("listed-{place}");
-            let record = host(&name, HostRole::Agent, address, address, place);
+            let record = host(&name, HostRole::Agent, address, address, place, self.zones);
             self.platform.put_host(record);
         }
     }
@@ -238,7 +268,7 @@
         part: &str,
     ) -> Result<Daemon> {
         let status = free_addr()?;
-        let (region, zone) = location(place);
+        let (region, zone) = location(place, self.zones);
         let dir = self.dir.display();
         let config = format!(
             "[platform]\naddress = {platform}\ntoken_file = {dir}/token\n\
@@ -250,6 +280,7 @@
             process,
             status,
             listen,
+            config,
         })
     }
 
@@ -267,6 +298,28 @@
         count
     }
 
+    /// Kills every daemon, then starts all of them again. The platform's list stays as it is.
+    pub(crate) async fn restart_all(&mut self) -> Result<()> {
+        let bin = program("cicadad")?;
+        for daemon in self.entries.iter_mut().chain(&mut self.agents) {
+            daemon.process.signal(Signal::Kill)?;
+            daemon.process.wait_end(Duration::from_secs(5)).await?;
+        }
+        for daemon in self.entries.iter_mut().chain(&mut self.agents) {
+            daemon.process = Process::spawn(&bin, &daemon.config)?;
+        }
+        Ok(())
+    }
+
+    /// How many daemons have ended.
+    pub(crate) fn ended(&mut self) -> Result<usize> {
+        let mut count = 0;
+        for daemon in self.entries.iter_mut().chain(&mut self.agents) {
+            count += usize::from(daemon.process.status()?.is_some());
+        }
+        Ok(count)
+    }
+
     /// Waits until every daemon is ready.
     pub(crate) async fn wait_ready(&mut self) -> Result<()> {
         for daemon in self.entries.iter_mut().chain(&mut self.agents) {
@@ -310,8 +363,8 @@
     }
 }
 
-fn location(place: usize) -> (String, String) {
-    let zone = place % ZONES;
+fn location(place: usize, zones: usize) -> (String, String) {
+    let zone = place % zones;
     let region = zone % REGIONS;
     (format!("region-{region}"), format!("zone-{zone}"))
 }
@@ -322,8 +375,9 @@
     address: SocketAddr,
     status: SocketAddr,
     place: usize,
+    zones: usize,
 ) -> HostRecord {
-    let (region, zone) = location(place);
+    let (region, zone) = location(place, zones);
     let service = match role {
         HostRole::Agent => MODEL_SERVICE,
         HostRole::Entry => "",
--- a/lib/testutils/src/bin/cicada-measure/streams.rs
+++ b/lib/testutils/src/bin/cicada-measure/streams.rs
@@ -22,6 +22,7 @@
 pub(crate) async fn run(sizes: &[usize]) -> Result<()> {
     println!("\n## Memory of open streams: one entry, {AGENTS} agents");
     let mut rig = Rig::start(10).await?;
+    rig.zones = 1;
     for _ in 0..AGENTS {
         let engine = rig.add_engine(STEP_MICROS).await?;
         rig.add_agent(engine).await?;
