--- a/lib/testutils/src/bin/cicada-measure/streams.rs
+++ b/lib/testutils/src/bin/cicada-measure/streams.rs
@@ -30,6 +30,7 @@
     rig.add_entry().await?;
     rig.wait_ready().await?;
     let target = Target::Entry(rig.entry()?.listen);
+    sleep(SETTLE).await;
     let mut open = Vec::new();
     let mut opened = 0;
     let mut entry = vec![Point {
