--- a/daemon/src/config_controller.rs
+++ b/daemon/src/config_controller.rs
@@ -94,7 +94,10 @@
         let mut spread = Spread::new(self.clock.now(), region, zone, &mut rng);
         loop {
             let now = self.clock.now();
-            let watcher = self.sources.net.membership().is_watcher(now);
+            // A process that knows nobody yet would take itself for a watcher. When all start at once,
+            // each of them would read all of the configuration from the store.
+            let knows_others = !self.process.hosts().is_empty();
+            let watcher = knows_others && self.sources.net.membership().is_watcher(now);
             let seen = self.sources.net.membership().best_config();
             let own = self.state.mark();
             let view = SpreadView {
