dispatch: deadlines and full connections tell the truth

Three answers said more than was known. A stream resumed past its deadline was told 'ran: no': seen red, green now. A plain call cut by its deadline was told 'ran: yes', though its effect is open. A connection with too many streams ran a request and denied it.

--- a/daemon/src/desk_runs.rs
+++ b/daemon/src/desk_runs.rs
@@ -8,6 +8,7 @@
 use cicada_lib::outcome::NotRun;
 use cicada_lib::outcome::Outcome;
 use cicada_lib::outcome::RefusalReason;
+use cicada_lib::outcome::UnknownReason;
 use cicada_lib::scheduler::Action;
 use cicada_lib::scheduler::JobKey;
 use cicada_lib::scheduler::JobSpec;
@@ -192,6 +193,10 @@
             Stage::Queued(_) | Stage::Suspected => {
                 Outcome::NotRun(NotRun::left_queue(RefusalReason::Cancelled, None))
             }
+            // A plain service cannot be told to stop: whether the call takes effect is open.
+            Stage::Running(_) if record.transcript.is_none() => {
+                Outcome::Unknown(UnknownReason::AnswerLost)
+            }
             _ => Outcome::Failed(reason),
         };
         if let Some(generation) = self.generation(key) {
--- a/daemon/src/desk_streams.rs
+++ b/daemon/src/desk_streams.rs
@@ -7,6 +7,7 @@
 use cicada_lib::outcome::NotRun;
 use cicada_lib::outcome::Outcome;
 use cicada_lib::outcome::RefusalReason;
+use cicada_lib::outcome::UnknownReason;
 use cicada_lib::suspects::Fingerprint;
 use cicada_lib::transcript::Transcript;
 use cicada_lib::wire::Attach;
@@ -45,7 +46,7 @@
             self.records.alias(submit.request, key);
             return self.join(key, reader);
         }
-        if let Some(refusal) = self.refusal(&submit) {
+        if let Some(refusal) = self.refusal(conn, &submit) {
             return self.refuse(reader, refusal);
         }
         let record = self.record(submit);
@@ -57,7 +58,7 @@
         }
     }
 
-    pub(crate) fn refusal(&self, submit: &Submit) -> Option<NotRun> {
+    pub(crate) fn refusal(&self, conn: ConnKey, submit: &Submit) -> Option<NotRun> {
         let soon = Some(TICK * 10);
         if self.draining {
             return Some(NotRun::before_dispatch(RefusalReason::Draining, soon));
@@ -68,6 +69,12 @@
         if !self.reachable {
             return Some(NotRun::before_dispatch(RefusalReason::NoBackend, soon));
         }
+        if !self.conns.has_room(conn) {
+            return Some(NotRun::before_dispatch(
+                RefusalReason::ConcurrencyLimited,
+                soon,
+            ));
+        }
         if self.records.len() >= self.settings.max_records {
             return Some(NotRun::before_dispatch(RefusalReason::QueueFull, soon));
         }
@@ -154,8 +161,8 @@
             return;
         };
         if !self.conns.open(reader.conn, reader.stream, key) {
-            let refusal = NotRun::before_dispatch(RefusalReason::ConcurrencyLimited, Some(TICK));
-            return self.refuse(reader, refusal);
+            // The request is known here and may run: it is not for a full connection to deny that.
+            return self.finish_reader(reader, Outcome::Unknown(UnknownReason::AnswerLost));
         }
         record.unread = None;
         record.readers.push(reader);
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -192,10 +192,9 @@
 
     /// The outcome of a request whose deadline passed without a word from its agent.
     fn overdue(&self) -> Outcome {
-        match (
-            &self.request.work,
-            self.stream.is_some() || self.lost.is_some(),
-        ) {
+        // A stream that was asked for again has a generation before it has a connection.
+        let handed = self.stream.is_some() || self.lost.is_some() || self.generation.is_some();
+        match (&self.request.work, handed) {
             (_, false) => Outcome::NotRun(NotRun::before_dispatch(
                 RefusalReason::DeadlineUnreachable,
                 None,
--- a/daemon/src/record.rs
+++ b/daemon/src/record.rs
@@ -198,6 +198,12 @@
         true
     }
 
+    /// Whether the connection may have one more stream.
+    pub(crate) fn has_room(&self, conn: ConnKey) -> bool {
+        let conn = self.conns.get(conn);
+        conn.is_none_or(|conn| conn.streams.len() < MAX_STREAMS)
+    }
+
     /// The record that a stream reads.
     pub(crate) fn reading(&self, conn: ConnKey, stream: u32) -> Option<RecordKey> {
         self.conns.get(conn)?.streams.get(&stream).copied()
--- a/daemon/tests/call_faults.rs
+++ b/daemon/tests/call_faults.rs
@@ -282,3 +282,23 @@
     assert_eq!(error_of(&answer)?["ran"], "unknown", "{answer:?}");
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_past_its_deadline_may_have_run() -> Result<()> {
+    // The plain service takes longer than the caller's deadline. The call cannot be taken back: the
+    // caller is told that it may have run, and it does run, once.
+    let deployment = start(1, 1).await?;
+    deployment.services[0].service.set_faults(ServiceFaults {
+        slow: 1_500,
+        ..ServiceFaults::default()
+    });
+    let headers = [("x-deadline-ms", "500")];
+    let answer = deployment
+        .caller(0)
+        .send("POST", BOOK, &headers, "{}")
+        .await?;
+    assert_eq!(error_of(&answer)?["ran"], "unknown", "{answer:?}");
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(all_effects(&deployment), 1);
+    Ok(())
+}
--- a/daemon/tests/killers.rs
+++ b/daemon/tests/killers.rs
@@ -5,8 +5,8 @@
 use eyre::Result;
 use testutils::deployment::Deployment;
 use testutils::deployment::DeploymentSettings;
-use testutils::engine_core::End;
-use testutils::engine_core::RunRecord;
+use testutils::generation::End;
+use testutils::generation::RunRecord;
 use testutils::token_text::prompt_digest;
 
 fn deaths(deployment: &Deployment) -> u64 {
--- a/daemon/tests/stream_faults.rs
+++ b/daemon/tests/stream_faults.rs
@@ -248,3 +248,29 @@
     assert_eq!(engine.load().running, 0);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumed_stream_past_its_deadline_is_not_called_not_run() -> Result<()> {
+    // The caller asks another entry for the rest of a stream, with a short deadline, and the agent does
+    // not answer.
+    // The generation ran: the caller must not be told "not run".
+    let mut deployment = Deployment::start(settings(1, 2)).await?;
+    let prompt = "a programme len=2000";
+    let caller = deployment.caller(0);
+    let mut stream = caller.stream(prompt).await?;
+    let mut heard = Heard::default();
+    stream.hear_some(&mut heard, 20).await;
+    deployment.engines[0].agent.process.signal(Signal::Stop)?;
+    let body = format!("{{\"model\": \"model\", \"prompt\": \"{prompt}\", \"stream\": true}}");
+    let headers = [
+        ("last-event-id", heard.last_id.as_str()),
+        ("x-deadline-ms", "500"),
+    ];
+    let answer = caller
+        .send("POST", "/v1/completions", &headers, &body)
+        .await?;
+    let error = testutils::caller::error_of(&answer)?;
+    assert_eq!(error["ran"], "yes", "{error}");
+    deployment.engines[0].agent.process.signal(Signal::Cont)?;
+    Ok(())
+}
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -158,7 +158,7 @@
     key("entry", "resume_window", Kind::Millis { min: 100, max: 120_000 }, "10000", "How long a stream tries to go on over new connections. The agent keeps it for [agent] linger."),
     key("agent", "linger", Kind::Millis { min: 0, max: 600_000 }, "15000", "How long a stream that nobody reads goes on before it is cancelled. Longer than [entry] resume_window, so that a live entry is never too late."),
     key("agent", "replay", Kind::Millis { min: 0, max: 3_600_000 }, "60000", "How long a stream that ended can be resumed."),
-    key("agent", "max_records", Kind::Count { min: 100, max: 1_000_000 }, "20000", "Most requests remembered, ended ones included. Oldest ended ones go first."),
+    key("agent", "max_records", Kind::Count { min: 100, max: 1_000_000 }, "20000", "Most requests remembered, ended ones included until [agent] replay is over. Further ones are refused as `queue_full`."),
     key("backend", "kind", Kind::Choice(&["engine", "service"]), "engine", "What stands behind an agent."),
     key("backend", "service", Kind::OptionalName, "", "Service of the backend server. Needed by an agent."),
     key("backend", "address", Kind::OptionalAddress, "", "Where the backend server listens. Needed by an agent."),
