--- a/daemon/tests/stream_faults.rs
+++ b/daemon/tests/stream_faults.rs
@@ -266,7 +266,8 @@
         ("last-event-id", heard.last_id.as_str()),
         ("x-deadline-ms", "500"),
     ];
-    let answer = caller
+    let answer = deployment
+        .caller(1)
         .send("POST", "/v1/completions", &headers, &body)
         .await?;
     let error = testutils::caller::error_of(&answer)?;
