chaos: a seeded schedule of faults on the whole deployment, judged by promises

Every failure test brings about one fault that somebody thought of. This one draws faults from a seed, alone, together and twice, on real processes, while twelve callers send streams, completions, keyed and unkeyed bookings and reads, and hold every answer against the promises. It judges neither speed nor success rates.

`OpenStream::whole` reads the body of a refused stream.

--- a/lib/testutils/src/caller.rs
+++ b/lib/testutils/src/caller.rs
@@ -155,6 +155,14 @@
 }
 
 impl OpenStream {
+    /// The whole answer, where it is no stream.
+    pub async fn whole(self) -> Result<Response<Bytes>> {
+        let body = timeout(LIMIT, self.body.collect()).await??.to_bytes();
+        let mut answer = Response::new(body);
+        *answer.status_mut() = self.status;
+        Ok(answer)
+    }
+
     /// Reads to the end, or to where the connection broke.
     pub async fn hear(mut self) -> Heard {
         let mut heard = Heard::default();
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -2,6 +2,9 @@
 //! tests and trials on one machine.
 
 pub mod caller;
+pub mod chaos;
+mod chaos_callers;
+mod chaos_faults;
 pub mod cluster;
 pub mod deployment;
 pub mod engine;
