--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -8,6 +8,7 @@
 use cicada_lib::backend::CallSpec;
 use cicada_lib::backend::Header;
 use cicada_lib::config::Config;
+use cicada_lib::config::Keyless;
 use cicada_lib::config::ServiceConfig;
 use cicada_lib::config::ServiceKind;
 use cicada_lib::ids::Name;
@@ -210,7 +211,7 @@
             prefix: prompt_head(&asked.prompt),
             deadline: self.deadline(inbound.headers)?,
             idempotent: true,
-            attempts: self.attempts,
+            attempts: self.attempts_for(&config.config, service),
             work: Work::Generate {
                 model: asked.model.clone(),
                 adapter: Name::default(),
@@ -271,17 +272,25 @@
         let id = RequestId::random();
         let key = idempotency_key(inbound.headers)?;
         let idempotent = settings.is_idempotent(method, path_only(&path));
+        if !idempotent && key.is_empty() && settings.keyless == Keyless::Refuse {
+            let message = "this service takes no such call without an Idempotency-Key; send one";
+            return Err(Refusal::bad(
+                StatusCode::BAD_REQUEST,
+                "idempotency_key_needed",
+                message,
+            ));
+        }
         let request = Request {
             id,
             // A call that may run twice needs no claim.
             key: if idempotent { String::new() } else { key },
             idempotent,
-            service,
             model: Name::default(),
             workspace: inbound.workspace.clone(),
             prefix: 0,
             deadline: self.deadline(inbound.headers)?,
-            attempts: self.attempts.min(settings.max_attempts),
+            attempts: self.attempts_for(&config.config, &service),
+            service,
             work: Work::Call(CallSpec {
                 method: method.to_string(),
                 path,
@@ -293,6 +302,12 @@
         answer(dispatch).await
     }
 
+    /// Most attempts for a request: the smaller of the process's and the service's limit.
+    fn attempts_for(&self, config: &Config, service: &Name) -> u32 {
+        let limit = config.services.get(service).map(|found| found.max_attempts);
+        self.attempts.min(limit.unwrap_or(u32::MAX))
+    }
+
     async fn read_body(&self, ctx: &Page<'_>) -> Result<Bytes> {
         let reading = self.read_bounded(ctx);
         match tokio::time::timeout(self.send_time, reading).await {
--- a/daemon/tests/call_faults.rs
+++ b/daemon/tests/call_faults.rs
@@ -3,6 +3,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cicada_lib::config::Keyless;
+use cicada_lib::config_edit::Action;
+use cicada_lib::config_edit::Change;
+use cicada_lib::config_edit::Edit;
+use cicada_lib::config_edit::ServiceField;
+use cicada_lib::ids::Name;
 use eyre::Result;
 use http::Response;
 use testutils::caller::Caller;
@@ -10,6 +16,7 @@
 use testutils::cluster::Signal;
 use testutils::deployment::Deployment;
 use testutils::deployment::DeploymentSettings;
+use testutils::deployment::PLAIN_SERVICE;
 use testutils::platform::PlatformFaults;
 use testutils::proxy::LinkFaults;
 use testutils::service::ServiceFaults;
@@ -302,3 +309,26 @@
     assert_eq!(all_effects(&deployment), 1);
     Ok(())
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_service_that_wants_keys_takes_no_call_without_one() -> Result<()> {
+    let deployment = start(1, 1).await?;
+    let fields = vec![ServiceField::Keyless(Keyless::Refuse)];
+    let edit = Edit::Service(Name::new(PLAIN_SERVICE), Action::Set(fields));
+    deployment.commit(Change::new(vec![edit])).await?;
+    let caller = deployment.caller(0);
+    for _ in 0..100 {
+        let answer = caller.send("POST", BOOK, &[], "{}").await?;
+        if answer.status() == 400 {
+            assert_eq!(error_of(&answer)?["code"], "idempotency_key_needed");
+            let read = caller
+                .send("GET", "/services/booking/fonts", &[], "")
+                .await?;
+            assert!(read.status().is_success(), "{read:?}");
+            assert!(book(&caller, "with").await?.status().is_success());
+            return Ok(());
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("calls without a key are still taken");
+}
