--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -3,7 +3,9 @@
 mod agent;
 mod args;
 mod callers;
+mod calls;
 mod common;
+mod completions;
 mod config_controller;
 mod control;
 mod desk;
