--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -21,15 +21,11 @@
 use cicada_lib::outcome::RefusalReason;
 use cicada_lib::outcome::RetryReason;
 use cicada_lib::outcome::UnknownReason;
-use cicada_lib::routing::Ask;
 use cicada_lib::routing::End;
 use cicada_lib::routing::EndResult;
 use cicada_lib::routing::ServerKey;
-use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Time;
-use cicada_lib::wire::Attach;
 use cicada_lib::wire::StreamFrame;
-use cicada_lib::wire::Submit;
 use cicada_lib::wire::Work;
 
 use crate::entry::Entry;
@@ -86,44 +82,44 @@
 }
 
 /// Time beyond the deadline in which the agent's own word on it may still come.
-const DEADLINE_GRACE: Duration = Duration::from_millis(1_500);
+pub(crate) const DEADLINE_GRACE: Duration = Duration::from_millis(1_500);
 
 /// First and longest pause between two attempts to reach an agent again.
-const REACH_PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(800));
+pub(crate) const REACH_PAUSES: (Duration, Duration) =
+    (Duration::from_millis(50), Duration::from_millis(800));
 
 /// The most tokens that an estimate for routing counts: lengths are unknown, and limits far above
 /// what is used would hide the difference between servers.
-const EXPECTED_TOKENS: u32 = 256;
+pub(crate) const EXPECTED_TOKENS: u32 = 256;
 
 /// A request under way. Dropping it before the end leaves the stream to be resumed, or cancels it
 /// where nobody could resume it.
 pub(crate) struct Dispatch {
-    entry: Arc<Entry>,
-    request: Request,
-    attempt: Attempt,
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) request: Request,
+    pub(crate) attempt: Attempt,
     // The server of the current attempt, until the router was told of its end.
-    server: Option<ServerKey>,
-    agent: Name,
-    stream: Option<LinkStream>,
-    incarnation: u64,
-    tried: Vec<ServerKey>,
-    generation: Option<GenerationId>,
+    pub(crate) server: Option<ServerKey>,
+    pub(crate) agent: Name,
+    pub(crate) stream: Option<LinkStream>,
+    pub(crate) incarnation: u64,
+    pub(crate) tried: Vec<ServerKey>,
+    pub(crate) generation: Option<GenerationId>,
     // The index of the next token; every one before it was given out.
-    next: u32,
-    handed: Time,
-    started: Time,
-    progress: Time,
-    longest: Duration,
-    release: Release,
-    lost: Option<RetryReason>,
+    pub(crate) next: u32,
+    pub(crate) handed: Time,
+    pub(crate) started: Time,
+    pub(crate) progress: Time,
+    pub(crate) longest: Duration,
+    pub(crate) release: Release,
+    pub(crate) lost: Option<RetryReason>,
     // What became of an earlier attempt that was given up on and may have run. While there is one,
     // "not run" is never said, whatever becomes of later attempts.
-    doubt: Option<Outcome>,
-    ended: bool,
+    pub(crate) doubt: Option<Outcome>,
+    pub(crate) ended: bool,
 }
 
 impl Dispatch {
-    /// A request that has been nowhere yet.
     pub(crate) fn new(entry: Arc<Entry>, request: Request, release: Release) -> Self {
         let now = entry.clock().now();
         entry.metrics().open().inc();
@@ -149,7 +145,6 @@
         }
     }
 
-    /// A stream that goes on where another one broke off, maybe at another entry.
     pub(crate) fn resume(entry: Arc<Entry>, request: Request, position: Position) -> Self {
         let mut dispatch = Dispatch::new(entry, request, Release::Detach);
         dispatch.attempt = position.attempt;
@@ -159,17 +154,14 @@
         dispatch
     }
 
-    /// What all requests share.
     pub(crate) fn entry(&self) -> &Arc<Entry> {
         &self.entry
     }
 
-    /// The request.
     pub(crate) fn request(&self) -> &Request {
         &self.request
     }
 
-    /// Where the stream stands; `None` before its first token.
     pub(crate) fn position(&self) -> Option<Position> {
         Some(Position {
             request: self.request.id,
@@ -180,7 +172,6 @@
         })
     }
 
-    /// What to give the caller next. Must not be called after the end.
     pub(crate) async fn next(&mut self) -> Part {
         let now = self.entry.clock().now();
         let limit = self.request.deadline.since(now) + DEADLINE_GRACE;
@@ -190,8 +181,7 @@
         }
     }
 
-    /// The outcome of a request whose deadline passed without a word from its agent.
-    fn overdue(&self) -> Outcome {
+    pub(crate) fn overdue(&self) -> Outcome {
         // A stream that was asked for again has a generation before it has a connection.
         let handed = self.stream.is_some() || self.lost.is_some() || self.generation.is_some();
         match (&self.request.work, handed) {
@@ -204,7 +194,7 @@
         }
     }
 
-    async fn advance(&mut self) -> Part {
+    pub(crate) async fn advance(&mut self) -> Part {
         loop {
             if self.stream.is_none()
                 && let Err(outcome) = self.reach().await
@@ -221,178 +211,7 @@
         }
     }
 
-    /// Gets a stream: of a new attempt, or of the one that runs.
-    async fn reach(&mut self) -> Result<(), Outcome> {
-        if self.lost.is_some() || (self.generation.is_some() && self.server.is_none()) {
-            self.reattach().await
-        } else {
-            self.submit().await
-        }
-    }
-
-    async fn submit(&mut self) -> Result<(), Outcome> {
-        loop {
-            if self.entry.verdict(&self.request) == Verdict::Refuse {
-                return Err(Outcome::Failed(FailureReason::KillsBackends));
-            }
-            let server = self.choose().map_err(Outcome::NotRun)?;
-            self.tried.push(server.key);
-            self.attempt = Attempt(self.attempt.0 + 1);
-            self.agent = server.name;
-            self.handed = self.entry.clock().now();
-            self.server = Some(server.key);
-            if let Some(link) = self.entry.links().get(&self.agent).await {
-                let stream = link.submit(self.message()).await;
-                if let Some(stream) = stream {
-                    self.incarnation = stream.incarnation();
-                    self.keep(stream);
-                    return Ok(());
-                }
-            }
-            self.leave(EndResult::Lost);
-            let refusal = NotRun::never_sent(RefusalReason::ConnectFailed);
-            self.retry(RetryReason::ConnectFailed, refusal).await?;
-        }
-    }
-
-    fn choose(&mut self) -> Result<Chosen, NotRun> {
-        let request = &self.request;
-        let expected = match &request.work {
-            Work::Generate { max_tokens, .. } => (*max_tokens).min(EXPECTED_TOKENS),
-            Work::Call(_) => 1,
-        };
-        let ask = Ask {
-            service: &request.service,
-            model: &request.model,
-            workspace: &request.workspace,
-            prefix: request.prefix,
-            expected_tokens: expected,
-            affinity: self.entry.affinity(request),
-            tried: &self.tried,
-        };
-        self.entry.choose(&ask)
-    }
-
-    fn message(&self) -> Submit {
-        let now = self.entry.clock().now();
-        let left = self.request.deadline.since(now).as_millis();
-        Submit {
-            request: self.request.id,
-            attempt: self.attempt,
-            service: self.request.service.clone(),
-            workspace: self.request.workspace.clone(),
-            key: self.request.key.clone(),
-            deadline: u64::try_from(left).unwrap_or(u64::MAX),
-            elsewhere: self.entry.elsewhere(&self.request.workspace, &self.agent),
-            credit: 0,
-            work: self.request.work.clone(),
-        }
-    }
-
-    fn keep(&mut self, mut stream: LinkStream) {
-        stream.on_drop(self.release);
-        self.stream = Some(stream);
-        self.lost = None;
-    }
-
-    /// Asks the agent of the running attempt for its stream over a new connection.
-    async fn reattach(&mut self) -> Result<(), Outcome> {
-        let since = self.entry.clock().now();
-        let mut pause = REACH_PAUSES.0;
-        loop {
-            if let Some(link) = self.entry.links().get(&self.agent).await {
-                // A new process at the agent's address knows nothing of the attempt. The engine may
-                // still run the generation, and the generation's identifier lets the agent ask it.
-                if link.incarnation() != self.incarnation && self.generation.is_none() {
-                    return self.abandon().await;
-                }
-                if let Some(stream) = link.attach(self.attach_message()).await {
-                    self.incarnation = link.incarnation();
-                    self.keep(stream);
-                    return Ok(());
-                }
-            } else if self.may_move() {
-                return self.abandon().await;
-            }
-            if self.entry.clock().now().since(since) > self.entry.resume_window() {
-                return self.abandon().await;
-            }
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(REACH_PAUSES.1);
-        }
-    }
-
-    fn attach_message(&self) -> Attach {
-        Attach {
-            request: self.request.id,
-            attempt: self.attempt,
-            workspace: self.request.workspace.clone(),
-            generation: self.generation,
-            next: self.next,
-            credit: 0,
-        }
-    }
-
-    /// Whether another attempt does no harm although this one may run: nothing of it was given out.
-    fn may_move(&self) -> bool {
-        self.generation.is_none() && (self.is_generation() || self.request.idempotent)
-    }
-
-    fn is_generation(&self) -> bool {
-        matches!(self.request.work, Work::Generate { .. })
-    }
-
-    /// Gives up on the attempt, whose agent cannot be asked.
-    async fn abandon(&mut self) -> Result<(), Outcome> {
-        self.leave(EndResult::Lost);
-        self.lost = None;
-        if self.generation.is_some() {
-            return Err(Outcome::Failed(FailureReason::BackendLost));
-        }
-        if !self.may_move() && self.request.key.is_empty() {
-            return Err(Outcome::Unknown(UnknownReason::AnswerLost));
-        }
-        // A keyed call may be handed in again: the claim on its key keeps it from running twice.
-        let fallback = match self.is_generation() {
-            true => Outcome::Failed(FailureReason::BackendLost),
-            false => Outcome::Unknown(UnknownReason::AnswerLost),
-        };
-        self.doubt = Some(fallback.clone());
-        self.again(RetryReason::LostBeforeFirstToken, fallback)
-            .await?;
-        self.submit_boxed().await
-    }
-
-    /// Breaks the cycle of futures between `submit` and `abandon`.
-    async fn submit_boxed(&mut self) -> Result<(), Outcome> {
-        Box::pin(self.submit()).await
-    }
-
-    /// Waits until a retry is due, or gives the refusal where none is left.
-    async fn retry(&mut self, reason: RetryReason, refusal: NotRun) -> Result<(), Outcome> {
-        self.again(reason, Outcome::NotRun(refusal)).await
-    }
-
-    async fn again(&mut self, reason: RetryReason, otherwise: Outcome) -> Result<(), Outcome> {
-        if self.attempt.0 >= self.request.attempts {
-            return Err(otherwise);
-        }
-        match self.entry.may_retry(&self.request.service, reason) {
-            Some(pause) => {
-                self.entry.metrics().retried(reason);
-                tracing::info!(
-                    request = %self.request.id, attempt = self.attempt.0, ?reason,
-                    "dispatch: another attempt",
-                );
-                tokio::time::sleep(pause).await;
-                Ok(())
-            }
-            None => Err(otherwise),
-        }
-    }
-
-    /// Takes a frame; `None` where there is nothing to give the caller.
-    async fn take(&mut self, frame: Option<StreamFrame>) -> Option<Part> {
+    pub(crate) async fn take(&mut self, frame: Option<StreamFrame>) -> Option<Part> {
         match frame {
             None => {
                 self.stream = None;
@@ -428,7 +247,7 @@
         }
     }
 
-    fn take_tokens(
+    pub(crate) fn take_tokens(
         &mut self,
         generation: GenerationId,
         first: u32,
@@ -458,7 +277,7 @@
         Some(Part::Tokens(texts))
     }
 
-    fn note_progress(&mut self, first: bool) {
+    pub(crate) fn note_progress(&mut self, first: bool) {
         let now = self.entry.clock().now();
         let gap = now.since(self.progress);
         self.longest = self.longest.max(gap);
@@ -473,7 +292,7 @@
         }
     }
 
-    async fn take_end(&mut self, outcome: Outcome, preemptions: u32) -> Option<Part> {
+    pub(crate) async fn take_end(&mut self, outcome: Outcome, preemptions: u32) -> Option<Part> {
         match outcome {
             Outcome::NotRun(refusal) if self.generation.is_none() => {
                 let reason = match refusal.reason() {
@@ -505,8 +324,7 @@
         }
     }
 
-    /// The attempt did not run: another one may.
-    async fn refused(&mut self, reason: RetryReason, refusal: NotRun) -> Option<Part> {
+    pub(crate) async fn refused(&mut self, reason: RetryReason, refusal: NotRun) -> Option<Part> {
         self.stream = None;
         self.leave(EndResult::Refused);
         if !may_help(refusal.reason()) {
@@ -518,8 +336,7 @@
         }
     }
 
-    /// Tells the router of the end of the current attempt.
-    fn leave(&mut self, result: EndResult) {
+    pub(crate) fn leave(&mut self, result: EndResult) {
         let Some(server) = self.server.take() else {
             return;
         };
@@ -530,7 +347,7 @@
         self.entry.finished(server, &end);
     }
 
-    fn end(&mut self, outcome: Outcome, preemptions: u32) -> Part {
+    pub(crate) fn end(&mut self, outcome: Outcome, preemptions: u32) -> Part {
         let outcome = match (outcome, self.doubt.take()) {
             (Outcome::NotRun(_), Some(doubt)) => doubt,
             (outcome, _) => outcome,
@@ -575,17 +392,7 @@
     }
 }
 
-/// A server that the router chose.
-pub(crate) struct Chosen {
-    /// Its key.
-    pub(crate) key: ServerKey,
-    /// Its agent.
-    pub(crate) name: Name,
-}
-
-/// Whether another server may answer otherwise. Limits of the workspace and the request's own faults
-/// hold everywhere, and trying on would only add to the load.
-fn may_help(reason: RefusalReason) -> bool {
+pub(crate) fn may_help(reason: RefusalReason) -> bool {
     !matches!(
         reason,
         RefusalReason::RateLimited
@@ -595,7 +402,7 @@
     )
 }
 
-fn outcome_word(outcome: &Outcome) -> &'static str {
+pub(crate) fn outcome_word(outcome: &Outcome) -> &'static str {
     use cicada_lib::outcome::Reason;
     match outcome {
         Outcome::Completed(_) => "completed",
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -24,8 +24,8 @@
 use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Clock;
 
+use crate::attempts::Chosen;
 use crate::desk_streams::fingerprint;
-use crate::dispatch::Chosen;
 use crate::dispatch::Request;
 use crate::elsewhere::Elsewhere;
 use crate::evidence::Evidence;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod agent;
 mod args;
+mod attempts;
 mod callers;
 mod calls;
 mod common;
