--- a/daemon/src/desk_calls.rs
+++ b/daemon/src/desk_calls.rs
@@ -1,8 +1,5 @@
 //! The desk's keyed calls: each runs at most once, under a claim in the platform's store.
 
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
-
 use cicada_lib::backend::CallAnswer;
 use cicada_lib::backend::Header;
 use cicada_lib::claims;
@@ -18,6 +15,7 @@
 use crate::desk::DeskEvent;
 use crate::record::CallKey;
 use crate::record::RecordKey;
+use crate::status::unix_millis;
 
 const REPLAYED_HEADER: &str = "idempotent-replayed";
 
@@ -104,10 +102,3 @@
         body: answer.body.into(),
     }
 }
-
-pub(crate) fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/daemon/src/desk_runs.rs
+++ b/daemon/src/desk_runs.rs
@@ -17,7 +17,6 @@
 use cicada_lib::wire::Work;
 
 use crate::desk::Desk;
-use crate::desk_calls::unix_millis;
 use crate::readers;
 use crate::record::Record;
 use crate::record::RecordKey;
@@ -25,6 +24,7 @@
 use crate::runs::BackendEvent;
 use crate::runs::RunEvent;
 use crate::runs::RunSpec;
+use crate::status::unix_millis;
 
 const DEFAULT_PRIORITY: u8 = 128;
 
--- a/daemon/src/orders_controller.rs
+++ b/daemon/src/orders_controller.rs
@@ -7,8 +7,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use cicada_lib::backend::BackendError;
 use cicada_lib::backend::Engine;
@@ -35,6 +33,7 @@
 use crate::control::Running;
 use crate::metrics::OrderMetrics;
 use crate::status::Process;
+use crate::status::unix_millis;
 
 /// How often the engine's report is compared with the configuration. A change shows within 11 s; the
 /// report itself lags.
@@ -262,10 +261,3 @@
         .filter(move |(_, placement)| placement.models.contains(model))
         .map(|(name, _)| name)
 }
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -82,7 +82,9 @@
         Process {
             name: settings.name("process", "name"),
             settings,
-            incarnation: start_millis(),
+            // A later start of the same host has a larger one, so that words on its predecessor do not
+            // hit it.
+            incarnation: unix_millis(),
             metrics,
             config: ArcSwapOption::empty(),
             hosts: ArcSwap::default(),
@@ -186,9 +188,8 @@
     }
 }
 
-/// The time of the start in milliseconds of Unix time: a later start of the same host has a larger
-/// one, so that words on its predecessor do not hit it.
-fn start_millis() -> u64 {
+/// The time of day in milliseconds of Unix time.
+pub(crate) fn unix_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(1, |since| {
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
