--- a/daemon/tests/killers.rs
+++ b/daemon/tests/killers.rs
@@ -44,11 +44,11 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_suspect_harms_nobody_beside_it() -> Result<()> {
-    // Streams run on every engine when a killer comes. The engine that it is given dies with those
+    // Streams run on both near engines, 0 and 3, when a killer comes. The engine that it is given dies with those
     // beside it. Its next try must run alone, and where no engine is idle it does not run: the streams
     // on all other engines come to their end.
-    let deployment = Deployment::start(DeploymentSettings::new(3, 0, 1)).await?;
-    let prompts: Vec<String> = (0..12).map(|i| format!("programme {i} len=1500")).collect();
+    let deployment = Deployment::start(DeploymentSettings::new(4, 0, 1)).await?;
+    let prompts: Vec<String> = (0..12).map(|i| format!("programme {i} len=2500")).collect();
     let mut open = Vec::new();
     for prompt in &prompts {
         open.push(deployment.caller(0).stream(prompt).await?);
