--- a/daemon/src/openai.rs
+++ b/daemon/src/openai.rs
@@ -222,28 +222,16 @@
     }
 
     fn event(&self, text: &str, finish: Option<&str>, usage: Option<Usage>) -> String {
-        let choice = match self.form {
-            Form::Text => Choice {
-                index: 0,
-                text: Some(text),
-                message: None,
-                delta: None,
-                finish_reason: finish,
-            },
-            Form::Chat => Choice {
-                index: 0,
-                text: None,
-                message: None,
-                delta: Some(ChatText {
-                    role: None,
-                    content: text,
-                }),
-                finish_reason: finish,
-            },
+        let delta = ChatText {
+            role: None,
+            content: text,
         };
-        let object = match self.form {
-            Form::Text => "text_completion",
-            Form::Chat => "chat.completion.chunk",
+        let (object, choice) = match self.form {
+            Form::Text => ("text_completion", text_choice(text, finish)),
+            Form::Chat => (
+                "chat.completion.chunk",
+                chat_choice(None, Some(delta), finish),
+            ),
         };
         self.write(object, choice, usage)
     }
@@ -251,28 +239,13 @@
     /// The whole answer.
     pub(crate) fn whole(&self, text: &str, done: &Completion, preemptions: u32) -> String {
         let finish = Some(finish_reason(done));
-        let choice = match self.form {
-            Form::Text => Choice {
-                index: 0,
-                text: Some(text),
-                message: None,
-                delta: None,
-                finish_reason: finish,
-            },
-            Form::Chat => Choice {
-                index: 0,
-                text: None,
-                message: Some(ChatText {
-                    role: Some("assistant"),
-                    content: text,
-                }),
-                delta: None,
-                finish_reason: finish,
-            },
+        let message = ChatText {
+            role: Some("assistant"),
+            content: text,
         };
-        let object = match self.form {
-            Form::Text => "text_completion",
-            Form::Chat => "chat.completion",
+        let (object, choice) = match self.form {
+            Form::Text => ("text_completion", text_choice(text, finish)),
+            Form::Chat => ("chat.completion", chat_choice(Some(message), None, finish)),
         };
         self.write(object, choice, Some(Usage::new(done, preemptions)))
     }
@@ -289,6 +262,30 @@
     }
 }
 
+fn text_choice<'a>(text: &'a str, finish: Option<&'a str>) -> Choice<'a> {
+    Choice {
+        index: 0,
+        text: Some(text),
+        message: None,
+        delta: None,
+        finish_reason: finish,
+    }
+}
+
+fn chat_choice<'a>(
+    message: Option<ChatText<'a>>,
+    delta: Option<ChatText<'a>>,
+    finish: Option<&'a str>,
+) -> Choice<'a> {
+    Choice {
+        index: 0,
+        text: None,
+        message,
+        delta,
+        finish_reason: finish,
+    }
+}
+
 fn finish_reason(done: &Completion) -> &'static str {
     match done.truncated {
         true => "length",
