dispatch: a prompt's fingerprint is worked out once for each request

It covers the whole prompt, and was hashed up to three times for each attempt, once to see whether the request is refused and twice to choose a server.

--- a/daemon/src/calls.rs
+++ b/daemon/src/calls.rs
@@ -69,6 +69,7 @@
             model: Name::default(),
             workspace: inbound.workspace.clone(),
             prefix: 0,
+            fingerprint: None,
             deadline: self.deadline(inbound.headers)?,
             attempts: self.attempts_for(&config.config, &service),
             service,
--- a/daemon/src/completions.rs
+++ b/daemon/src/completions.rs
@@ -4,6 +4,7 @@
 use cicada_lib::ids::Name;
 use cicada_lib::ids::RequestId;
 use cicada_lib::outcome::Outcome;
+use cicada_lib::suspects::Fingerprint;
 use cicada_lib::wire::Work;
 use xitca_web::http::HeaderMap;
 use xitca_web::http::HeaderValue;
@@ -55,6 +56,11 @@
             workspace: inbound.workspace.clone(),
             key: String::new(),
             prefix: prompt_head(&asked.prompt),
+            fingerprint: Some(Fingerprint::new(
+                service,
+                &asked.model,
+                asked.prompt.as_bytes(),
+            )),
             deadline: self.deadline(inbound.headers)?,
             idempotent: true,
             attempts: self.attempts_for(&config.config, service),
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -24,6 +24,7 @@
 use cicada_lib::routing::End;
 use cicada_lib::routing::EndResult;
 use cicada_lib::routing::ServerKey;
+use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Time;
 use cicada_lib::wire::StreamFrame;
 use cicada_lib::wire::Work;
@@ -48,6 +49,8 @@
     pub(crate) key: String,
     /// The digest of the prompt's head; zero for none.
     pub(crate) prefix: u64,
+    /// What tells a generation from others, worked out once: it covers the whole prompt.
+    pub(crate) fingerprint: Option<Fingerprint>,
     /// When the caller no longer wants the answer.
     pub(crate) deadline: Time,
     /// Whether running it twice does no harm.
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -19,13 +19,11 @@
 use cicada_lib::routing::ServerKey;
 use cicada_lib::routing::ServerState;
 use cicada_lib::routing::ServerView;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::suspects::Mark;
 use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Clock;
 
 use crate::attempts::Chosen;
-use crate::desk_streams::fingerprint;
 use crate::dispatch::Request;
 use crate::elsewhere::Elsewhere;
 use crate::evidence::Evidence;
@@ -180,7 +178,7 @@
 
     /// What is known of requests like this one.
     pub(crate) fn verdict(&self, request: &Request) -> Verdict {
-        match fingerprint(&request.service, &request.work) {
+        match request.fingerprint {
             Some(fingerprint) => self.routing.evidence.verdict(fingerprint),
             None => Verdict::Free,
         }
@@ -189,9 +187,9 @@
     /// The hash by which keyed calls, and copies of a suspect, keep to one agent.
     pub(crate) fn affinity(&self, request: &Request) -> Option<u64> {
         if request.key.is_empty() {
-            let suspect = self.verdict(request) == Verdict::Alone;
-            let print = fingerprint(&request.service, &request.work).filter(|_| suspect);
-            return print.map(Fingerprint::affinity);
+            let print = request.fingerprint?;
+            let suspect = self.routing.evidence.verdict(print) == Verdict::Alone;
+            return suspect.then(|| print.affinity());
         }
         // All keys of a shard go to one agent, so that it alone commits the shard's claims.
         let shard = KeyDigest::new(&request.workspace, &request.key).shard();
