relay: a scout beside each engine moves its runs away, one after the other

Cause: each entry moved its own runs as soon as it learned that an engine leaves. The copies shared one link first come first served, so that a run that had stopped waited for the copies of others (pauses of 0.2 to 0.6 s), and targets in other regions took ten times as long; their calls held the link until the engine was gone.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -38,6 +38,7 @@
 mod refusal;
 mod relay_role;
 mod runs;
+mod scout_role;
 mod servers_controller;
 mod sse;
 mod status;
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -27,6 +27,7 @@
 use crate::orders_controller::OrdersController;
 use crate::peer_server;
 use crate::relay_role;
+use crate::scout_role;
 use crate::servers_controller::ServersController;
 use crate::status::Process;
 
@@ -43,7 +44,7 @@
         Program::Entry => run_entry(settings, &traffic),
         Program::Agent => run_agent(settings, &traffic),
         Program::Relay => relay_role::run(settings, &traffic),
-        Program::Scout => eyre::bail!("process: the role `scout` is not there yet"),
+        Program::Scout => scout_role::run(&settings, &traffic),
     }
 }
 
--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -58,6 +58,7 @@
     let mut hup = signal(SignalKind::hangup()).wrap_err("process: no SIGHUP")?;
     relay
         .serve()
+        .await
         .wrap_err("an address cannot be listened on; see [relay] listen and ready")?;
     tracing::info!(
         name = settings.text("process", "name"),
@@ -91,7 +92,9 @@
         let address = settings.address("relay", key);
         address.ok_or_else(|| eyre::eyre!("[relay] {key} is missing"))
     };
+    let peer = settings.address("process", "peer");
     Ok(RelaySettings {
+        peer: peer.ok_or_eyre("[process] peer is missing")?,
         listen: address("listen")?,
         ready: address("ready")?,
         place: Place {
--- /dev/null
+++ b/daemon/src/scout_role.rs
@@ -0,0 +1,39 @@
+//! The role of a scout: stands beside an engine and tells relays of it.
+
+use std::sync::Arc;
+
+use cicada_lib::daemon_settings::Settings;
+use cicada_platform::HttpEngines;
+use cicada_relay::Scout;
+use eyre::Context;
+use eyre::OptionExt;
+use tokio::runtime::Runtime;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Runs until the process is told to end. A scout holds no request, so that it ends at once.
+pub(crate) fn run(settings: &Settings, traffic: &Runtime) -> eyre::Result<()> {
+    traffic.block_on(serve(settings))
+}
+
+async fn serve(settings: &Settings) -> eyre::Result<()> {
+    let mut term = signal(SignalKind::terminate()).wrap_err("process: no SIGTERM")?;
+    let mut hup = signal(SignalKind::hangup()).wrap_err("process: no SIGHUP")?;
+    let peer = settings.address("process", "peer");
+    let peer = peer.ok_or_eyre("[process] peer is missing")?;
+    let engine = settings.address("backend", "address");
+    let engine = engine.ok_or_eyre("[backend] address is missing")?;
+    let scout = Scout::bind(peer, engine, Arc::new(HttpEngines::new())).await;
+    let scout =
+        scout.wrap_err_with(|| format!("{peer} (UDP) cannot be bound; see [process] peer"))?;
+    tracing::info!(name = settings.text("process", "name"), %engine, "process: scout started");
+    tokio::spawn(scout.run());
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = hup.recv() => tracing::info!("process: SIGHUP, nothing of a scout's settings can change"),
+        }
+    }
+    tracing::info!("process: scout ends");
+    Ok(())
+}
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -90,6 +90,10 @@
         pub id: Name,
         /// Tokens that it holds.
         pub tokens: u64,
+        /// Events that it has made.
+        pub events: u64,
+        /// Its rank, as it was sent.
+        pub rank: u8,
     }
 
     /// What an engine says of its load; some hundred milliseconds old.
@@ -107,8 +111,10 @@
         pub leaving: bool,
         /// How much longer it is there, if that is known.
         pub leaves: Option<Duration>,
-        /// When the engine started, in milliseconds since 1970.
-        pub born: u64,
+        /// When the engine started, in milliseconds since 1970, if it says so.
+        pub born: Option<u64>,
+        /// The runs that have begun.
+        pub runs: Vec<EngineRun>,
     }
 
     /// A copy of a run's memory at another engine.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -10,6 +10,7 @@
 //! room is least.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use slotmap::SlotMap;
@@ -58,6 +59,9 @@
 /// A report older than this says nothing any more.
 const REPORT_AGE: Duration = Duration::from_secs(3);
 
+/// A scout that was silent for longer than this does not count on: it tells five times a second.
+const SCOUT_AGE: Duration = Duration::from_millis(1_200);
+
 /// What a request needs.
 #[derive(Clone, Debug)]
 pub struct Need<'a> {
@@ -69,6 +73,8 @@
     pub tokens: u64,
     /// The servers that it has been to.
     pub tried: &'a [ServerKey],
+    /// The only availability zone that will do, if there is one.
+    pub zone: Option<&'a Name>,
 }
 
 /// Why no server was chosen.
@@ -161,9 +167,8 @@
     }
 
     /// The listed servers.
-    pub fn records(&self) -> Vec<ServerRecord> {
-        let keys = self.ids.values();
-        keys.map(|key| self.servers[*key].record.clone()).collect()
+    pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
+        self.ids.values().map(|key| &self.servers[*key].record)
     }
 
     /// The record of a server, while it is listed or something of this entry is there.
@@ -171,6 +176,18 @@
         self.servers.get(key).map(|s| &s.record)
     }
 
+    /// The listed server at the address.
+    pub fn key_at(&self, address: SocketAddr) -> Option<ServerKey> {
+        let mut listed = self.ids.values().copied();
+        listed.find(|key| self.servers[*key].record.address == address)
+    }
+
+    /// Whether the server's scout has been heard lately.
+    pub fn has_scout(&self, now: Time, key: ServerKey) -> bool {
+        let report = self.servers.get(key).and_then(|s| s.report);
+        report.is_some_and(|report| now.since(report.at) < SCOUT_AGE)
+    }
+
     /// Since when it is known that the server leaves; `None` where it stays.
     pub fn leaving(&self, key: ServerKey) -> Option<Time> {
         match self.servers.get(key) {
@@ -179,16 +196,6 @@
         }
     }
 
-    /// It was learnt otherwise than by the list that a server leaves.
-    pub fn leaves(&mut self, now: Time, id: &Name, born: u64) {
-        let Some(server) = self.ids.get(id).and_then(|key| self.servers.get_mut(*key)) else {
-            return;
-        };
-        if server.record.born == born {
-            server.leaving.get_or_insert(now);
-        }
-    }
-
     /// Chooses a server.
     pub fn choose(
         &self,
@@ -204,6 +211,9 @@
             if need.tried.contains(&key) {
                 continue;
             }
+            if need.zone.is_some_and(|zone| *zone != server.record.zone) {
+                continue;
+            }
             let score = self.score(now, server, need, spec);
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, key));
@@ -260,17 +270,19 @@
         }
     }
 
-    /// An engine's report came.
-    pub fn report(&mut self, now: Time, id: &Name, report: &EngineReport) {
-        let Some(key) = self.ids.get(id).copied() else {
-            return;
+    /// A report of the engine at the address came; whether it is news that the engine leaves.
+    pub fn report(&mut self, now: Time, engine: SocketAddr, report: &EngineReport) -> bool {
+        let mut listed = self.servers.values_mut().filter(|s| s.listed);
+        let server = listed.find(|s| {
+            let same_life = report.born.is_none_or(|born| born == s.record.born);
+            s.record.address == engine && same_life
+        });
+        let Some(server) = server else {
+            return false;
         };
-        let server = &mut self.servers[key];
-        if server.record.born != report.born {
-            return;
-        }
-        if report.leaving {
-            server.leaving.get_or_insert(now);
+        let turned = report.leaving && server.leaving.is_none();
+        if turned {
+            server.leaving = Some(now);
         }
         server.report = Some(Report {
             at: now,
@@ -280,6 +292,7 @@
             open: server.open,
             tokens: server.tokens,
         });
+        turned
     }
 
     /// A plain server said what runs and waits there.
--- /dev/null
+++ b/lib/src/peer_words.rs
@@ -0,0 +1,116 @@
+//! What relays and scouts tell each other: datagrams for what is soon old, a connection for the rest.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use thiserror::Error;
+
+use crate::ids::Name;
+use crate::site::ServerListing;
+use crate::site::SiteConfig;
+use crate::value_type;
+
+/// The largest datagram: it passes every link whole.
+pub const MAX_DATAGRAM: usize = 1_400;
+
+value_type! {
+    /// An engine's load, as its scout has just read it.
+    pub struct ScoutReport {
+        /// Where the engine takes requests.
+        pub address: SocketAddr,
+        /// When the engine started, in milliseconds since 1970, if it says so; tells its lives apart.
+        pub born: Option<u64>,
+        /// Requests that wait.
+        pub queued: u32,
+        /// Requests that run.
+        pub running: u32,
+        /// Tokens of memory that are taken and cannot be had back.
+        pub used: u64,
+        /// Tokens of memory in all.
+        pub capacity: u64,
+        /// Whether it leaves.
+        pub leaving: bool,
+        /// Milliseconds for which it is still there, where that is known.
+        pub leaves: Option<u32>,
+    }
+
+    /// Where a run goes on that a scout has moved off its engine.
+    pub struct MovedRun {
+        /// The attempt's identifier.
+        pub id: Name,
+        /// The engine that stopped it, and still holds its memory.
+        pub source: SocketAddr,
+        /// The engine that holds the copy; `None` where none had room, and it goes on at its own.
+        pub target: Option<SocketAddr>,
+        /// What names the copy.
+        pub handle: Name,
+    }
+
+    /// A relay's word to the other relays.
+    pub struct RelayHello {
+        /// The relay's host.
+        pub name: Name,
+        /// Its availability zone.
+        pub zone: Name,
+        /// The version of the configuration in force there.
+        pub version: u64,
+        /// The store's revision up to which it knows the backend servers.
+        pub revision: u64,
+        /// Other relays that it has heard lately, a few of them.
+        pub others: Vec<SocketAddr>,
+    }
+
+    /// A datagram.
+    pub enum Datagram {
+        /// A relay, or a scout of the same availability zone, wants an engine's reports for the next
+        /// seconds. Names engines of the same service and availability zone, to which runs can be moved.
+        Subscribe(Vec<SocketAddr>),
+        /// A scout's report.
+        Report(ScoutReport),
+        /// A run was moved.
+        Moved(MovedRun),
+        /// A run's stream has broken: was the run of this identifier moved?
+        WasMoved(Name),
+        /// A relay's word.
+        Hello(RelayHello),
+    }
+
+    /// A question over a connection.
+    pub enum PeerQuestion {
+        /// The configuration, if it is newer than the version.
+        Config(u64),
+        /// The backend servers, if they are known up to a later revision.
+        Servers(u64),
+    }
+}
+
+/// The answer to a [`PeerQuestion`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum PeerAnswer {
+    /// There is nothing newer.
+    Nothing,
+    /// The configuration.
+    Config(Arc<SiteConfig>),
+    /// The backend servers.
+    Servers(ServerListing),
+}
+
+/// Bytes that hold none of these words.
+#[derive(Clone, Debug, Error)]
+#[error("a message of another process cannot be read ({0}); run the same version everywhere")]
+pub struct WordError(String);
+
+/// The result of reading or writing a word.
+pub type Result<T> = std::result::Result<T, WordError>;
+
+/// The bytes of a word.
+pub fn encode<T: Serialize>(word: &T) -> Result<Vec<u8>> {
+    postcard::to_stdvec(word).map_err(|error| WordError(error.to_string()))
+}
+
+/// The word in the bytes.
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
+    postcard::from_bytes(bytes).map_err(|error| WordError(error.to_string()))
+}
--- a/relay/src/caller_io.rs
+++ b/relay/src/caller_io.rs
@@ -66,11 +66,6 @@
         state.idle = Instant::now();
     }
 
-    /// Whether no request is open.
-    pub(crate) fn is_idle(&self) -> bool {
-        self.lock().open == 0
-    }
-
     /// When the connection will be overdue if nothing comes, and of what.
     pub(crate) fn due(&self, head: Duration, idle: Duration) -> Option<(Instant, Overdue)> {
         let state = *self.lock();
--- /dev/null
+++ b/relay/src/evacuation.rs
@@ -0,0 +1,197 @@
+//! Moves the runs of an engine that is about to leave, one after the other.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use cicada_lib::dialect::EngineCalls;
+use cicada_lib::dialect::EngineReport;
+use cicada_lib::dialect::EngineRun;
+use cicada_lib::dialect::MoveError;
+use cicada_lib::dialect::MoveStep;
+use cicada_lib::ids::Name;
+use cicada_lib::move_plan;
+use cicada_lib::move_plan::Target;
+use cicada_lib::peer_words::MovedRun;
+use cicada_lib::peer_words::ScoutReport;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::timeout;
+
+/// A neighbour that was silent for longer is not a target: its engine may be gone.
+const REPORT_AGE: Duration = Duration::from_millis(1_500);
+
+/// How long to wait for a run or a target to come up before looking again.
+const LOOK: Duration = Duration::from_millis(60);
+
+/// What is known of the engines to which runs can be moved.
+#[derive(Debug, Default)]
+pub(crate) struct Neighbours(Mutex<HashMap<SocketAddr, Neighbour>>);
+
+#[derive(Debug)]
+struct Neighbour {
+    at: Instant,
+    report: ScoutReport,
+    // Tokens and runs that were sent there since the report.
+    sent: u64,
+    runs: u32,
+}
+
+impl Neighbours {
+    /// Takes a neighbour's report.
+    pub(crate) fn report(&self, report: &ScoutReport) {
+        let neighbour = Neighbour {
+            at: Instant::now(),
+            report: report.clone(),
+            sent: 0,
+            runs: 0,
+        };
+        self.lock().insert(report.address, neighbour);
+    }
+
+    fn targets(&self) -> Vec<Target> {
+        let neighbours = self.lock();
+        let fresh = neighbours
+            .values()
+            .filter(|n| n.at.elapsed() < REPORT_AGE && !n.report.leaving);
+        let targets = fresh.map(|n| Target {
+            address: n.report.address,
+            used: n.report.used + n.sent,
+            capacity: n.report.capacity,
+            busy: n.report.running + n.report.queued + n.runs,
+        });
+        targets.collect()
+    }
+
+    fn sent(&self, target: SocketAddr, tokens: u64) {
+        if let Some(neighbour) = self.lock().get_mut(&target) {
+            neighbour.sent += tokens;
+            neighbour.runs += 1;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Neighbour>> {
+        self.0
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
+
+/// Moves runs until the engine is gone; ends when the reports do.
+pub(crate) async fn run(
+    engines: Arc<dyn EngineCalls>,
+    engine: SocketAddr,
+    neighbours: Arc<Neighbours>,
+    mut reports: watch::Receiver<EngineReport>,
+    moves: mpsc::Sender<MovedRun>,
+) {
+    let mut mover = Mover {
+        engines,
+        engine,
+        neighbours,
+        done: Vec::new(),
+        refused: Vec::new(),
+    };
+    loop {
+        let next = {
+            let report = reports.borrow_and_update();
+            move_plan::next_run(&report.runs, &mover.done).cloned()
+        };
+        let moved = match next {
+            Some(run) => mover.move_run(&run).await,
+            None => None,
+        };
+        match moved {
+            Some(moved) => {
+                if moves.send(moved).await.is_err() {
+                    return;
+                }
+            }
+            None => match timeout(LOOK, reports.changed()).await {
+                Ok(Err(_)) => return,
+                Ok(Ok(())) | Err(_) => {}
+            },
+        }
+    }
+}
+
+struct Mover {
+    engines: Arc<dyn EngineCalls>,
+    engine: SocketAddr,
+    neighbours: Arc<Neighbours>,
+    // Runs that are moved, or cannot be.
+    done: Vec<Name>,
+    // Targets that turned the current run away.
+    refused: Vec<SocketAddr>,
+}
+
+impl Mover {
+    /// Moves one run; `None` where it stays for now.
+    async fn move_run(&mut self, run: &EngineRun) -> Option<MovedRun> {
+        let targets = self.neighbours.targets();
+        let Some(target) = move_plan::target_for(run.tokens, &targets, &self.refused) else {
+            tracing::info!(id = %run.id, tokens = run.tokens, targets = targets.len(), "move: no target has room");
+            self.refused.clear();
+            self.done.push(run.id.clone());
+            return None;
+        };
+        let address = target.address;
+        let begun = Instant::now();
+        self.neighbours.sent(address, run.tokens);
+        if let Err(error) = self.step(run, address, MoveStep::Copy).await {
+            self.failed(run, address, &error);
+            return None;
+        }
+        let copied = begun.elapsed().as_millis();
+        let moved = match self.step(run, address, MoveStep::Stop).await {
+            Ok(handle) => self.moved(run, Some(address), handle),
+            Err(MoveError::NoRoom(Some(handle))) => self.moved(run, None, handle),
+            Err(error) => {
+                self.failed(run, address, &error);
+                return None;
+            }
+        };
+        let stopped = begun.elapsed().as_millis();
+        tracing::info!(id = %run.id, tokens = run.tokens, events = run.events, target = ?moved.target, copied, stopped, "move: run stopped");
+        Some(moved)
+    }
+
+    async fn step(
+        &self,
+        run: &EngineRun,
+        target: SocketAddr,
+        step: MoveStep,
+    ) -> Result<Name, MoveError> {
+        let copied = self
+            .engines
+            .move_run(self.engine, &run.id, target, step)
+            .await?;
+        Ok(copied.handle)
+    }
+
+    fn moved(&mut self, run: &EngineRun, target: Option<SocketAddr>, handle: Name) -> MovedRun {
+        self.refused.clear();
+        self.done.push(run.id.clone());
+        MovedRun {
+            id: run.id.clone(),
+            source: self.engine,
+            target,
+            handle,
+        }
+    }
+
+    fn failed(&mut self, run: &EngineRun, target: SocketAddr, error: &MoveError) {
+        tracing::info!(id = %run.id, tokens = run.tokens, %target, %error, "move: a step failed");
+        match error {
+            MoveError::NoRoom(_) | MoveError::Busy => self.refused.push(target),
+            MoveError::NoRun | MoveError::Lost(_) => {
+                self.refused.clear();
+                self.done.push(run.id.clone());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/moved_runs.rs
@@ -0,0 +1,115 @@
+//! Word of runs that scouts have moved, kept until their streams ask for it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use cicada_lib::ids::Name;
+use cicada_lib::peer_words::MovedRun;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+/// How long word of a move is kept: a copy is freed after some seconds.
+const KEPT: Duration = Duration::from_secs(6);
+
+/// How long a broken stream waits for word that its run was moved. The word is sent at once, and comes
+/// before the stream's end but for a lost datagram; a scout is asked [`ASKS`] times meanwhile.
+const WAIT: Duration = Duration::from_millis(260);
+const ASKS: u32 = 4;
+
+/// Questions to scouts that wait to be sent.
+const WAITING_ASKS: usize = 256;
+
+/// A question to the scout beside an engine: was the run moved?
+#[derive(Clone, Debug)]
+pub(crate) struct MoveAsk {
+    pub(crate) engine: SocketAddr,
+    pub(crate) id: Name,
+}
+
+/// Moves that were heard of lately.
+pub(crate) struct MovedRuns {
+    moved: Mutex<HashMap<Name, (Instant, MovedRun)>>,
+    // Raised with every move.
+    news: watch::Sender<u64>,
+    asks: mpsc::Sender<MoveAsk>,
+    // Until the task that sends the questions has taken it.
+    pending: Mutex<Option<mpsc::Receiver<MoveAsk>>>,
+}
+
+impl MovedRuns {
+    /// No moves.
+    pub(crate) fn new() -> Self {
+        let (asks, pending) = mpsc::channel(WAITING_ASKS);
+        MovedRuns {
+            moved: Mutex::default(),
+            news: watch::Sender::new(0),
+            asks,
+            pending: Mutex::new(Some(pending)),
+        }
+    }
+
+    /// The questions to send, once.
+    pub(crate) fn take_asks(&self) -> Option<mpsc::Receiver<MoveAsk>> {
+        let mut pending = self
+            .pending
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        pending.take()
+    }
+
+    /// Keeps word of a move.
+    pub(crate) fn note(&self, moved: MovedRun) {
+        let now = Instant::now();
+        let mut runs = self.lock();
+        runs.retain(|_, (at, _)| now.duration_since(*at) < KEPT);
+        runs.insert(moved.id.clone(), (now, moved));
+        drop(runs);
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// The move of a run off the engine whose stream has broken; waits a moment for word of it.
+    pub(crate) async fn wait(&self, id: &Name, engine: SocketAddr) -> Option<MovedRun> {
+        let mut news = self.news.subscribe();
+        let begun = Instant::now();
+        for round in 1..=ASKS {
+            if let Some(moved) = self.take(id, engine) {
+                return Some(moved);
+            }
+            let ask = MoveAsk {
+                engine,
+                id: id.clone(),
+            };
+            if self.asks.try_send(ask).is_err() {
+                tracing::debug!(%id, "move: too many questions wait, one is left out");
+            }
+            let until = begun + WAIT * round / ASKS;
+            while let Ok(Ok(())) = timeout_at(until, news.changed()).await {
+                if let Some(moved) = self.take(id, engine) {
+                    return Some(moved);
+                }
+            }
+        }
+        None
+    }
+
+    fn take(&self, id: &Name, engine: SocketAddr) -> Option<MovedRun> {
+        let mut runs = self.lock();
+        let found = runs
+            .get(id)
+            .is_some_and(|(_, moved)| moved.source == engine);
+        found
+            .then(|| runs.remove(id).map(|(_, moved)| moved))
+            .flatten()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<Name, (Instant, MovedRun)>> {
+        self.moved
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+}
--- /dev/null
+++ b/relay/src/peer_net.rs
@@ -0,0 +1,111 @@
+//! A relay's datagrams: reports of engines come in, subscriptions go out.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cicada_lib::dialect::EngineReport;
+use cicada_lib::peer_words;
+use cicada_lib::peer_words::Datagram;
+use cicada_lib::peer_words::ScoutReport;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+
+use crate::moved_runs::MoveAsk;
+use crate::relay::Relay;
+
+/// How often subscriptions are renewed: a scout keeps one for four of them, so that lost datagrams cost
+/// nothing.
+const RENEW: Duration = Duration::from_secs(1);
+
+/// Engines that a subscription names: they fit into a datagram, and are more than runs are moved to.
+const MOST_NAMED: usize = 64;
+
+/// The datagrams of a relay.
+pub(crate) struct PeerNet {
+    relay: Arc<Relay>,
+    socket: UdpSocket,
+    // The port at which each process of the deployment takes datagrams.
+    port: u16,
+}
+
+impl PeerNet {
+    /// A socket at `peer`; all other processes have theirs at the same port.
+    pub(crate) async fn bind(relay: Arc<Relay>, peer: SocketAddr) -> std::io::Result<Self> {
+        Ok(PeerNet {
+            relay,
+            socket: UdpSocket::bind(peer).await?,
+            port: peer.port(),
+        })
+    }
+
+    /// Hears and tells until the process ends.
+    pub(crate) async fn run(self, mut asks: mpsc::Receiver<MoveAsk>) {
+        let mut renewals = interval(RENEW);
+        renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = [0; peer_words::MAX_DATAGRAM];
+        loop {
+            tokio::select! {
+                _ = renewals.tick() => self.subscribe().await,
+                Some(ask) = asks.recv() => {
+                    self.send(&Datagram::WasMoved(ask.id), self.scout(ask.engine)).await;
+                }
+                received = self.socket.recv_from(&mut buffer) => {
+                    if let Ok((length, from)) = received {
+                        self.hear(&buffer[..length], from);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn subscribe(&self) {
+        for neighbours in self.relay.engine_groups() {
+            let word = Datagram::Subscribe(neighbours.iter().copied().take(MOST_NAMED).collect());
+            for engine in &neighbours {
+                self.send(&word, self.scout(*engine)).await;
+            }
+        }
+    }
+
+    fn scout(&self, engine: SocketAddr) -> SocketAddr {
+        SocketAddr::new(engine.ip(), self.port)
+    }
+
+    async fn send(&self, word: &Datagram, to: SocketAddr) {
+        let Ok(bytes) = peer_words::encode(word) else {
+            return;
+        };
+        if let Err(error) = self.socket.send_to(&bytes, to).await {
+            tracing::debug!(%to, %error, "peers: a datagram could not be sent");
+        }
+    }
+
+    fn hear(&self, bytes: &[u8], from: SocketAddr) {
+        match peer_words::decode(bytes) {
+            Ok(Datagram::Report(report)) if report.address.ip() == from.ip() => {
+                self.relay.report(report.address, &engine_report(&report));
+            }
+            Ok(Datagram::Moved(moved)) if moved.source.ip() == from.ip() => {
+                self.relay.note_moved(moved);
+            }
+            Ok(_) => {}
+            Err(error) => tracing::debug!(%from, %error, "peers: a datagram is passed over"),
+        }
+    }
+}
+
+fn engine_report(report: &ScoutReport) -> EngineReport {
+    EngineReport {
+        queued: report.queued,
+        running: report.running,
+        used: report.used,
+        capacity: report.capacity,
+        leaving: report.leaving,
+        leaves: report.leaves.map(|ms| Duration::from_millis(u64::from(ms))),
+        born: report.born,
+        runs: Vec::new(),
+    }
+}
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -109,6 +109,7 @@
             prompt: 0,
             tokens: 0,
             tried: &tried,
+            zone: None,
         };
         let Ok(placed) = relay.place(&need, &call.spec) else {
             break;
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -19,6 +19,7 @@
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::Place;
 use cicada_lib::ids::Name;
+use cicada_lib::peer_words::MovedRun;
 use cicada_lib::retry_window::RetryBound;
 use cicada_lib::retry_window::RetryWindow;
 use cicada_lib::route_table::RouteTable;
@@ -33,10 +34,14 @@
 
 use crate::caller_server;
 use crate::figures::Figures;
+use crate::moved_runs::MovedRuns;
+use crate::peer_net::PeerNet;
 
 /// What an entry is told by its settings.
 #[derive(Clone, Debug)]
 pub struct RelaySettings {
+    /// Where other processes of the system send datagrams.
+    pub peer: SocketAddr,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where the balancer asks whether the entry takes connections.
@@ -69,6 +74,7 @@
     draining: AtomicBool,
     // Raised when what is known of a server's leaving changes.
     leaving: watch::Sender<u64>,
+    moved: MovedRuns,
     // Raised when idle connections are to be closed.
     ending: watch::Sender<bool>,
 }
@@ -94,12 +100,17 @@
             listed: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             leaving: watch::Sender::new(0),
+            moved: MovedRuns::new(),
             ending: watch::Sender::new(false),
         })
     }
 
     /// Binds the addresses and serves in the current runtime.
-    pub fn serve(self: &Arc<Self>) -> std::io::Result<()> {
+    pub async fn serve(self: &Arc<Self>) -> std::io::Result<()> {
+        let peers = PeerNet::bind(self.clone(), self.settings.peer).await?;
+        if let Some(asks) = self.moved.take_asks() {
+            tokio::spawn(peers.run(asks));
+        }
         let callers = caller_server::listen(self.settings.listen)?;
         let ready = caller_server::listen(self.settings.ready)?;
         tokio::spawn(caller_server::serve_callers(self.clone(), callers));
@@ -147,14 +158,38 @@
         self.note_leaving();
     }
 
-    /// Takes an engine's report.
-    pub fn report(&self, server: &Name, report: &EngineReport) {
-        self.fleet().report(self.now(), server, report);
-        if report.leaving {
+    /// Takes a report of the engine at the address.
+    pub(crate) fn report(&self, engine: SocketAddr, report: &EngineReport) {
+        let turned = self.fleet().report(self.now(), engine, report);
+        if turned {
+            tracing::info!(%engine, leaves = ?report.leaves, "fleet: an engine says that it leaves");
             self.note_leaving();
         }
     }
 
+    /// The engines, those of a service and availability zone together.
+    pub(crate) fn engine_groups(&self) -> Vec<Vec<SocketAddr>> {
+        let table = self.table();
+        let mut groups: HashMap<(Name, Name), Vec<SocketAddr>> = HashMap::new();
+        for server in self.fleet().servers() {
+            let spec = table.service(&server.service);
+            if spec.is_some_and(|spec| spec.engine.is_some()) {
+                let group = (server.service.clone(), server.zone.clone());
+                groups.entry(group).or_default().push(server.address);
+            }
+        }
+        groups.into_values().collect()
+    }
+
+    /// A scout has moved a run.
+    pub(crate) fn note_moved(&self, moved: MovedRun) {
+        self.moved.note(moved);
+    }
+
+    pub(crate) fn moved(&self) -> &MovedRuns {
+        &self.moved
+    }
+
     /// Takes the number of entries that share bounds.
     pub fn set_entries(&self, entries: usize) {
         self.entries.store(entries.max(1), Ordering::Relaxed);
@@ -267,6 +302,27 @@
         action(window)
     }
 
+    /// Counts a request at the server at the address.
+    pub(crate) fn place_at(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        need: &Need<'_>,
+    ) -> Option<Placed> {
+        let mut fleet = self.fleet();
+        let key = fleet.key_at(address)?;
+        let record = fleet.record(key).cloned()?;
+        fleet.started(key, need);
+        drop(fleet);
+        Some(Placed {
+            relay: self.clone(),
+            key,
+            record,
+            prompt: need.prompt,
+            tokens: need.tokens,
+            begun: false,
+        })
+    }
+
     fn note_leaving(&self) {
         self.leaving.send_modify(|count| *count += 1);
     }
--- /dev/null
+++ b/relay/src/scout.rs
@@ -0,0 +1,271 @@
+//! The process beside an engine: tells relays of its load, and moves its runs away when it leaves.
+//!
+//! Asked from its own host, an engine tells its load as of now, and at no cost. What relays would read
+//! from afar is half a second old, and each of them would ask for itself. The scout alone sees all runs
+//! of its engine, so that it can move them one after the other over the engine's link.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cicada_lib::dialect::EngineCalls;
+use cicada_lib::dialect::EngineReport;
+use cicada_lib::peer_words;
+use cicada_lib::peer_words::Datagram;
+use cicada_lib::peer_words::MovedRun;
+use cicada_lib::peer_words::ScoutReport;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+use tokio::time::interval;
+use tokio::time::sleep;
+
+use crate::evacuation;
+use crate::evacuation::Neighbours;
+
+/// How often the engine is asked: an engine that leaves says so 1.5 s before, of which this takes a
+/// thirtieth at most.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// How often a report goes to each listener while nothing urgent is in it.
+const TELL: Duration = Duration::from_millis(200);
+
+/// Datagrams of reports in a second, to all listeners together: at 45 bytes 5 KB. Beyond 20 listeners
+/// each gets its reports less often.
+const TELL_RATE: f64 = 100.0;
+
+/// How long a listener gets reports after it asked for them.
+const SUBSCRIBED: Duration = Duration::from_secs(4);
+
+/// How often the scout asks the scouts of its neighbours for their reports.
+const RENEW: Duration = Duration::from_secs(1);
+
+/// How long an engine counts as a neighbour after a relay named it.
+const NEIGHBOUR: Duration = Duration::from_secs(5);
+
+/// The times after which word of a move is sent again: datagrams are lost now and then, and a relay
+/// without it would give the run up.
+const REPEATS: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(60)];
+
+/// How many moves are remembered for relays that ask.
+const REMEMBERED: usize = 256;
+
+/// A scout.
+pub struct Scout {
+    engines: Arc<dyn EngineCalls>,
+    // Where the engine takes requests.
+    engine: SocketAddr,
+    socket: Arc<UdpSocket>,
+    // Relays and neighbours' scouts that asked for reports.
+    listeners: HashMap<SocketAddr, Instant>,
+    // When each engine of the service and availability zone was last named.
+    named: HashMap<SocketAddr, Instant>,
+    neighbours: Arc<Neighbours>,
+    told: Instant,
+    renewed: Instant,
+    // Whether the last report said that the engine leaves.
+    leaving: bool,
+    // The latest runs of an engine that leaves, for the task that moves them.
+    evacuating: Option<tokio::sync::watch::Sender<EngineReport>>,
+    moved: Vec<MovedRun>,
+    moves: mpsc::Receiver<MovedRun>,
+    moves_in: mpsc::Sender<MovedRun>,
+}
+
+impl Scout {
+    /// A scout beside the engine, with a socket at `peer`.
+    pub async fn bind(
+        peer: SocketAddr,
+        engine: SocketAddr,
+        engines: Arc<dyn EngineCalls>,
+    ) -> std::io::Result<Self> {
+        let (moves_in, moves) = mpsc::channel(REMEMBERED);
+        let now = Instant::now();
+        Ok(Scout {
+            engines,
+            engine,
+            socket: Arc::new(UdpSocket::bind(peer).await?),
+            listeners: HashMap::new(),
+            named: HashMap::new(),
+            neighbours: Arc::new(Neighbours::default()),
+            told: now,
+            renewed: now,
+            leaving: false,
+            evacuating: None,
+            moved: Vec::new(),
+            moves,
+            moves_in,
+        })
+    }
+
+    /// Asks and tells until the process ends.
+    pub async fn run(mut self) {
+        let mut looks = interval(LOOK);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let socket = self.socket.clone();
+        let mut buffer = [0; peer_words::MAX_DATAGRAM];
+        loop {
+            tokio::select! {
+                _ = looks.tick() => self.look().await,
+                received = socket.recv_from(&mut buffer) => {
+                    if let Ok((length, from)) = received {
+                        self.hear(&buffer[..length], from).await;
+                    }
+                }
+                Some(moved) = self.moves.recv() => self.tell_moved(moved).await,
+            }
+        }
+    }
+
+    async fn hear(&mut self, bytes: &[u8], from: SocketAddr) {
+        match peer_words::decode(bytes) {
+            Ok(Datagram::Subscribe(engines)) => {
+                let now = Instant::now();
+                if self.listeners.insert(from, now).is_none() {
+                    tracing::info!(%from, "scout: reports are asked for");
+                }
+                let others = engines.into_iter().filter(|engine| *engine != self.engine);
+                self.named.extend(others.map(|engine| (engine, now)));
+            }
+            Ok(Datagram::Report(report)) if report.address.ip() == from.ip() => {
+                self.neighbours.report(&report);
+            }
+            Ok(Datagram::WasMoved(id)) => {
+                if let Some(moved) = self.moved.iter().find(|moved| moved.id == id) {
+                    self.send(&Datagram::Moved(moved.clone()), from).await;
+                }
+            }
+            Ok(_) => {}
+            Err(error) => tracing::debug!(%from, %error, "scout: a datagram is passed over"),
+        }
+    }
+
+    async fn look(&mut self) {
+        self.listeners
+            .retain(|_, asked| asked.elapsed() < SUBSCRIBED);
+        if self.listeners.is_empty() {
+            return;
+        }
+        self.ask_neighbours().await;
+        let report = match self.engines.report(self.engine).await {
+            Ok(report) => report,
+            Err(error) => {
+                tracing::debug!(%error, "scout: the engine does not answer");
+                return;
+            }
+        };
+        let turned = report.leaving && !self.leaving;
+        self.leaving = report.leaving;
+        if turned || self.told.elapsed() >= self.pause() {
+            self.told = Instant::now();
+            self.tell(&report).await;
+        }
+        self.evacuate(turned, report);
+    }
+
+    /// Keeps the task that moves runs away, while the engine leaves.
+    fn evacuate(&mut self, turned: bool, report: EngineReport) {
+        if !report.leaving {
+            self.evacuating = None;
+            return;
+        }
+        if turned {
+            let leaves = report.leaves.map(|time| time.as_millis());
+            tracing::info!(
+                ?leaves,
+                running = report.running,
+                queued = report.queued,
+                "scout: the engine leaves"
+            );
+            let (sender, runs) = tokio::sync::watch::channel(report);
+            self.evacuating = Some(sender);
+            tokio::spawn(evacuation::run(
+                self.engines.clone(),
+                self.engine,
+                self.neighbours.clone(),
+                runs,
+                self.moves_in.clone(),
+            ));
+        } else if let Some(runs) = &self.evacuating {
+            runs.send_replace(report);
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        TELL.max(Duration::from_secs_f64(
+            self.listeners.len() as f64 / TELL_RATE,
+        ))
+    }
+
+    async fn ask_neighbours(&mut self) {
+        if self.renewed.elapsed() < RENEW {
+            return;
+        }
+        self.renewed = Instant::now();
+        self.named.retain(|_, named| named.elapsed() < NEIGHBOUR);
+        let Ok(own) = self.socket.local_addr() else {
+            return;
+        };
+        for engine in self.named.keys() {
+            let scout = SocketAddr::new(engine.ip(), own.port());
+            self.send(&Datagram::Subscribe(Vec::new()), scout).await;
+        }
+    }
+
+    async fn tell(&self, report: &EngineReport) {
+        let word = Datagram::Report(ScoutReport {
+            address: self.engine,
+            born: report.born,
+            queued: report.queued,
+            running: report.running,
+            used: report.used,
+            capacity: report.capacity,
+            leaving: report.leaving,
+            leaves: report.leaves.map(|time| time.as_millis() as u32),
+        });
+        self.send_all(&word).await;
+    }
+
+    async fn tell_moved(&mut self, moved: MovedRun) {
+        if self.moved.len() >= REMEMBERED {
+            self.moved.remove(0);
+        }
+        self.moved.push(moved.clone());
+        let word = Datagram::Moved(moved);
+        self.send_all(&word).await;
+        let Ok(bytes) = peer_words::encode(&word) else {
+            return;
+        };
+        let listeners: Vec<SocketAddr> = self.listeners.keys().copied().collect();
+        let socket = self.socket.clone();
+        tokio::spawn(async move {
+            for pause in REPEATS {
+                sleep(pause).await;
+                for listener in &listeners {
+                    send_bytes(&socket, &bytes, *listener).await;
+                }
+            }
+        });
+    }
+
+    async fn send_all(&self, word: &Datagram) {
+        for listener in self.listeners.keys() {
+            self.send(word, *listener).await;
+        }
+    }
+
+    async fn send(&self, word: &Datagram, to: SocketAddr) {
+        match peer_words::encode(word) {
+            Ok(bytes) => send_bytes(&self.socket, &bytes, to).await,
+            Err(error) => tracing::warn!(%error, "scout: a word could not be written"),
+        }
+    }
+}
+
+async fn send_bytes(socket: &UdpSocket, bytes: &[u8], to: SocketAddr) {
+    if let Err(error) = socket.send_to(bytes, to).await {
+        tracing::debug!(%to, %error, "scout: a datagram could not be sent");
+    }
+}
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -13,6 +13,8 @@
 use cicada_lib::dialect::Resume;
 use cicada_lib::fleet::Need;
 use cicada_lib::ids::Name;
+use cicada_lib::move_plan;
+use cicada_lib::peer_words::MovedRun;
 use cicada_lib::routing::ServerKey;
 use http::Response;
 use http_body_util::BodyExt;
@@ -47,6 +49,9 @@
 /// stays for 1.5 s and more, and a move costs a pause.
 const SHORT_REST: Duration = Duration::from_millis(700);
 
+/// Events that a run makes in less than a second.
+const SHORT_EVENTS: u32 = 16;
+
 /// The time for a token before one was seen: a step of an engine with a usual batch.
 const TOKEN_TIME: Duration = Duration::from_millis(10);
 
@@ -91,6 +96,7 @@
             prompt: u64::from(call.head.prompt),
             tokens,
             tried: &tried,
+            zone: None,
         };
         let Ok(placed) = relay.place(&need, &call.spec) else {
             break;
@@ -162,6 +168,16 @@
         .min(call.head.output)
 }
 
+/// Whether the run is expected to end before an engine that says it leaves is gone.
+fn is_short(call: &Call) -> bool {
+    let stride = call
+        .spec
+        .engine
+        .as_ref()
+        .map_or(1, |engine| engine.stride.max(1));
+    expected_output(call) / stride <= SHORT_EVENTS
+}
+
 async fn send(relay: &Relay, call: &Call, placed: &Placed, resume: Option<Resume>) -> Sent {
     let opened = match timeout_at(call.limit, upstream::open(placed.record.address)).await {
         Err(_) | Ok(Err(SendError::NotSent(_))) => return Sent::Unreached,
@@ -172,7 +188,7 @@
         server: placed.record.id.clone(),
         workspace: call.admitted.workspace.clone(),
         left: call.left(),
-        rank: Some(call.admitted.priority.min(9) as u8),
+        rank: Some(move_plan::rank(call.admitted.priority, is_short(call))),
         resume,
         backup: None,
     };
@@ -434,6 +450,11 @@
         if !may || self.failed_moves >= MOST_MOVES || self.rest() < SHORT_REST {
             return;
         }
+        // The scout sees all runs of the engine and moves them one after the other.
+        let now = self.relay.now();
+        if self.relay.fleet().has_scout(now, self.placed.key) {
+            return;
+        }
         self.begin_move(MoveStep::Copy, None);
     }
 
@@ -441,11 +462,14 @@
         let target = match target {
             Some(target) => target,
             None => {
+                // Between regions a copy takes ten times as long, which is more than there is.
+                let zone = self.placed.record.zone.clone();
                 let need = Need {
                     service: &self.call.service,
                     prompt: 0,
                     tokens: self.tokens,
                     tried: &[self.placed.key],
+                    zone: Some(&zone),
                 };
                 let Ok(target) = self.relay.place(&need, &self.call.spec) else {
                     return;
@@ -477,7 +501,7 @@
         let step = moving.step;
         match (step, outcome) {
             (MoveStep::Copy, Ok(copied)) => {
-                tracing::debug!(id, from, to, events = copied.events, "move: copied");
+                tracing::info!(id, from, to, events = copied.events, "move: copied");
                 self.begin_move(MoveStep::Stop, Some(moving.target));
                 true
             }
@@ -588,7 +612,7 @@
         self.source = None;
         self.events.forget_rest();
         if !stopping {
-            return false;
+            return self.was_moved().await;
         }
         let Some(moving) = &mut self.moving else {
             return false;
@@ -599,6 +623,31 @@
         }
     }
 
+    /// The stream ended without its end: goes on where a scout has moved the run, if one has.
+    async fn was_moved(&mut self) -> bool {
+        let Some(id) = self.call.head.id.clone() else {
+            return false;
+        };
+        let engine = self.placed.record.address;
+        let Some(moved) = self.relay.moved().wait(&id, engine).await else {
+            return false;
+        };
+        tracing::info!(id = self.call.id(), from = %engine, to = ?moved.target, "move: the run goes on elsewhere");
+        let MovedRun { target, handle, .. } = moved;
+        let need = Need {
+            service: &self.call.service,
+            prompt: 0,
+            tokens: self.tokens,
+            tried: &[],
+            zone: None,
+        };
+        let target = target.and_then(|address| self.relay.place_at(address, &need));
+        match target {
+            Some(target) => self.resume(target, &handle).await,
+            None => self.go_back(&handle).await,
+        }
+    }
+
     /// How much longer the run is expected to take.
     fn rest(&self) -> Duration {
         let stride = self
