relay: relays read from each other what the directory does not give them

Hosts that the store turns away had no other source. Change: a cut watch is followed by a whole read; relays tell each other their versions by datagrams and pull what is newer.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -94,6 +94,7 @@
     };
     let peer = settings.address("process", "peer");
     Ok(RelaySettings {
+        name: settings.name("process", "name"),
         peer: peer.ok_or_eyre("[process] peer is missing")?,
         listen: address("listen")?,
         ready: address("ready")?,
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -50,10 +50,6 @@
 
     /// A relay's word to the other relays.
     pub struct RelayHello {
-        /// The relay's host.
-        pub name: Name,
-        /// Its availability zone.
-        pub zone: Name,
         /// The version of the configuration in force there.
         pub version: u64,
         /// The store's revision up to which it knows the backend servers.
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -3,11 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cicada_lib::peer_words::PeerAnswer;
+use cicada_lib::peer_words::PeerQuestion;
 use cicada_lib::site::Directory;
-use cicada_lib::site::DirectoryError;
+use cicada_lib::site::Result;
 use cicada_lib::site::Revision;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::peer_pull;
 use crate::relay::Relay;
 
 /// How long a watch waits: each costs a call, and a connection that went silent is noticed by its
@@ -16,9 +20,21 @@
 
 /// Pauses after a call that failed, from the first to the longest. A store that refuses is asked often
 /// enough that its return is noticed within half a second, and by each process at another time.
-const FIRST_PAUSE: Duration = Duration::from_millis(60);
+const FIRST_PAUSE: Duration = Duration::from_millis(40);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 
+/// After an outage of this length servers may be missing in the list that are still there: their
+/// entries have lapsed, and come back within two seconds.
+const OUTAGE: Duration = Duration::from_secs(1);
+const RETURN: Duration = Duration::from_millis(2_300);
+
+/// How often other relays are asked for what they know more.
+const PULL: Duration = Duration::from_millis(250);
+
+/// The directory is asked for the other relays this often; they also name each other.
+const PEERS: Duration = Duration::from_secs(20);
+const PEERS_AGAIN: Duration = Duration::from_secs(1);
+
 /// Reads the directory and follows it.
 pub struct Keeper {
     relay: Arc<Relay>,
@@ -51,9 +67,17 @@
 
     /// Follows the directory until the process ends.
     pub async fn run(self) {
-        tokio::join!(self.follow_config(), self.follow_servers());
+        tokio::join!(
+            self.follow_config(),
+            self.follow_servers(),
+            self.follow_peers(),
+            self.pull(),
+        );
     }
 
+    /// A watch that was cut off is not taken up again where it was: the history between may be gone
+    /// without the directory saying so, and the watch would wait for the next change but one. The
+    /// whole is read instead.
     async fn follow_config(&self) {
         let mut backoff = Backoff::new();
         let mut at: Option<Revision> = None;
@@ -72,9 +96,7 @@
                 }
                 Err(error) => {
                     tracing::info!(%error, "directory: no news of the configuration");
-                    if error == DirectoryError::HistoryGone {
-                        at = None;
-                    }
+                    at = None;
                     backoff.wait().await;
                 }
             }
@@ -83,50 +105,156 @@
 
     async fn follow_servers(&self) {
         let mut backoff = Backoff::new();
-        let mut at: Option<Revision> = None;
+        let mut view = ServerView::new();
         loop {
-            let outcome = match at {
-                None => self.list_servers().await,
-                Some(after) => self.watch_servers(after).await,
-            };
-            match outcome {
-                Ok(revision) => {
+            match self.next_servers(&mut view).await {
+                Ok(()) => {
                     backoff.reset();
-                    at = Some(revision);
+                    view.lost = None;
                 }
                 Err(error) => {
                     tracing::info!(%error, "directory: no news of the backend servers");
-                    if error == DirectoryError::HistoryGone {
-                        at = None;
-                    }
+                    view.at = None;
+                    view.lost.get_or_insert_with(Instant::now);
                     backoff.wait().await;
                 }
             }
         }
     }
 
-    async fn list_servers(&self) -> Result<Revision, DirectoryError> {
-        let listing = self.directory.servers().await?;
-        let servers = listing.servers.len();
-        tracing::info!(
-            servers,
-            revision = listing.revision.0,
-            "directory: servers listed"
-        );
-        self.relay.set_servers(&listing.servers);
-        Ok(listing.revision)
-    }
-
-    async fn watch_servers(&self, after: Revision) -> Result<Revision, DirectoryError> {
-        let news = self.directory.next_servers(after, WATCH).await?;
+    async fn next_servers(&self, view: &mut ServerView) -> Result<()> {
+        let Some(after) = view.at else {
+            let listing = self.directory.servers().await?;
+            let servers = listing.servers.len();
+            let whole = view.is_whole();
+            tracing::info!(
+                servers,
+                whole,
+                revision = listing.revision.0,
+                "directory: servers listed"
+            );
+            if whole {
+                self.relay.set_servers(&listing);
+            } else {
+                self.relay.add_servers(&listing);
+                view.again = Some(Instant::now() + RETURN);
+            }
+            view.at = Some(listing.revision);
+            return Ok(());
+        };
+        let wait = match view.again {
+            Some(again) => again.saturating_duration_since(Instant::now()).min(WATCH),
+            None => WATCH,
+        };
+        let news = self.directory.next_servers(after, wait).await?;
         if !news.changes.is_empty() {
+            let changes = news.changes.len();
             tracing::info!(
-                changes = news.changes.len(),
+                changes,
                 revision = news.revision.0,
                 "directory: servers changed"
             );
-            self.relay.change_servers(&news.changes);
         }
-        Ok(news.revision)
+        self.relay.change_servers(&news);
+        view.at = Some(news.revision);
+        if view.again.is_some_and(|again| again <= Instant::now()) {
+            view.again = None;
+            view.at = None;
+        }
+        Ok(())
+    }
+
+    async fn follow_peers(&self) {
+        let own = self.relay.peer_record();
+        let mut written = false;
+        loop {
+            if !written {
+                written = self.register(&own).await;
+            }
+            let pause = match self.directory.peers().await {
+                Ok(peers) => {
+                    let others = peers.into_iter().filter(|p| p.entry).map(|p| p.address);
+                    self.relay.peers().learn(own.address, others);
+                    PEERS
+                }
+                Err(error) => {
+                    tracing::info!(%error, "directory: no list of relays");
+                    PEERS_AGAIN
+                }
+            };
+            sleep(if written { pause } else { PEERS_AGAIN }).await;
+        }
+    }
+
+    async fn register(&self, own: &cicada_lib::site::PeerRecord) -> bool {
+        match self.directory.register(own).await {
+            Ok(()) => true,
+            Err(error) => {
+                tracing::info!(%error, "directory: this relay could not be written down");
+                false
+            }
+        }
+    }
+
+    /// Reads from other relays what they know and this one does not.
+    async fn pull(&self) {
+        // What was known a round ago: a relay whose watch is alive has caught up by then.
+        let (mut version, mut revision) = (0, 0);
+        loop {
+            sleep(PULL).await;
+            let ahead = self.relay.peers().with_config_after(self.relay.version());
+            if let Some(peer) = ahead.filter(|_| self.relay.version() == version) {
+                self.pull_from(peer, &PeerQuestion::Config(version)).await;
+            }
+            let ahead = self
+                .relay
+                .peers()
+                .with_servers_after(self.relay.revision().0);
+            if let Some(peer) = ahead.filter(|_| self.relay.revision().0 == revision) {
+                self.pull_from(peer, &PeerQuestion::Servers(revision)).await;
+            }
+            version = self.relay.version();
+            revision = self.relay.revision().0;
+        }
+    }
+
+    async fn pull_from(&self, peer: std::net::SocketAddr, question: &PeerQuestion) {
+        match peer_pull::ask(peer, question).await {
+            Ok(PeerAnswer::Nothing) => {}
+            Ok(PeerAnswer::Config(config)) => {
+                tracing::info!(%peer, version = config.version, "peers: a configuration came from a relay");
+                self.relay.set_config(config);
+            }
+            Ok(PeerAnswer::Servers(listing)) => {
+                tracing::info!(%peer, revision = listing.revision.0, "peers: servers came from a relay");
+                self.relay.set_servers(&listing);
+            }
+            Err(error) => tracing::debug!(%peer, %error, "peers: a relay gave no answer"),
+        }
+    }
+}
+
+/// How far the backend servers are known from the directory.
+struct ServerView {
+    // Where the watch goes on; `None` where the list is to be read.
+    at: Option<Revision>,
+    // Since when the directory fails.
+    lost: Option<Instant>,
+    // When the list is to be read again, since it may have been incomplete.
+    again: Option<Instant>,
+}
+
+impl ServerView {
+    fn new() -> Self {
+        ServerView {
+            at: None,
+            lost: None,
+            again: None,
+        }
+    }
+
+    /// Whether a server that is missing in a list that is read now has gone.
+    fn is_whole(&self) -> bool {
+        self.lost.is_none_or(|since| since.elapsed() < OUTAGE)
     }
 }
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -15,6 +15,8 @@
 mod keeper;
 mod moved_runs;
 mod peer_net;
+mod peer_pull;
+mod peers;
 mod plain;
 mod relay;
 mod scout;
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -7,6 +7,7 @@
 use cicada_lib::dialect::EngineReport;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
+use cicada_lib::peer_words::RelayHello;
 use cicada_lib::peer_words::ScoutReport;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -20,6 +21,13 @@
 /// nothing.
 const RENEW: Duration = Duration::from_secs(1);
 
+/// How often other relays are told: a change that one host alone does not hear of must reach it within
+/// a second or two.
+const HELLO: Duration = Duration::from_millis(400);
+
+/// Relays that are named to others in a word.
+const PASSED_ON: usize = 4;
+
 /// Engines that a subscription names: they fit into a datagram, and are more than runs are moved to.
 const MOST_NAMED: usize = 64;
 
@@ -45,10 +53,13 @@
     pub(crate) async fn run(self, mut asks: mpsc::Receiver<MoveAsk>) {
         let mut renewals = interval(RENEW);
         renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut hellos = interval(HELLO);
+        hellos.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = [0; peer_words::MAX_DATAGRAM];
         loop {
             tokio::select! {
                 _ = renewals.tick() => self.subscribe().await,
+                _ = hellos.tick() => self.hello().await,
                 Some(ask) = asks.recv() => {
                     self.send(&Datagram::WasMoved(ask.id), self.scout(ask.engine)).await;
                 }
@@ -70,6 +81,20 @@
         }
     }
 
+    async fn hello(&self) {
+        let word = Datagram::Hello(RelayHello {
+            version: self.relay.version(),
+            revision: self.relay.revision().0,
+            others: self.relay.peers().some(PASSED_ON),
+        });
+        let peers = self.relay.peers().pick();
+        for peer in peers {
+            self.send(&word, peer).await;
+        }
+        let entries = self.relay.peers().count();
+        self.relay.set_entries(entries);
+    }
+
     fn scout(&self, engine: SocketAddr) -> SocketAddr {
         SocketAddr::new(engine.ip(), self.port)
     }
@@ -91,6 +116,11 @@
             Ok(Datagram::Moved(moved)) if moved.source.ip() == from.ip() => {
                 self.relay.note_moved(moved);
             }
+            Ok(Datagram::Hello(hello)) => {
+                let mut peers = self.relay.peers();
+                peers.heard(from, hello.version, hello.revision);
+                peers.learn(self.relay.settings().peer, hello.others);
+            }
             Ok(_) => {}
             Err(error) => tracing::debug!(%from, %error, "peers: a datagram is passed over"),
         }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -24,7 +25,11 @@
 use cicada_lib::retry_window::RetryWindow;
 use cicada_lib::route_table::RouteTable;
 use cicada_lib::routing::ServerKey;
+use cicada_lib::site::PeerRecord;
+use cicada_lib::site::Revision;
 use cicada_lib::site::ServerChange;
+use cicada_lib::site::ServerChanges;
+use cicada_lib::site::ServerListing;
 use cicada_lib::site::ServerRecord;
 use cicada_lib::site::ServiceSpec;
 use cicada_lib::site::SiteConfig;
@@ -36,10 +41,14 @@
 use crate::figures::Figures;
 use crate::moved_runs::MovedRuns;
 use crate::peer_net::PeerNet;
+use crate::peer_pull;
+use crate::peers::Peers;
 
 /// What an entry is told by its settings.
 #[derive(Clone, Debug)]
 pub struct RelaySettings {
+    /// The host's name.
+    pub name: Name,
     /// Where other processes of the system send datagrams.
     pub peer: SocketAddr,
     /// Where callers connect.
@@ -75,6 +84,8 @@
     // Raised when what is known of a server's leaving changes.
     leaving: watch::Sender<u64>,
     moved: MovedRuns,
+    peers: Mutex<Peers>,
+    revision: AtomicU64,
     // Raised when idle connections are to be closed.
     ending: watch::Sender<bool>,
 }
@@ -101,12 +112,16 @@
             draining: AtomicBool::new(false),
             leaving: watch::Sender::new(0),
             moved: MovedRuns::new(),
+            peers: Mutex::default(),
+            revision: AtomicU64::new(0),
             ending: watch::Sender::new(false),
         })
     }
 
     /// Binds the addresses and serves in the current runtime.
     pub async fn serve(self: &Arc<Self>) -> std::io::Result<()> {
+        let questions = caller_server::listen(self.settings.peer)?;
+        tokio::spawn(peer_pull::serve(self.clone(), questions));
         let peers = PeerNet::bind(self.clone(), self.settings.peer).await?;
         if let Some(asks) = self.moved.take_asks() {
             tokio::spawn(peers.run(asks));
@@ -141,23 +156,74 @@
     }
 
     /// Takes the whole list of backend servers.
-    pub fn set_servers(&self, servers: &[ServerRecord]) {
-        self.fleet().set_all(self.now(), servers);
-        self.listed.store(true, Ordering::Relaxed);
-        self.note_leaving();
+    pub fn set_servers(&self, listing: &ServerListing) {
+        self.fleet().set_all(self.now(), &listing.servers);
+        self.listed_at(listing.revision);
+    }
+
+    /// Takes a list in which servers may be missing that are still there.
+    pub fn add_servers(&self, listing: &ServerListing) {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        for server in &listing.servers {
+            fleet.change(now, &ServerChange::Put(server.clone()));
+        }
+        drop(fleet);
+        self.listed_at(listing.revision);
     }
 
     /// Takes changes of the list.
-    pub fn change_servers(&self, changes: &[ServerChange]) {
+    pub fn change_servers(&self, news: &ServerChanges) {
+        // Another relay may have told of them, and of later ones, before.
+        if news.revision < self.revision() {
+            return;
+        }
         let now = self.now();
         let mut fleet = self.fleet();
-        for change in changes {
+        for change in &news.changes {
             fleet.change(now, change);
         }
         drop(fleet);
+        self.listed_at(news.revision);
+    }
+
+    /// The revision up to which the backend servers are known.
+    pub fn revision(&self) -> Revision {
+        Revision(self.revision.load(Ordering::Relaxed))
+    }
+
+    /// The backend servers as they are known.
+    pub(crate) fn listing(&self) -> ServerListing {
+        let servers = self.fleet().servers().cloned().collect();
+        ServerListing {
+            servers,
+            revision: self.revision(),
+        }
+    }
+
+    fn listed_at(&self, revision: Revision) {
+        self.revision.fetch_max(revision.0, Ordering::Relaxed);
+        self.listed.store(true, Ordering::Relaxed);
         self.note_leaving();
     }
 
+    /// The other relays. Held for microseconds.
+    pub(crate) fn peers(&self) -> MutexGuard<'_, Peers> {
+        self.peers
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    /// How this relay is reached by the others.
+    pub(crate) fn peer_record(&self) -> PeerRecord {
+        PeerRecord {
+            name: self.settings.name.clone(),
+            address: self.settings.peer,
+            zone: self.settings.place.zone.clone(),
+            entry: true,
+        }
+    }
+
     /// Takes a report of the engine at the address.
     pub(crate) fn report(&self, engine: SocketAddr, report: &EngineReport) {
         let turned = self.fleet().report(self.now(), engine, report);
