--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -44,6 +44,10 @@
 /// The cost of a request that does not fit, in milliseconds for each time its size is lacking.
 const LACK: f64 = 4_000.0;
 
+/// The cost of a request whose availability zone has no room for the runs of an engine that leaves, in
+/// milliseconds, where it is one request's size short. Another region's engine costs 60 and a connection.
+const NO_RETREAT: f64 = 300.0;
+
 /// The cost of a place in a plain server's queue, in milliseconds: one call's usual time.
 const QUEUE_STEP: f64 = 40.0;
 
@@ -203,6 +207,7 @@
         need: &Need<'_>,
         spec: &ServiceSpec,
     ) -> Result<ServerKey, NoServer> {
+        let rooms = spec.engine.as_ref().map(|engine| self.zone_rooms(now, need, engine));
         let mut best: Option<(f64, ServerKey)> = None;
         for (key, server) in &self.servers {
             if !server.usable() || &server.record.service != need.service {
@@ -214,7 +219,9 @@
             if need.zone.is_some_and(|zone| *zone != server.record.zone) {
                 continue;
             }
-            let score = self.score(now, server, need, spec);
+            let room = rooms.as_ref().and_then(|rooms| rooms.get(&server.record.zone));
+            let crowded = room.map_or(0.0, |room| room.penalty(need.tokens));
+            let score = self.score(now, server, need, spec) + crowded;
             if best.is_none_or(|(least, _)| score < least) {
                 best = Some((score, key));
             }
@@ -355,6 +362,32 @@
         way + 10.0 * rest + cold + load
     }
 
+    /// The memory of a service's engines in each availability zone.
+    fn zone_rooms(
+        &self,
+        now: Time,
+        need: &Need<'_>,
+        engine: &EngineSpec,
+    ) -> HashMap<Name, ZoneRoom> {
+        let mut rooms: HashMap<Name, ZoneRoom> = HashMap::new();
+        for server in self.servers.values() {
+            if &server.record.service != need.service || !server.listed {
+                continue;
+            }
+            let room = rooms.entry(server.record.zone.clone()).or_default();
+            let used = server.used(now);
+            if server.leaving.is_some() {
+                // What runs there needs room at the others now.
+                room.used += used;
+            } else {
+                room.capacity += engine.capacity;
+                room.used += used;
+                room.largest = room.largest.max(engine.capacity);
+            }
+        }
+        rooms
+    }
+
     /// Milliseconds there and back.
     fn trip(&self, zone: &Name) -> f64 {
         if *zone == self.place.zone {
@@ -368,22 +401,47 @@
     }
 }
 
+/// The memory of the engines of one service in one availability zone, in tokens.
+#[derive(Clone, Copy, Debug, Default)]
+struct ZoneRoom {
+    capacity: u64,
+    used: u64,
+    // The memory of the largest engine.
+    largest: u64,
+}
+
+impl ZoneRoom {
+    /// The cost of one more request of `tokens`, in milliseconds: it counts where the zone's runs would
+    /// no longer fit when one engine leaves. Runs can only be moved within their zone in time.
+    fn penalty(&self, tokens: u64) -> f64 {
+        let room = self.capacity.saturating_sub(self.largest) as f64 * MEMORY_PART;
+        let lack = (self.used + tokens) as f64 - room;
+        NO_RETREAT * (lack / tokens.max(1) as f64).clamp(0.0, 2.0)
+    }
+}
+
 impl Server {
+    /// Tokens of memory that are taken, as far as this entry knows.
+    fn used(&self, now: Time) -> u64 {
+        let report = self.report.filter(|r| now.since(r.at) < REPORT_AGE);
+        let reported = report.map_or(0, |r| r.used + self.tokens.saturating_sub(r.tokens));
+        reported.max(self.tokens)
+    }
+
     fn usable(&self) -> bool {
         self.listed && self.leaving.is_none()
     }
 
     fn engine_cost(&self, now: Time, need: &Need<'_>, engine: &EngineSpec) -> f64 {
         let report = self.report.filter(|r| now.since(r.at) < REPORT_AGE);
-        let (used, running, queued) = match report {
+        let (running, queued) = match report {
             Some(report) => {
-                let grown = self.tokens.saturating_sub(report.tokens);
                 let added = self.open.saturating_sub(report.open);
-                (report.used + grown, report.running + added, report.queued)
+                (report.running + added, report.queued)
             }
-            None => (0, 0, 0),
+            None => (0, 0),
         };
-        let used = used.max(self.tokens) + need.tokens;
+        let used = self.used(now) + need.tokens;
         let room = engine.capacity as f64 * MEMORY_PART;
         let lack = (used as f64 - room).max(0.0) / (need.tokens.max(1) as f64);
         let crowd = f64::from(running.max(self.open));
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -65,6 +65,8 @@
         Subscribe(Vec<SocketAddr>),
         /// A scout's report.
         Report(ScoutReport),
+        /// A run's memory is being copied, and it will stop soon; the handle is not known yet.
+        Moving(MovedRun),
         /// A run was moved.
         Moved(MovedRun),
         /// A run's stream has broken: was the run of this identifier moved?
--- a/relay/src/evacuation.rs
+++ b/relay/src/evacuation.rs
@@ -81,25 +81,36 @@
     }
 }
 
+/// What relays are told of a run.
+#[derive(Debug)]
+pub(crate) enum RunNews {
+    /// Its memory is being copied; it will stop soon.
+    Coming(MovedRun),
+    /// It has stopped.
+    Moved(MovedRun),
+}
+
 /// Moves runs until the engine is gone; ends when the reports do.
 pub(crate) async fn run(
     engines: Arc<dyn EngineCalls>,
     engine: SocketAddr,
     neighbours: Arc<Neighbours>,
     mut reports: watch::Receiver<EngineReport>,
-    moves: mpsc::Sender<MovedRun>,
+    news: mpsc::Sender<RunNews>,
 ) {
     let mut mover = Mover {
         engines,
         engine,
         neighbours,
+        news,
         done: Vec::new(),
+        postponed: Vec::new(),
         refused: Vec::new(),
     };
     loop {
         let next = {
             let report = reports.borrow_and_update();
-            move_plan::next_run(&report.runs, &mover.done).cloned()
+            mover.next(&report.runs)
         };
         let moved = match next {
             Some(run) => mover.move_run(&run).await,
@@ -107,7 +118,7 @@
         };
         match moved {
             Some(moved) => {
-                if moves.send(moved).await.is_err() {
+                if mover.news.send(RunNews::Moved(moved)).await.is_err() {
                     return;
                 }
             }
@@ -123,25 +134,47 @@
     engines: Arc<dyn EngineCalls>,
     engine: SocketAddr,
     neighbours: Arc<Neighbours>,
+    news: mpsc::Sender<RunNews>,
     // Runs that are moved, or cannot be.
     done: Vec<Name>,
+    // Runs that found no room lately, and are tried again when the others are done.
+    postponed: Vec<Name>,
     // Targets that turned the current run away.
     refused: Vec<SocketAddr>,
 }
 
 impl Mover {
+    /// The run to move next. Runs that found no room are tried again once the others are through.
+    fn next(&mut self, runs: &[EngineRun]) -> Option<EngineRun> {
+        let passed: Vec<Name> = self.done.iter().chain(&self.postponed).cloned().collect();
+        let next = move_plan::next_run(runs, &passed).cloned();
+        if next.is_none() {
+            self.postponed.clear();
+        }
+        next
+    }
+
     /// Moves one run; `None` where it stays for now.
     async fn move_run(&mut self, run: &EngineRun) -> Option<MovedRun> {
         let targets = self.neighbours.targets();
         let Some(target) = move_plan::target_for(run.tokens, &targets, &self.refused) else {
             tracing::info!(id = %run.id, tokens = run.tokens, targets = targets.len(), "move: no target has room");
             self.refused.clear();
-            self.done.push(run.id.clone());
+            self.postponed.push(run.id.clone());
             return None;
         };
         let address = target.address;
         let begun = Instant::now();
         self.neighbours.sent(address, run.tokens);
+        let coming = RunNews::Coming(MovedRun {
+            id: run.id.clone(),
+            source: self.engine,
+            target: Some(address),
+            handle: Name::default(),
+        });
+        if self.news.send(coming).await.is_err() {
+            return None;
+        }
         if let Err(error) = self.step(run, address, MoveStep::Copy).await {
             self.failed(run, address, &error);
             return None;
--- a/relay/src/moved_runs.rs
+++ b/relay/src/moved_runs.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
@@ -13,6 +14,9 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::upstream;
+use crate::upstream::Opened;
+
 /// How long word of a move is kept: a copy is freed after some seconds.
 const KEPT: Duration = Duration::from_secs(6);
 
@@ -33,6 +37,8 @@
 
 /// Moves that were heard of lately.
 pub(crate) struct MovedRuns {
+    // The runs whose streams are here, with connections to the engines that they go to.
+    own: Arc<Mutex<HashMap<Name, Option<Prepared>>>>,
     moved: Mutex<HashMap<Name, (Instant, MovedRun)>>,
     // Raised with every move.
     news: watch::Sender<u64>,
@@ -46,6 +52,7 @@
     pub(crate) fn new() -> Self {
         let (asks, pending) = mpsc::channel(WAITING_ASKS);
         MovedRuns {
+            own: Arc::default(),
             moved: Mutex::default(),
             news: watch::Sender::new(0),
             asks,
@@ -53,13 +60,47 @@
         }
     }
 
+    /// A stream of the run is here, until the guard is dropped.
+    pub(crate) fn watch(&self, id: &Name) -> OwnRun {
+        lock(&self.own).insert(id.clone(), None);
+        OwnRun {
+            id: id.clone(),
+            own: self.own.clone(),
+        }
+    }
+
+    /// A run is about to go to another engine: opens a connection there, if its stream is here. To
+    /// another region that takes 60 ms, for which the caller would see nothing come.
+    pub(crate) fn prepare(&self, moving: &MovedRun) {
+        let Some(target) = moving.target else {
+            return;
+        };
+        if !lock(&self.own).contains_key(&moving.id) {
+            return;
+        }
+        let own = self.own.clone();
+        let id = moving.id.clone();
+        tokio::spawn(async move {
+            match upstream::open(target).await {
+                Ok(opened) => {
+                    if let Some(prepared) = lock(&own).get_mut(&id) {
+                        *prepared = Some(Prepared { target, opened });
+                    }
+                }
+                Err(error) => tracing::debug!(%id, %target, %error, "move: no connection ahead"),
+            }
+        });
+    }
+
+    /// The connection to the engine that was opened ahead for the run.
+    pub(crate) fn prepared(&self, id: &Name, target: SocketAddr) -> Option<Opened> {
+        let prepared = lock(&self.own).get_mut(id)?.take()?;
+        (prepared.target == target).then_some(prepared.opened)
+    }
+
     /// The questions to send, once.
     pub(crate) fn take_asks(&self) -> Option<mpsc::Receiver<MoveAsk>> {
-        let mut pending = self
-            .pending
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
-        pending.take()
+        lock(&self.pending).take()
     }
 
     /// Keeps word of a move.
@@ -108,8 +149,28 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<Name, (Instant, MovedRun)>> {
-        self.moved
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner())
+        lock(&self.moved)
+    }
+}
+
+/// A connection that was opened ahead of a move.
+struct Prepared {
+    target: SocketAddr,
+    opened: Opened,
+}
+
+/// A run whose stream is here.
+pub(crate) struct OwnRun {
+    id: Name,
+    own: Arc<Mutex<HashMap<Name, Option<Prepared>>>>,
+}
+
+impl Drop for OwnRun {
+    fn drop(&mut self) {
+        lock(&self.own).remove(&self.id);
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -19,7 +19,7 @@
 
 /// How often subscriptions are renewed: a scout keeps one for four of them, so that lost datagrams cost
 /// nothing.
-const RENEW: Duration = Duration::from_secs(1);
+const RENEW: Duration = Duration::from_millis(700);
 
 /// How often other relays are told: a change that one host alone does not hear of must reach it within
 /// a second or two.
@@ -113,6 +113,9 @@
             Ok(Datagram::Report(report)) if report.address.ip() == from.ip() => {
                 self.relay.report(report.address, &engine_report(&report));
             }
+            Ok(Datagram::Moving(moving)) if moving.source.ip() == from.ip() => {
+                self.relay.moved().prepare(&moving);
+            }
             Ok(Datagram::Moved(moved)) if moved.source.ip() == from.ip() => {
                 self.relay.note_moved(moved);
             }
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -24,6 +24,7 @@
 
 use crate::evacuation;
 use crate::evacuation::Neighbours;
+use crate::evacuation::RunNews;
 
 /// How often the engine is asked: an engine that leaves says so 1.5 s before, of which this takes a
 /// thirtieth at most.
@@ -70,8 +71,8 @@
     // The latest runs of an engine that leaves, for the task that moves them.
     evacuating: Option<tokio::sync::watch::Sender<EngineReport>>,
     moved: Vec<MovedRun>,
-    moves: mpsc::Receiver<MovedRun>,
-    moves_in: mpsc::Sender<MovedRun>,
+    moves: mpsc::Receiver<RunNews>,
+    moves_in: mpsc::Sender<RunNews>,
 }
 
 impl Scout {
@@ -114,7 +115,10 @@
                         self.hear(&buffer[..length], from).await;
                     }
                 }
-                Some(moved) = self.moves.recv() => self.tell_moved(moved).await,
+                Some(news) = self.moves.recv() => match news {
+                    RunNews::Coming(run) => self.send_all(&Datagram::Moving(run)).await,
+                    RunNews::Moved(run) => self.tell_moved(run).await,
+                },
             }
         }
     }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -33,6 +33,7 @@
 use crate::events::Events;
 use crate::exchange::Call;
 use crate::exchange::returned;
+use crate::moved_runs::OwnRun;
 use crate::relay::Placed;
 use crate::relay::Relay;
 use crate::upstream;
@@ -179,10 +180,18 @@
 }
 
 async fn send(relay: &Relay, call: &Call, placed: &Placed, resume: Option<Resume>) -> Sent {
-    let opened = match timeout_at(call.limit, upstream::open(placed.record.address)).await {
-        Err(_) | Ok(Err(SendError::NotSent(_))) => return Sent::Unreached,
-        Ok(Err(SendError::Lost(_))) => return Sent::Unknown,
-        Ok(Ok(opened)) => opened,
+    let address = placed.record.address;
+    let prepared = match (&resume, &call.head.id) {
+        (Some(_), Some(id)) => relay.moved().prepared(id, address),
+        _ => None,
+    };
+    let opened = match prepared {
+        Some(opened) => opened,
+        None => match timeout_at(call.limit, upstream::open(address)).await {
+            Err(_) | Ok(Err(SendError::NotSent(_))) => return Sent::Unreached,
+            Ok(Err(SendError::Lost(_))) => return Sent::Unknown,
+            Ok(Ok(opened)) => opened,
+        },
     };
     let dispatch = Dispatch {
         server: placed.record.id.clone(),
@@ -254,7 +263,9 @@
     *response.status_mut() = began.parts.status;
     *response.headers_mut() = returned(&began.parts.headers);
     let now = Instant::now();
+    let own = call.head.id.as_ref().map(|id| relay.moved().watch(id));
     let run = Run {
+        _own: own,
         relay: relay.clone(),
         call,
         placed,
@@ -288,6 +299,8 @@
     latest: Instant,
     moving: Option<Move>,
     failed_moves: u32,
+    // Tells that word of the run's moves is wanted here.
+    _own: Option<OwnRun>,
     // When the last event before a move came, until the first one after it.
     resumed: Option<Instant>,
 }
