--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -38,16 +38,40 @@
 /// Tokens of a prompt of another entry, of which only the number is known.
 const USUAL_PROMPT: f64 = 2_600.0;
 
+/// Tokens by which a running request that is only known by its number is expected to grow: half of what
+/// a long one writes.
+const USUAL_GROWTH: u64 = 400;
+
+/// The weight of a millisecond of reading before the first event. One that is soon over hurts nobody,
+/// and counts as much as balance asks for.
+const READ_WEIGHT: f64 = 0.6;
+
+/// Milliseconds of reading from which each one more may make the first event late, and its weight. The
+/// objectives are 1.5 s and more, and other requests come in between.
+const READ_LONG: f64 = 900.0;
+const READ_LATE: f64 = 3.0;
+
+/// The cost of a full memory, in milliseconds: for balance between engines, and the steeper part from
+/// the share at which an engine can no longer take in the runs of another one.
+const FILL: f64 = 120.0;
+const FILL_HIGH: f64 = 0.7;
+const FILL_STEEP: f64 = 900.0;
+
 /// How much a running request slows the ones beside it, in milliseconds of the first event's time.
-const CROWDING: f64 = 6.0;
+const CROWDING: f64 = 3.0;
 
 /// The part of an engine's memory that is planned with: what grows beyond its expectation needs the
 /// rest.
-const MEMORY_PART: f64 = 0.92;
+const MEMORY_PART: f64 = 0.95;
 
 /// The cost of a request that does not fit, in milliseconds for each time its size is lacking.
 const LACK: f64 = 4_000.0;
 
+/// How long a request that was sent does not show in the reports that come back: the ways there and
+/// back, and the time between two reports.
+const UNSEEN_NEAR: Duration = Duration::from_millis(60);
+const UNSEEN_FAR: Duration = Duration::from_millis(130);
+
 /// The cost of a request whose availability zone has no room for the runs of an engine that leaves, in
 /// milliseconds, where it is one request's size short. Another region's engine costs 60 and a connection.
 const NO_RETREAT: f64 = 300.0;
@@ -107,6 +131,8 @@
     // Tokens of prompts of this entry whose first event has not come.
     unread: u64,
     report: Option<Report>,
+    // Requests of all entries that the report cannot show yet, in the order of time.
+    unseen: Vec<Unseen>,
     // Failures since the last success, and until when it rests.
     failures: u32,
     rest: Time,
@@ -121,10 +147,14 @@
     queued: u32,
     running: u32,
     reading: u32,
-    // Own figures at that time: what was placed since comes on top.
-    open: u32,
+}
+
+/// A request that was sent a moment ago.
+#[derive(Clone, Copy, Debug)]
+struct Unseen {
+    at: Time,
+    prompt: u64,
     tokens: u64,
-    unread: u64,
 }
 
 /// Where this entry stands.
@@ -241,11 +271,20 @@
     }
 
     /// A request was sent to the server.
-    pub fn started(&mut self, key: ServerKey, need: &Need<'_>) {
+    pub fn started(&mut self, now: Time, key: ServerKey, need: &Need<'_>) {
         if let Some(server) = self.servers.get_mut(key) {
             server.open += 1;
             server.tokens += need.tokens;
             server.unread += need.prompt;
+            server.sent(now, need.prompt, need.tokens);
+        }
+    }
+
+    /// Another entry sent a request to the engine at the address.
+    pub fn started_elsewhere(&mut self, now: Time, engine: SocketAddr, prompt: u64, tokens: u64) {
+        let mut listed = self.servers.values_mut().filter(|s| s.listed);
+        if let Some(server) = listed.find(|s| s.record.address == engine) {
+            server.sent(now, prompt, tokens);
         }
     }
 
@@ -308,10 +347,10 @@
             queued: report.queued,
             running: report.running,
             reading: report.reading,
-            open: server.open,
-            tokens: server.tokens,
-            unread: server.unread,
         });
+        let far = server.record.zone != self.place.zone;
+        let unseen = if far { UNSEEN_FAR } else { UNSEEN_NEAR };
+        server.unseen.retain(|sent| now.since(sent.at) < unseen);
         turned
     }
 
@@ -345,6 +384,7 @@
             tokens: 0,
             unread: 0,
             report: None,
+            unseen: Vec::new(),
             failures: 0,
             rest: Time::ZERO,
             others: 0.0,
@@ -434,37 +474,50 @@
 }
 
 impl Server {
-    /// Tokens of memory that are taken, as far as this entry knows.
+    /// Tokens of memory that are taken, or will be when what runs there has grown, as far as this entry
+    /// knows.
     fn used(&self, now: Time) -> u64 {
-        let report = self.report.filter(|r| now.since(r.at) < REPORT_AGE);
-        let reported = report.map_or(0, |r| r.used + self.tokens.saturating_sub(r.tokens));
+        let unseen: u64 = self.unseen.iter().map(|sent| sent.tokens).sum();
+        let reported = self.fresh_report(now).map_or(0, |report| {
+            report.used + u64::from(report.running) * USUAL_GROWTH + unseen
+        });
         reported.max(self.tokens)
     }
 
+    fn fresh_report(&self, now: Time) -> Option<Report> {
+        self.report.filter(|r| now.since(r.at) < REPORT_AGE)
+    }
+
+    fn sent(&mut self, now: Time, prompt: u64, tokens: u64) {
+        self.unseen.retain(|sent| now.since(sent.at) < REPORT_AGE);
+        self.unseen.push(Unseen {
+            at: now,
+            prompt,
+            tokens,
+        });
+    }
+
     fn usable(&self) -> bool {
         self.listed && self.leaving.is_none()
     }
 
     fn engine_cost(&self, now: Time, need: &Need<'_>, engine: &EngineSpec) -> f64 {
-        let report = self.report.filter(|r| now.since(r.at) < REPORT_AGE);
-        let (running, unread) = match report {
+        let unseen: u64 = self.unseen.iter().map(|sent| sent.prompt).sum();
+        let (running, reading) = match self.fresh_report(now) {
             Some(report) => {
-                let added = self.open.saturating_sub(report.open);
-                let sent = self.unread.saturating_sub(report.unread) as f64;
-                let unread = f64::from(report.reading) * USUAL_PROMPT + sent;
-                (report.running + report.queued + added, unread)
+                let running = report.running + report.queued + self.unseen.len() as u32;
+                (running, f64::from(report.reading) * USUAL_PROMPT + unseen as f64)
             }
-            None => (0, 0.0),
+            None => (self.open, unseen as f64),
         };
-        let unread = unread.max(self.unread as f64) + need.prompt as f64;
-        let used = self.used(now) + need.tokens;
+        let reading = reading.max(self.unread as f64) + need.prompt as f64;
+        let used = (self.used(now) + need.tokens) as f64;
+        let running = f64::from(running.max(self.open));
+        let full = (running + 1.0 - f64::from(engine.slots)).max(0.0);
         let room = engine.capacity as f64 * MEMORY_PART;
-        let lack = (used as f64 - room).max(0.0) / (need.tokens.max(1) as f64);
-        let crowd = f64::from(running.max(self.open));
-        let full = (crowd + 1.0 - f64::from(engine.slots)).max(0.0);
-        let reading = unread / READ_RATE;
-        let fill = used as f64 / room;
-        reading + crowd * CROWDING + 60.0 * fill + (lack + full) * LACK
+        let lack = (used - room).max(0.0) / (need.tokens.max(1) as f64);
+        let wait = read_cost(reading / READ_RATE);
+        wait + running * CROWDING + fill_cost(used / room) + (lack + full) * LACK
     }
 
     fn queue_cost(&self) -> f64 {
@@ -473,3 +526,13 @@
         busy / slots * QUEUE_STEP / 2.0 + (busy + 1.0 - slots).max(0.0) * QUEUE_STEP
     }
 }
+
+/// The cost of a wait for prompts to be read, in milliseconds.
+fn read_cost(wait: f64) -> f64 {
+    wait * READ_WEIGHT + (wait - READ_LONG).max(0.0) * READ_LATE
+}
+
+/// The cost of a memory that is filled to a part, in milliseconds.
+fn fill_cost(fill: f64) -> f64 {
+    fill * FILL + (fill - FILL_HIGH).max(0.0) * FILL_STEEP
+}
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -50,6 +50,16 @@
         pub handle: Name,
     }
 
+    /// A relay has sent a request to an engine.
+    pub struct SentWord {
+        /// Where the engine takes requests.
+        pub engine: SocketAddr,
+        /// Tokens of the prompt.
+        pub prompt: u64,
+        /// Tokens that the request is expected to hold at its end.
+        pub tokens: u64,
+    }
+
     /// A relay's word to the other relays.
     pub struct RelayHello {
         /// The version of the configuration in force there.
@@ -73,6 +83,8 @@
         Moved(MovedRun),
         /// A run's stream has broken: was the run of this identifier moved?
         WasMoved(Name),
+        /// A relay has sent a request to an engine.
+        Sent(SentWord),
         /// A relay's word.
         Hello(RelayHello),
     }
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -9,6 +9,7 @@
 use cicada_lib::peer_words::Datagram;
 use cicada_lib::peer_words::RelayHello;
 use cicada_lib::peer_words::ScoutReport;
+use cicada_lib::peer_words::SentWord;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
@@ -50,7 +51,7 @@
     }
 
     /// Hears and tells until the process ends.
-    pub(crate) async fn run(self, mut asks: mpsc::Receiver<MoveAsk>) {
+    pub(crate) async fn run(self, mut asks: mpsc::Receiver<MoveAsk>, mut sent: mpsc::Receiver<SentWord>) {
         let mut renewals = interval(RENEW);
         renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut hellos = interval(HELLO);
@@ -60,6 +61,7 @@
             tokio::select! {
                 _ = renewals.tick() => self.subscribe().await,
                 _ = hellos.tick() => self.hello().await,
+                Some(word) = sent.recv() => self.tell_peers(&Datagram::Sent(word)).await,
                 Some(ask) = asks.recv() => {
                     self.send(&Datagram::WasMoved(ask.id), self.scout(ask.engine)).await;
                 }
@@ -87,12 +89,16 @@
             revision: self.relay.revision().0,
             others: self.relay.peers().some(PASSED_ON),
         });
+        self.tell_peers(&word).await;
+        let entries = self.relay.peers().count();
+        self.relay.set_entries(entries);
+    }
+
+    async fn tell_peers(&self, word: &Datagram) {
         let peers = self.relay.peers().pick();
         for peer in peers {
-            self.send(&word, peer).await;
+            self.send(word, peer).await;
         }
-        let entries = self.relay.peers().count();
-        self.relay.set_entries(entries);
     }
 
     fn scout(&self, engine: SocketAddr) -> SocketAddr {
@@ -119,6 +125,7 @@
             Ok(Datagram::Moved(moved)) if moved.source.ip() == from.ip() => {
                 self.relay.note_moved(moved);
             }
+            Ok(Datagram::Sent(word)) => self.relay.sent_elsewhere(&word),
             Ok(Datagram::Hello(hello)) => {
                 let mut peers = self.relay.peers();
                 peers.heard(from, hello.version, hello.revision);
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -21,6 +21,7 @@
 use cicada_lib::fleet::Place;
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::MovedRun;
+use cicada_lib::peer_words::SentWord;
 use cicada_lib::retry_window::RetryBound;
 use cicada_lib::retry_window::RetryWindow;
 use cicada_lib::route_table::RouteTable;
@@ -35,6 +36,7 @@
 use cicada_lib::site::SiteConfig;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 
 use crate::caller_server;
@@ -66,6 +68,9 @@
 /// Entries that are assumed before the others are known: a smaller part of a shared bound is safe.
 const ASSUMED_ENTRIES: usize = 8;
 
+/// Words to other relays that wait to be sent.
+const WAITING_WORDS: usize = 256;
+
 /// An entry.
 pub struct Relay {
     settings: RelaySettings,
@@ -85,6 +90,9 @@
     leaving: watch::Sender<u64>,
     moved: MovedRuns,
     peers: Mutex<Peers>,
+    // Requests to engines that other relays are to be told of; the receiver until its task takes it.
+    sent: mpsc::Sender<SentWord>,
+    pending: Mutex<Option<mpsc::Receiver<SentWord>>>,
     revision: AtomicU64,
     // Raised when idle connections are to be closed.
     ending: watch::Sender<bool>,
@@ -98,7 +106,10 @@
         engines: Arc<dyn EngineCalls>,
         figures: Figures,
     ) -> Arc<Self> {
+        let (sent, pending) = mpsc::channel(WAITING_WORDS);
         Arc::new(Relay {
+            sent,
+            pending: Mutex::new(Some(pending)),
             fleet: Mutex::new(Fleet::new(settings.place.clone())),
             settings,
             dialect,
@@ -123,8 +134,9 @@
         let questions = caller_server::listen(self.settings.peer)?;
         tokio::spawn(peer_pull::serve(self.clone(), questions));
         let peers = PeerNet::bind(self.clone(), self.settings.peer).await?;
-        if let Some(asks) = self.moved.take_asks() {
-            tokio::spawn(peers.run(asks));
+        let pending = self.pending.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).take();
+        if let (Some(asks), Some(sent)) = (self.moved.take_asks(), pending) {
+            tokio::spawn(peers.run(asks, sent));
         }
         let callers = caller_server::listen(self.settings.listen)?;
         let ready = caller_server::listen(self.settings.ready)?;
@@ -328,11 +340,15 @@
         need: &Need<'_>,
         spec: &ServiceSpec,
     ) -> Result<Placed, NoServer> {
+        let now = self.now();
         let mut fleet = self.fleet();
-        let key = fleet.choose(self.now(), need, spec)?;
+        let key = fleet.choose(now, need, spec)?;
         let record = fleet.record(key).cloned().ok_or(NoServer::None)?;
-        fleet.started(key, need);
+        fleet.started(now, key, need);
         drop(fleet);
+        if need.tokens > 0 {
+            self.tell_sent(record.address, need);
+        }
         Ok(Placed {
             relay: self.clone(),
             key,
@@ -377,7 +393,7 @@
         let mut fleet = self.fleet();
         let key = fleet.key_at(address)?;
         let record = fleet.record(key).cloned()?;
-        fleet.started(key, need);
+        fleet.started(self.now(), key, need);
         drop(fleet);
         Some(Placed {
             relay: self.clone(),
@@ -389,6 +405,25 @@
         })
     }
 
+    /// Tells other relays of a request to an engine, before the engine's report can.
+    fn tell_sent(&self, engine: SocketAddr, need: &Need<'_>) {
+        let word = SentWord {
+            engine,
+            prompt: need.prompt,
+            tokens: need.tokens,
+        };
+        if self.sent.try_send(word).is_err() {
+            tracing::debug!(%engine, "peers: too many words wait, one is left out");
+        }
+    }
+
+    /// Another relay has sent a request to an engine.
+    pub(crate) fn sent_elsewhere(&self, word: &SentWord) {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        fleet.started_elsewhere(now, word.engine, word.prompt, word.tokens);
+    }
+
     fn note_leaving(&self) {
         self.leaving.send_modify(|count| *count += 1);
     }
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -27,8 +27,8 @@
 use crate::evacuation::RunNews;
 
 /// How often the engine is asked: an engine that leaves says so 1.5 s before, of which this takes a
-/// thirtieth at most.
-const LOOK: Duration = Duration::from_millis(50);
+/// fiftieth at most, and relays that choose engines at the same time see each other's requests.
+const LOOK: Duration = Duration::from_millis(30);
 
 /// How often a report goes to each listener while nothing has changed.
 const TELL: Duration = Duration::from_millis(400);
@@ -36,9 +36,9 @@
 /// A change of this part of the memory is told at once, as are requests that came or ended.
 const NEWS_PART: u64 = 32;
 
-/// Datagrams of reports in a second, to all listeners together: at 45 bytes 5 KB. Beyond 20 listeners
-/// each gets its reports less often.
-const TELL_RATE: f64 = 100.0;
+/// Datagrams of reports in a second, to all listeners together: at 45 bytes under 7 KB. Beyond five
+/// listeners each gets its reports less often.
+const TELL_RATE: f64 = 150.0;
 
 /// How long a listener gets reports after it asked for them.
 const SUBSCRIBED: Duration = Duration::from_secs(4);
