scout: says that its engine is there while the directory is out of reach

Change: a scout that no relay asks tells the seeds, which pass it on; relays heed it while their directory fails.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -1,5 +1,6 @@
 //! The role of a relay: puts the parts together, and obeys signals.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use cicada_lib::daemon_settings::Settings;
@@ -93,9 +94,11 @@
         address.ok_or_else(|| eyre::eyre!("[relay] {key} is missing"))
     };
     let peer = settings.address("process", "peer");
+    let peer = peer.ok_or_eyre("[process] peer is missing")?;
     Ok(RelaySettings {
+        peer,
+        seeds: seeds(settings, peer),
         name: settings.name("process", "name"),
-        peer: peer.ok_or_eyre("[process] peer is missing")?,
         listen: address("listen")?,
         ready: address("ready")?,
         place: Place {
@@ -111,6 +114,15 @@
     })
 }
 
+/// Where processes of the system take datagrams on the hosts of [platform] seeds: at the same port as
+/// here, whatever port the seeds name.
+pub(crate) fn seeds(settings: &Settings, peer: SocketAddr) -> Vec<SocketAddr> {
+    let seeds = settings.addresses("platform", "seeds").into_iter();
+    seeds
+        .map(|seed| SocketAddr::new(seed.ip(), peer.port()))
+        .collect()
+}
+
 /// What the status pages show of a relay.
 struct RelayStatus {
     relay: Arc<Relay>,
--- a/daemon/src/scout_role.rs
+++ b/daemon/src/scout_role.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use cicada_lib::daemon_settings::Settings;
+use cicada_lib::peer_words::EngineHere;
 use cicada_platform::HttpEngines;
 use cicada_relay::Scout;
 use eyre::Context;
@@ -11,6 +12,8 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::relay_role;
+
 /// Runs until the process is told to end. A scout holds no request, so that it ends at once.
 pub(crate) fn run(settings: &Settings, traffic: &Runtime) -> eyre::Result<()> {
     traffic.block_on(serve(settings))
@@ -23,7 +26,13 @@
     let peer = peer.ok_or_eyre("[process] peer is missing")?;
     let engine = settings.address("backend", "address");
     let engine = engine.ok_or_eyre("[backend] address is missing")?;
-    let scout = Scout::bind(peer, engine, Arc::new(HttpEngines::new())).await;
+    let here = EngineHere {
+        address: engine,
+        service: settings.name("backend", "service"),
+        zone: settings.name("process", "zone"),
+    };
+    let seeds = relay_role::seeds(settings, peer);
+    let scout = Scout::bind(peer, here, seeds, Arc::new(HttpEngines::new())).await;
     let scout =
         scout.wrap_err_with(|| format!("{peer} (UDP) cannot be bound; see [process] peer"))?;
     tracing::info!(name = settings.text("process", "name"), %engine, "process: scout started");
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -58,7 +58,7 @@
     /// What a request tells the backend server beyond what its caller wrote.
     #[derive(Default)]
     pub struct Dispatch {
-        /// The only server that may run it.
+        /// The only server that may run it; empty where its identifier is not known.
         pub server: Name,
         /// The caller's workspace.
         pub workspace: Option<Name>,
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -17,6 +17,7 @@
 
 use crate::dialect::EngineReport;
 use crate::ids::Name;
+use crate::peer_words::EngineHere;
 use crate::routing::ServerKey;
 use crate::site::EngineSpec;
 use crate::site::ServerChange;
@@ -91,6 +92,9 @@
 /// A report older than this says nothing any more.
 const REPORT_AGE: Duration = Duration::from_secs(3);
 
+/// The beginning of identifiers under which engines stand that are known by their scouts' word only.
+const UNLISTED: &str = "unlisted ";
+
 /// A scout that was silent for longer than this does not count on: it tells five times a second.
 const SCOUT_AGE: Duration = Duration::from_millis(1_200);
 
@@ -189,7 +193,8 @@
     pub fn set_all(&mut self, now: Time, records: &[ServerRecord]) {
         let listed: Vec<Name> = self.ids.keys().cloned().collect();
         for id in listed {
-            if !records.iter().any(|r| r.id == id) {
+            let announced = id.as_str().starts_with(UNLISTED);
+            if !announced && !records.iter().any(|r| r.id == id) {
                 self.gone(now, &id);
             }
         }
@@ -206,16 +211,62 @@
         }
     }
 
+    /// A scout says that its engine is there; whether that is news. Counts until the list has it, under
+    /// no identifier: the engine's own is in the list only.
+    pub fn announced(&mut self, now: Time, here: &EngineHere) -> bool {
+        if self.key_at(here.address).is_some() {
+            return false;
+        }
+        self.put(
+            now,
+            &ServerRecord {
+                id: Name::new(format!("{UNLISTED}{}", here.address)),
+                service: here.service.clone(),
+                address: here.address,
+                zone: here.zone.clone(),
+                slots: 0,
+                phase: ServerPhase::Ready,
+                cold: Duration::ZERO,
+                born: 0,
+            },
+        );
+        true
+    }
+
     /// The listed servers.
     pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
         self.ids.values().map(|key| &self.servers[*key].record)
     }
 
+    /// Forgets engines that only their scouts told of, and whose scouts are silent now.
+    pub fn trim_announced(&mut self, now: Time) {
+        let announced = self
+            .ids
+            .iter()
+            .filter(|(id, _)| id.as_str().starts_with(UNLISTED));
+        let silent = announced.filter(|(_, key)| {
+            let server = &self.servers[**key];
+            server.report.is_some_and(|r| now.since(r.at) >= SCOUT_AGE)
+        });
+        let silent: Vec<Name> = silent.map(|(id, _)| id.clone()).collect();
+        for id in silent {
+            self.gone(now, &id);
+        }
+    }
+
     /// The record of a server, while it is listed or something of this entry is there.
     pub fn record(&self, key: ServerKey) -> Option<&ServerRecord> {
         self.servers.get(key).map(|s| &s.record)
     }
 
+    /// The identifier that a request can name the server by; empty where only its scout told of it.
+    pub fn expected_id(record: &ServerRecord) -> Name {
+        match record.id.as_str().starts_with(UNLISTED) {
+            true => Name::default(),
+            false => record.id.clone(),
+        }
+    }
+
     /// The listed server at the address.
     pub fn key_at(&self, address: SocketAddr) -> Option<ServerKey> {
         let mut listed = self.ids.values().copied();
@@ -375,6 +426,9 @@
             // Another life under the same identifier: it holds nothing of the one before.
             self.gone(now, &record.id);
         }
+        if self.take_announced(record) {
+            return;
+        }
         let draining = record.phase == ServerPhase::Draining;
         let key = self.servers.insert(Server {
             record: record.clone(),
@@ -392,6 +446,22 @@
         self.ids.insert(record.id.clone(), key);
     }
 
+    /// The list has an engine that was known by its scout's word only: it is the same one, and what runs
+    /// there goes on.
+    fn take_announced(&mut self, record: &ServerRecord) -> bool {
+        let id = Name::new(format!("{UNLISTED}{}", record.address));
+        let Some(key) = self.ids.remove(&id) else {
+            return false;
+        };
+        let server = &mut self.servers[key];
+        server.record = record.clone();
+        if record.phase == ServerPhase::Draining {
+            server.leaving.get_or_insert(Time::ZERO);
+        }
+        self.ids.insert(record.id.clone(), key);
+        true
+    }
+
     fn gone(&mut self, now: Time, id: &Name) {
         let Some(key) = self.ids.remove(id) else {
             return;
@@ -506,7 +576,10 @@
         let (running, reading) = match self.fresh_report(now) {
             Some(report) => {
                 let running = report.running + report.queued + self.unseen.len() as u32;
-                (running, f64::from(report.reading) * USUAL_PROMPT + unseen as f64)
+                (
+                    running,
+                    f64::from(report.reading) * USUAL_PROMPT + unseen as f64,
+                )
             }
             None => (self.open, unseen as f64),
         };
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -38,6 +38,16 @@
         pub leaves: Option<u32>,
     }
 
+    /// A scout's word that its engine is there, for relays that the directory does not tell of it.
+    pub struct EngineHere {
+        /// Where the engine takes requests.
+        pub address: SocketAddr,
+        /// Its service.
+        pub service: Name,
+        /// Its availability zone.
+        pub zone: Name,
+    }
+
     /// Where a run goes on that a scout has moved off its engine.
     pub struct MovedRun {
         /// The attempt's identifier.
@@ -77,6 +87,10 @@
         Subscribe(Vec<SocketAddr>),
         /// A scout's report.
         Report(ScoutReport),
+        /// An engine is there. Passed on once by the relay that gets it first.
+        Here(EngineHere),
+        /// A relay passes on that an engine is there.
+        HerePassedOn(EngineHere),
         /// A run's memory is being copied, and it will stop soon; the handle is not known yet.
         Moving(MovedRun),
         /// A run was moved.
--- a/relay/src/drain.rs
+++ b/relay/src/drain.rs
@@ -11,6 +11,10 @@
 /// The balancer asks once a second, and takes an entry out after two refusals.
 const NOTICE: Duration = Duration::from_millis(2_600);
 
+/// When idle connections are closed, so that their callers come back through the balancer. What opens a
+/// connection later is served on it once.
+const CLOSING: Duration = Duration::from_millis(1_200);
+
 /// How often the open requests are looked at.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -26,7 +30,9 @@
     let end = begun + relay.settings().grace.saturating_sub(MARGIN);
     relay.set_draining();
     tracing::info!("process: draining");
-    sleep(NOTICE).await;
+    sleep(CLOSING).await;
+    relay.set_ending();
+    sleep(NOTICE - CLOSING).await;
     let mut quiet = Instant::now();
     while Instant::now() < end {
         if relay.open_requests() > 0 {
@@ -42,6 +48,4 @@
         waited = begun.elapsed().as_millis(),
         "process: drained"
     );
-    relay.set_ending();
-    sleep(LOOK).await;
 }
--- a/relay/src/evacuation.rs
+++ b/relay/src/evacuation.rs
@@ -105,6 +105,7 @@
         news,
         done: Vec::new(),
         postponed: Vec::new(),
+        told: Vec::new(),
         refused: Vec::new(),
     };
     loop {
@@ -139,6 +140,8 @@
     done: Vec<Name>,
     // Runs that found no room lately, and are tried again when the others are done.
     postponed: Vec<Name>,
+    // Those that this was said of.
+    told: Vec<Name>,
     // Targets that turned the current run away.
     refused: Vec<SocketAddr>,
 }
@@ -158,7 +161,11 @@
     async fn move_run(&mut self, run: &EngineRun) -> Option<MovedRun> {
         let targets = self.neighbours.targets();
         let Some(target) = move_plan::target_for(run.tokens, &targets, &self.refused) else {
-            tracing::info!(id = %run.id, tokens = run.tokens, targets = targets.len(), "move: no target has room");
+            // Said once for each run, since it is tried again until the engine has gone.
+            if !self.told.contains(&run.id) {
+                self.told.push(run.id.clone());
+                tracing::info!(id = %run.id, tokens = run.tokens, targets = targets.len(), "move: no target has room");
+            }
             self.refused.clear();
             self.postponed.push(run.id.clone());
             return None;
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -39,8 +39,11 @@
 use crate::relay::Relay;
 use crate::stream;
 
-/// When to come back to an entry that does not know the configuration yet: reading it takes less.
-const START_PAUSE: Duration = Duration::from_millis(400);
+/// When to come back to an entry that does not know the configuration yet, from the shortest to the
+/// longest: reading it takes less than the first where the directory answers, and directories that do
+/// not are away for some seconds. Spread, since all callers of a deployment that starts are turned away.
+const START_PAUSE: Duration = Duration::from_millis(800);
+const START_SPREAD: Duration = Duration::from_millis(3_200);
 
 /// A request that is read and allowed.
 pub(crate) struct Call {
@@ -116,7 +119,7 @@
     let table = relay.table();
     if !table.is_known() {
         relay.figures().refusal("no_config");
-        return Err(OwnAnswer::NotRun(START_PAUSE));
+        return Err(OwnAnswer::NotRun(start_pause()));
     }
     let (parts, body) = request.into_parts();
     let head = relay.dialect().call_head(&parts.headers);
@@ -124,11 +127,11 @@
     let limit = arrived + time_limit(&admitted.route, head.deadline);
     let body = read_body(body, table.config().limits.body, limit).await?;
     let service = share_of(&admitted.route, fastrand::f64()).cloned();
-    let service = service.ok_or(OwnAnswer::NotRun(START_PAUSE))?;
+    let service = service.ok_or(OwnAnswer::NotRun(start_pause()))?;
     let spec = table
         .service(&service)
         .cloned()
-        .ok_or(OwnAnswer::NotRun(START_PAUSE))?;
+        .ok_or(OwnAnswer::NotRun(start_pause()))?;
     let path = parts
         .uri
         .path_and_query()
@@ -148,6 +151,10 @@
     })
 }
 
+fn start_pause() -> Duration {
+    START_PAUSE + START_SPREAD.mul_f64(fastrand::f64())
+}
+
 fn admit(
     relay: &Relay,
     table: &RouteTable,
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -28,6 +28,9 @@
 const OUTAGE: Duration = Duration::from_secs(1);
 const RETURN: Duration = Duration::from_millis(2_300);
 
+/// After this a directory that fails counts as out of reach: a connection that broke is replaced sooner.
+const OUT_OF_REACH: Duration = Duration::from_millis(400);
+
 /// How often other relays are asked for what they know more.
 const PULL: Duration = Duration::from_millis(250);
 
@@ -111,11 +114,15 @@
                 Ok(()) => {
                     backoff.reset();
                     view.lost = None;
+                    self.relay.set_out_of_reach(false);
                 }
                 Err(error) => {
                     tracing::info!(%error, "directory: no news of the backend servers");
                     view.at = None;
-                    view.lost.get_or_insert_with(Instant::now);
+                    let lost = *view.lost.get_or_insert_with(Instant::now);
+                    if lost.elapsed() >= OUT_OF_REACH {
+                        self.relay.set_out_of_reach(true);
+                    }
                     backoff.wait().await;
                 }
             }
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -51,7 +51,11 @@
     }
 
     /// Hears and tells until the process ends.
-    pub(crate) async fn run(self, mut asks: mpsc::Receiver<MoveAsk>, mut sent: mpsc::Receiver<SentWord>) {
+    pub(crate) async fn run(
+        self,
+        mut asks: mpsc::Receiver<MoveAsk>,
+        mut sent: mpsc::Receiver<SentWord>,
+    ) {
         let mut renewals = interval(RENEW);
         renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut hellos = interval(HELLO);
@@ -66,8 +70,11 @@
                     self.send(&Datagram::WasMoved(ask.id), self.scout(ask.engine)).await;
                 }
                 received = self.socket.recv_from(&mut buffer) => {
-                    if let Ok((length, from)) = received {
-                        self.hear(&buffer[..length], from);
+                    let passed_on = received
+                        .ok()
+                        .and_then(|(length, from)| self.hear(&buffer[..length], from));
+                    if let Some(word) = passed_on {
+                        self.tell_peers(&word).await;
                     }
                 }
             }
@@ -75,6 +82,8 @@
     }
 
     async fn subscribe(&self) {
+        let now = self.relay.now();
+        self.relay.fleet().trim_announced(now);
         for neighbours in self.relay.engine_groups() {
             let word = Datagram::Subscribe(neighbours.iter().copied().take(MOST_NAMED).collect());
             for engine in &neighbours {
@@ -114,7 +123,8 @@
         }
     }
 
-    fn hear(&self, bytes: &[u8], from: SocketAddr) {
+    /// Takes a word in; the word to pass on, if there is one.
+    fn hear(&self, bytes: &[u8], from: SocketAddr) -> Option<Datagram> {
         match peer_words::decode(bytes) {
             Ok(Datagram::Report(report)) if report.address.ip() == from.ip() => {
                 self.relay.report(report.address, &engine_report(&report));
@@ -126,6 +136,11 @@
                 self.relay.note_moved(moved);
             }
             Ok(Datagram::Sent(word)) => self.relay.sent_elsewhere(&word),
+            Ok(Datagram::Here(here)) if here.address.ip() == from.ip() => {
+                self.relay.engine_here(&here);
+                return Some(Datagram::HerePassedOn(here));
+            }
+            Ok(Datagram::HerePassedOn(here)) => self.relay.engine_here(&here),
             Ok(Datagram::Hello(hello)) => {
                 let mut peers = self.relay.peers();
                 peers.heard(from, hello.version, hello.revision);
@@ -134,6 +149,7 @@
             Ok(_) => {}
             Err(error) => tracing::debug!(%from, %error, "peers: a datagram is passed over"),
         }
+        None
     }
 }
 
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use cicada_lib::dialect::Dispatch;
+use cicada_lib::fleet::Fleet;
 use cicada_lib::fleet::Need;
 use cicada_lib::routing::ServerKey;
 use http::HeaderMap;
@@ -216,7 +217,7 @@
         Ok(Ok(opened)) => opened,
     };
     let dispatch = Dispatch {
-        server: placed.record.id.clone(),
+        server: Fleet::expected_id(&placed.record),
         workspace: call.admitted.workspace.clone(),
         left: call.left(),
         ..Dispatch::default()
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -20,6 +20,7 @@
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::Place;
 use cicada_lib::ids::Name;
+use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::MovedRun;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::retry_window::RetryBound;
@@ -38,6 +39,7 @@
 use cicada_lib::time::Time;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::caller_server;
 use crate::figures::Figures;
@@ -53,6 +55,8 @@
     pub name: Name,
     /// Where other processes of the system send datagrams.
     pub peer: SocketAddr,
+    /// Other processes that may be relays, before the directory is read.
+    pub seeds: Vec<SocketAddr>,
     /// Where callers connect.
     pub listen: SocketAddr,
     /// Where the balancer asks whether the entry takes connections.
@@ -85,7 +89,9 @@
     entries: AtomicUsize,
     // Whether the list of servers has been read once.
     listed: AtomicBool,
-    draining: AtomicBool,
+    out_of_reach: AtomicBool,
+    // When the drain began.
+    draining: Mutex<Option<Instant>>,
     // Raised when what is known of a server's leaving changes.
     leaving: watch::Sender<u64>,
     moved: MovedRuns,
@@ -120,7 +126,8 @@
             retries: Mutex::default(),
             entries: AtomicUsize::new(ASSUMED_ENTRIES),
             listed: AtomicBool::new(false),
-            draining: AtomicBool::new(false),
+            out_of_reach: AtomicBool::new(false),
+            draining: Mutex::new(None),
             leaving: watch::Sender::new(0),
             moved: MovedRuns::new(),
             peers: Mutex::default(),
@@ -131,10 +138,16 @@
 
     /// Binds the addresses and serves in the current runtime.
     pub async fn serve(self: &Arc<Self>) -> std::io::Result<()> {
+        self.peers()
+            .learn(self.settings.peer, self.settings.seeds.iter().copied());
         let questions = caller_server::listen(self.settings.peer)?;
         tokio::spawn(peer_pull::serve(self.clone(), questions));
         let peers = PeerNet::bind(self.clone(), self.settings.peer).await?;
-        let pending = self.pending.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).take();
+        let pending = self
+            .pending
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .take();
         if let (Some(asks), Some(sent)) = (self.moved.take_asks(), pending) {
             tokio::spawn(peers.run(asks, sent));
         }
@@ -245,6 +258,28 @@
         }
     }
 
+    /// A scout says that its engine is there. Heeded only while the directory is out of reach: otherwise
+    /// it tells of the engine, and of its identifier, itself.
+    pub(crate) fn engine_here(&self, here: &EngineHere) {
+        if !self.is_out_of_reach() || !self.table().services().contains_key(&here.service) {
+            return;
+        }
+        let now = self.now();
+        if self.fleet().announced(now, here) {
+            tracing::info!(engine = %here.address, service = %here.service, "fleet: a scout says that its engine is there");
+        }
+    }
+
+    /// Whether the directory has failed for a moment.
+    pub(crate) fn is_out_of_reach(&self) -> bool {
+        self.out_of_reach.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the directory fails.
+    pub fn set_out_of_reach(&self, out: bool) {
+        self.out_of_reach.store(out, Ordering::Relaxed);
+    }
+
     /// The engines, those of a service and availability zone together.
     pub(crate) fn engine_groups(&self) -> Vec<Vec<SocketAddr>> {
         let table = self.table();
@@ -311,11 +346,24 @@
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.grace_left().is_some()
+    }
+
+    /// How long the process still runs, while it drains.
+    pub(crate) fn grace_left(&self) -> Option<Duration> {
+        let begun = *self
+            .draining
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        begun.map(|begun| self.settings.grace.saturating_sub(begun.elapsed()))
     }
 
     pub(crate) fn set_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+        let mut begun = self
+            .draining
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
+        begun.get_or_insert_with(Instant::now);
     }
 
     pub(crate) fn open_requests(&self) -> i64 {
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -13,6 +13,7 @@
 use cicada_lib::dialect::EngineReport;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
+use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::MovedRun;
 use cicada_lib::peer_words::ScoutReport;
 use tokio::net::UdpSocket;
@@ -61,6 +62,8 @@
     engines: Arc<dyn EngineCalls>,
     // Where the engine takes requests.
     engine: SocketAddr,
+    here: EngineHere,
+    seeds: Vec<SocketAddr>,
     socket: Arc<UdpSocket>,
     // Relays and neighbours' scouts that asked for reports.
     listeners: HashMap<SocketAddr, Instant>,
@@ -81,17 +84,21 @@
 }
 
 impl Scout {
-    /// A scout beside the engine, with a socket at `peer`.
+    /// A scout beside the engine, with a socket at `peer`. While no relay asks for reports, it tells the
+    /// `seeds` that its engine is there.
     pub async fn bind(
         peer: SocketAddr,
-        engine: SocketAddr,
+        here: EngineHere,
+        seeds: Vec<SocketAddr>,
         engines: Arc<dyn EngineCalls>,
     ) -> std::io::Result<Self> {
         let (moves_in, moves) = mpsc::channel(REMEMBERED);
         let now = Instant::now();
         Ok(Scout {
             engines,
-            engine,
+            engine: here.address,
+            here,
+            seeds,
             socket: Arc::new(UdpSocket::bind(peer).await?),
             listeners: HashMap::new(),
             named: HashMap::new(),
@@ -156,6 +163,7 @@
         self.listeners
             .retain(|_, asked| asked.elapsed() < SUBSCRIBED);
         if self.listeners.is_empty() {
+            self.announce().await;
             return;
         }
         self.ask_neighbours().await;
@@ -177,6 +185,23 @@
         self.evacuate(turned, report);
     }
 
+    /// Says that the engine is there, if it is. Relays learn of it from the directory; while that is out
+    /// of reach, replacements of engines that left would stand idle.
+    async fn announce(&mut self) {
+        if self.renewed.elapsed() < RENEW {
+            return;
+        }
+        self.renewed = Instant::now();
+        let report = self.engines.report(self.engine).await;
+        if !report.is_ok_and(|report| !report.leaving) {
+            return;
+        }
+        let word = Datagram::Here(self.here.clone());
+        for seed in &self.seeds {
+            self.send(&word, *seed).await;
+        }
+    }
+
     /// Keeps the task that moves runs away, while the engine leaves.
     fn evacuate(&mut self, turned: bool, report: EngineReport) {
         if !report.leaving {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -11,6 +11,7 @@
 use cicada_lib::dialect::MoveError;
 use cicada_lib::dialect::MoveStep;
 use cicada_lib::dialect::Resume;
+use cicada_lib::fleet::Fleet;
 use cicada_lib::fleet::Need;
 use cicada_lib::ids::Name;
 use cicada_lib::move_plan;
@@ -53,6 +54,12 @@
 /// Events that a run makes in less than a second.
 const SHORT_EVENTS: u32 = 16;
 
+/// When a caller may come back that this relay turns away because it ends: at once, to another one.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
+/// The time to the first event, as a bound: few wait longer.
+const START_TIME: Duration = Duration::from_millis(1_500);
+
 /// The time for a token before one was seen: a step of an engine with a usual batch.
 const TOKEN_TIME: Duration = Duration::from_millis(10);
 
@@ -87,6 +94,18 @@
 
 /// Serves a streaming request.
 pub(crate) async fn serve(relay: &Arc<Relay>, call: Call) -> Response<AnswerBody> {
+    if let Some(left) = relay
+        .grace_left()
+        .filter(|left| *left < expected_time(&call))
+    {
+        relay.figures().refusal("draining");
+        tracing::info!(
+            id = call.id(),
+            ?left,
+            "stream: refused, this relay ends before it would"
+        );
+        return OwnAnswer::NotRun(ELSEWHERE).response();
+    }
     let tokens = expected_tokens(&call);
     let mut tried: Vec<ServerKey> = Vec::new();
     let mut ran = false;
@@ -169,6 +188,11 @@
         .min(call.head.output)
 }
 
+/// How long the stream is expected to take.
+fn expected_time(call: &Call) -> Duration {
+    START_TIME + TOKEN_TIME * expected_output(call)
+}
+
 /// Whether the run is expected to end before an engine that says it leaves is gone.
 fn is_short(call: &Call) -> bool {
     let stride = call
@@ -194,7 +218,7 @@
         },
     };
     let dispatch = Dispatch {
-        server: placed.record.id.clone(),
+        server: Fleet::expected_id(&placed.record),
         workspace: call.admitted.workspace.clone(),
         left: call.left(),
         rank: Some(move_plan::rank(call.admitted.priority, is_short(call))),
