--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -114,7 +114,7 @@
     })
 }
 
-/// Where processes of the system take datagrams on the hosts of [platform] seeds: at the same port as
+/// Where processes of the system take datagrams on the hosts that the setting `seeds` names: at the same port as
 /// here, whatever port the seeds name.
 pub(crate) fn seeds(settings: &Settings, peer: SocketAddr) -> Vec<SocketAddr> {
     let seeds = settings.addresses("platform", "seeds").into_iter();
--- a/relay/src/evacuation.rs
+++ b/relay/src/evacuation.rs
@@ -123,10 +123,12 @@
                     return;
                 }
             }
-            None => match timeout(LOOK, reports.changed()).await {
-                Ok(Err(_)) => return,
-                Ok(Ok(())) | Err(_) => {}
-            },
+            None => {
+                let ended = matches!(timeout(LOOK, reports.changed()).await, Ok(Err(_)));
+                if ended {
+                    return;
+                }
+            }
         }
     }
 }
