fleet: an engine found at the address of another one serves before the list has it

Cause: after all engines have lost power the list names their former lives for two to three seconds; each request was answered 421 and turned away, and its caller's one return as well.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -78,6 +78,8 @@
         pub id: Option<Name>,
         /// Whether the server states that it did not run the request.
         pub refused: bool,
+        /// The identifier of the server that is at the address now, where it is not the expected one.
+        pub other: Option<Name>,
         /// Whether it bears the server's signature: without one it is no server's success.
         pub signed: bool,
         /// Requests that run and that wait there.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -95,6 +95,9 @@
 /// The beginning of identifiers under which engines stand that are known by their scouts' word only.
 const UNLISTED: &str = "unlisted ";
 
+/// How long an identifier counts that a request has found at an address: the list has it by then.
+const FRESH_AGE: Duration = Duration::from_secs(4);
+
 /// A scout that was silent for longer than this does not count on: it tells five times a second.
 const SCOUT_AGE: Duration = Duration::from_millis(1_200);
 
@@ -177,6 +180,8 @@
     servers: SlotMap<ServerKey, Server>,
     // Listed servers only.
     ids: HashMap<Name, ServerKey>,
+    // Identifiers that requests have found at addresses in place of the expected ones.
+    fresh: HashMap<SocketAddr, (Time, Name)>,
 }
 
 impl Fleet {
@@ -186,6 +191,7 @@
             place,
             servers: SlotMap::with_key(),
             ids: HashMap::new(),
+            fresh: HashMap::new(),
         }
     }
 
@@ -217,19 +223,8 @@
         if self.key_at(here.address).is_some() {
             return false;
         }
-        self.put(
-            now,
-            &ServerRecord {
-                id: Name::new(format!("{UNLISTED}{}", here.address)),
-                service: here.service.clone(),
-                address: here.address,
-                zone: here.zone.clone(),
-                slots: 0,
-                phase: ServerPhase::Ready,
-                cold: Duration::ZERO,
-                born: 0,
-            },
-        );
+        let id = Name::new(format!("{UNLISTED}{}", here.address));
+        self.put(now, &unlisted(id, here));
         true
     }
 
@@ -378,12 +373,17 @@
         }
     }
 
-    /// A report of the engine at the address came; whether it is news that the engine leaves.
-    pub fn report(&mut self, now: Time, engine: SocketAddr, report: &EngineReport) -> bool {
+    /// A report of an engine came; whether it is news that the engine leaves.
+    pub fn report(&mut self, now: Time, engine: &EngineHere, report: &EngineReport) -> bool {
+        let address = engine.address;
+        if self.key_at(address).is_none() {
+            self.take_fresh(now, engine);
+        }
         let mut listed = self.servers.values_mut().filter(|s| s.listed);
         let server = listed.find(|s| {
-            let same_life = report.born.is_none_or(|born| born == s.record.born);
-            s.record.address == engine && same_life
+            let known = s.record.born;
+            let same_life = report.born.is_none_or(|born| born == known || known == 0);
+            s.record.address == address && same_life
         });
         let Some(server) = server else {
             return false;
@@ -405,6 +405,32 @@
         turned
     }
 
+    /// A request found another server at the address than the expected one: that one has ended.
+    pub fn is_other(&mut self, now: Time, key: ServerKey, other: &Name) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let (id, address) = (server.record.id.clone(), server.record.address);
+        self.fresh.insert(address, (now, other.clone()));
+        if self.ids.get(&id) == Some(&key) {
+            self.gone(now, &id);
+        }
+    }
+
+    /// Takes in an engine that a request has found at an address and whose scout says what it is, before
+    /// the list has it. After all engines have started again the list names their former lives for some
+    /// seconds, and nothing could be served meanwhile.
+    fn take_fresh(&mut self, now: Time, engine: &EngineHere) {
+        let Some((at, id)) = self.fresh.get(&engine.address).cloned() else {
+            return;
+        };
+        if now.since(at) > FRESH_AGE {
+            self.fresh.remove(&engine.address);
+            return;
+        }
+        self.put(now, &unlisted(id, engine));
+    }
+
     /// A plain server said what runs and waits there.
     pub fn told_load(&mut self, key: ServerKey, running: u32, waiting: u32) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -416,7 +442,8 @@
     fn put(&mut self, now: Time, record: &ServerRecord) {
         if let Some(key) = self.ids.get(&record.id).copied() {
             let server = &mut self.servers[key];
-            if server.record.born == record.born && server.record.address == record.address {
+            let same_life = server.record.born == record.born || server.record.born == 0;
+            if same_life && server.record.address == record.address {
                 if record.phase == ServerPhase::Draining {
                     server.leaving.get_or_insert(now);
                 }
@@ -524,6 +551,20 @@
     }
 }
 
+/// The record of an engine that the list does not have.
+fn unlisted(id: Name, engine: &EngineHere) -> ServerRecord {
+    ServerRecord {
+        id,
+        service: engine.service.clone(),
+        address: engine.address,
+        zone: engine.zone.clone(),
+        slots: 0,
+        phase: ServerPhase::Ready,
+        cold: Duration::ZERO,
+        born: 0,
+    }
+}
+
 /// The memory of the engines of one service in one availability zone, in tokens.
 #[derive(Clone, Copy, Debug, Default)]
 struct ZoneRoom {
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -20,6 +20,10 @@
     pub struct ScoutReport {
         /// Where the engine takes requests.
         pub address: SocketAddr,
+        /// Its service.
+        pub service: Name,
+        /// Its availability zone.
+        pub zone: Name,
         /// When the engine started, in milliseconds since 1970, if it says so; tells its lives apart.
         pub born: Option<u64>,
         /// Requests that wait.
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -7,6 +7,7 @@
 use cicada_lib::dialect::EngineReport;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
+use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::RelayHello;
 use cicada_lib::peer_words::ScoutReport;
 use cicada_lib::peer_words::SentWord;
@@ -127,7 +128,12 @@
     fn hear(&self, bytes: &[u8], from: SocketAddr) -> Option<Datagram> {
         match peer_words::decode(bytes) {
             Ok(Datagram::Report(report)) if report.address.ip() == from.ip() => {
-                self.relay.report(report.address, &engine_report(&report));
+                let here = EngineHere {
+                    address: report.address,
+                    service: report.service.clone(),
+                    zone: report.zone.clone(),
+                };
+                self.relay.report(&here, &engine_report(&report));
             }
             Ok(Datagram::Moving(moving)) if moving.source.ip() == from.ip() => {
                 self.relay.moved().prepare(&moving);
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -238,6 +238,10 @@
     if head.id.is_some() && head.id != call.head.id {
         return Sent::Unknown;
     }
+    if let Some(other) = &head.other {
+        placed.is_other(other);
+        return Sent::Unreached;
+    }
     if head.refused {
         return Sent::Refused;
     }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -249,11 +249,12 @@
         }
     }
 
-    /// Takes a report of the engine at the address.
-    pub(crate) fn report(&self, engine: SocketAddr, report: &EngineReport) {
+    /// Takes a report of an engine.
+    pub(crate) fn report(&self, engine: &EngineHere, report: &EngineReport) {
         let turned = self.fleet().report(self.now(), engine, report);
         if turned {
-            tracing::info!(%engine, leaves = ?report.leaves, "fleet: an engine says that it leaves");
+            let address = engine.address;
+            tracing::info!(engine = %address, leaves = ?report.leaves, "fleet: an engine says that it leaves");
             self.note_leaving();
         }
     }
@@ -510,6 +511,13 @@
         self.relay.fleet().failed(now, self.key, hard);
     }
 
+    /// Another server than the expected one is at the address.
+    pub(crate) fn is_other(&self, other: &Name) {
+        let now = self.relay.now();
+        tracing::info!(server = %self.record.id, %other, address = %self.record.address, "fleet: another server is at the address");
+        self.relay.fleet().is_other(now, self.key, other);
+    }
+
     pub(crate) fn told_load(&self, load: Option<(u32, u32)>) {
         if let Some((running, waiting)) = load {
             self.relay.fleet().told_load(self.key, running, waiting);
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -264,6 +264,8 @@
     fn word(&self, report: &EngineReport) -> ScoutReport {
         ScoutReport {
             address: self.engine,
+            service: self.here.service.clone(),
+            zone: self.here.zone.clone(),
             born: report.born,
             queued: report.queued,
             running: report.running,
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -110,6 +110,7 @@
     let mut tried: Vec<ServerKey> = Vec::new();
     let mut ran = false;
     let mut sent = 0;
+    let mut refused = false;
     for _ in 0..MOST_CONNECTS {
         let need = Need {
             service: &call.service,
@@ -142,6 +143,7 @@
             Sent::Refused => {
                 tracing::info!(id, server, waited, "stream: refused by the server");
                 tried.push(placed.key);
+                refused = true;
             }
             Sent::Unknown | Sent::TimeOver => {
                 placed.failed(false);
@@ -155,14 +157,14 @@
         }
         relay.figures().retry("refused");
     }
-    conclude(relay, &call, ran)
+    conclude(relay, &call, ran, refused)
 }
 
-fn conclude(relay: &Relay, call: &Call, ran: bool) -> Response<AnswerBody> {
+fn conclude(relay: &Relay, call: &Call, ran: bool, refused: bool) -> Response<AnswerBody> {
     let id = call.id();
     let waited = call.arrived.elapsed().as_millis();
     let (outcome, own) = match (ran, call.left().is_zero()) {
-        (false, _) => ("not_run", OwnAnswer::NotRun(come_back(call))),
+        (false, _) => ("not_run", OwnAnswer::NotRun(come_back(call, refused))),
         (true, true) => ("time_over", OwnAnswer::TimeOver),
         (true, false) => ("unknown", OwnAnswer::Failed),
     };
@@ -171,9 +173,15 @@
     own.response()
 }
 
-fn come_back(call: &Call) -> Duration {
-    let most = (call.left() / 4).min(Duration::from_millis(500));
-    most.mul_f64(0.3 + 0.7 * fastrand::f64())
+/// When a caller that was turned away may come back. An engine that `refused` is full for a moment; where
+/// none could be reached, new ones are there in one to three seconds.
+fn come_back(call: &Call, refused: bool) -> Duration {
+    let (least, most) = match refused {
+        true => (Duration::from_millis(150), Duration::from_millis(500)),
+        false => (Duration::from_millis(900), Duration::from_millis(2_600)),
+    };
+    let pause = least + (most - least).mul_f64(fastrand::f64());
+    pause.min(call.left() / 3)
 }
 
 /// Tokens that the request is expected to hold at its end.
@@ -236,6 +244,10 @@
     if head.id.is_some() && head.id != call.head.id {
         return Sent::Unknown;
     }
+    if let Some(other) = &head.other {
+        placed.is_other(other);
+        return Sent::Unreached;
+    }
     if head.refused {
         return Sent::Refused;
     }
