standins: the users' platform on the loopback, and tests of the whole path through relays

Store with lists, watches, forgotten history and a door for each host; engines with seals, reports and moves; plain services that fail in six ways; relays and scouts as real processes. 21 tests of the path and of faults, 26 of the decisions. Found and mended by them: a head that came slowly was closed after the idle time instead of its own limit, since the connection's task did not wake for it (test red before: the connection was still open after 30 s, limit 1.5 s).

--- /dev/null
+++ b/daemon/tests/relay_faults.rs
@@ -0,0 +1,342 @@
+//! What callers see of a relay when things fail.
+
+use std::path::Path;
+use std::time::Duration;
+
+use cicada_standins::caller::Ask;
+use cicada_standins::caller::Heard;
+use cicada_standins::deployment::Deployment;
+use cicada_standins::deployment::KEY;
+use cicada_standins::service::Mode;
+use eyre::Result;
+use eyre::bail;
+use http::StatusCode;
+use testutils::cluster::Signal;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// The longest wait for something that takes a moment. It judges no speed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn daemon() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_cicadad"))
+}
+
+fn start_stream(
+    deployment: &Deployment,
+    relay: usize,
+    id: &str,
+    events: u32,
+) -> JoinHandle<Result<Heard>> {
+    let relay = deployment.relays[relay].callers;
+    let ask = Ask::stream(id, KEY, 1_000, events);
+    tokio::spawn(async move { ask.send(relay).await })
+}
+
+async fn until(what: &str, mut holds: impl FnMut() -> bool) -> Result<()> {
+    let begun = Instant::now();
+    while begun.elapsed() < PATIENCE {
+        if holds() {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    bail!("it did not come about: {what}")
+}
+
+/// An engine says that it leaves while two callers' streams run on it. Its scout copies and stops each
+/// run, and the relays go on at the other engine. The callers see every event once.
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_of_a_leaving_engine_go_on_at_another() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 2, 2, 0).await?;
+    let mut streams = Vec::new();
+    for number in 0..4 {
+        let id = format!("draft-{number}");
+        let stream = start_stream(&deployment, number % 2, &id, 250);
+        streams.push((id, stream));
+    }
+    sleep(Duration::from_millis(1_500)).await;
+    let busy = (0..2).max_by_key(|engine| deployment.engines[*engine].engine.running());
+    let busy = busy.unwrap_or_default();
+    let runs = deployment.engines[busy].engine.running();
+    assert!(runs > 0);
+    deployment.leave(busy, Duration::from_secs(2));
+    let leaving = &deployment.engines[busy];
+    until("the leaving engine is empty", || {
+        leaving.engine.running() == 0
+    })
+    .await?;
+    leaving.server.down().await;
+    for (id, stream) in streams {
+        let heard = stream.await??;
+        assert!(heard.whole, "{id} was cut");
+        assert_eq!(heard.events(&id)?, (1..=250).collect::<Vec<u64>>(), "{id}");
+    }
+    let arrivals = deployment.engines[1 - busy].engine.arrivals();
+    let resumed = arrivals.iter().filter(|arrival| arrival.resumed).count();
+    assert_eq!(resumed, runs);
+    Ok(())
+}
+
+/// An engine leaves. What is sent after the relays have learnt of it goes to the other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_engine_gets_no_new_work() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 2, 0).await?;
+    deployment.leave(0, Duration::from_secs(30));
+    sleep(Duration::from_secs(1)).await;
+    let before = deployment.engines[0].engine.arrivals().len();
+    for number in 0..6 {
+        let id = format!("draft-{number}");
+        let heard = Ask::stream(&id, KEY, 500, 4)
+            .send(deployment.relays[0].callers)
+            .await?;
+        assert!(heard.whole);
+    }
+    assert_eq!(deployment.engines[0].engine.arrivals().len(), before);
+    Ok(())
+}
+
+/// An engine dies in the middle of a stream. The caller must see that the answer is not whole, and no
+/// second run may be joined to the first.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_engine_dies_does_not_look_whole() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    let stream = start_stream(&deployment, 0, "draft", 400);
+    until("the run has begun", || {
+        deployment.engines[0].engine.running() == 1
+    })
+    .await?;
+    sleep(Duration::from_millis(300)).await;
+    deployment.engines[0].server.down().await;
+    let heard = stream.await??;
+    assert!(!heard.whole);
+    let events = heard.events("draft")?;
+    assert_eq!(events, (1..=events.len() as u64).collect::<Vec<u64>>());
+    assert_eq!(deployment.engines[0].engine.arrivals().len(), 1);
+    Ok(())
+}
+
+/// A caller goes away in the middle of its stream. The engine must not work on for nobody.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_ends_when_its_caller_goes_away() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    let stream = start_stream(&deployment, 0, "draft", 1_500);
+    until("the run has begun", || {
+        deployment.engines[0].engine.running() == 1
+    })
+    .await?;
+    stream.abort();
+    until("the run has ended", || {
+        deployment.engines[0].engine.running() == 0
+    })
+    .await
+}
+
+/// The first answer of a call that must not be repeated is lost. The caller hears that nobody knows,
+/// and the call runs no second time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_answer_was_lost_runs_once() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 0, 2).await?;
+    for (service, _) in &deployment.services {
+        service.set_mode(Mode::AnswerLost);
+    }
+    let ask = Ask::new("POST", "/deposits/1", "deposit", KEY);
+    let heard = ask.send(deployment.relays[0].callers).await?;
+    assert_eq!(heard.status, StatusCode::BAD_GATEWAY);
+    let ran: usize = deployment
+        .services
+        .iter()
+        .map(|(service, _)| service.ran().len())
+        .sum();
+    assert_eq!(ran, 1);
+    Ok(())
+}
+
+/// A service turns calls away unrun. They may go to another one, and "not run" is only said where no
+/// one ran them.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_was_turned_away_goes_elsewhere_or_is_told_not_run() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 0, 2).await?;
+    deployment.services[0].0.set_mode(Mode::Full);
+    for number in 0..4 {
+        let ask = Ask::new("POST", "/deposits/1", &format!("deposit-{number}"), KEY);
+        let heard = ask.send(deployment.relays[0].callers).await?;
+        assert_eq!(heard.status, StatusCode::OK);
+    }
+    deployment.services[1].0.set_mode(Mode::Full);
+    let ask = Ask::new("POST", "/deposits/1", "refused", KEY);
+    let heard = ask.send(deployment.relays[0].callers).await?;
+    assert_eq!(heard.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(heard.headers.contains_key("retry-after"));
+    let ran = deployment
+        .services
+        .iter()
+        .flat_map(|(service, _)| service.ran());
+    assert!(ran.into_iter().all(|(id, _)| id != "refused"));
+    Ok(())
+}
+
+/// One of two services fails every call. Reads go to the other one after a failure; the failures are
+/// the server's own and keep its signature where nothing better came.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_read_is_repeated_and_a_failed_deposit_is_not() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 0, 1).await?;
+    deployment.services[0].0.set_mode(Mode::Failing);
+    let relay = deployment.relays[0].callers;
+    let heard = Ask::new("GET", "/slots/1", "read", KEY).send(relay).await?;
+    assert_eq!(heard.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(heard.headers["x-cicadastream-response-seal"], "seal-read");
+    let heard = Ask::new("POST", "/deposits/1", "deposit", KEY)
+        .send(relay)
+        .await?;
+    assert_eq!(heard.status, StatusCode::INTERNAL_SERVER_ERROR);
+    let ran = deployment.services[0].0.ran();
+    let count = |id: &str| ran.iter().filter(|(ran, _)| ran == id).count();
+    assert_eq!((count("read"), count("deposit")), (2, 1));
+    Ok(())
+}
+
+/// A server sends a success without its signature: bytes that belong to no request. The caller must not
+/// take them for its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_success_that_no_server_signed_is_not_passed_on() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 0, 1).await?;
+    deployment.services[0].0.set_mode(Mode::Unsigned);
+    let ask = Ask::new("POST", "/deposits/1", "deposit", KEY);
+    let heard = ask.send(deployment.relays[0].callers).await?;
+    assert_eq!(heard.status, StatusCode::BAD_GATEWAY);
+    assert!(heard.body.is_empty());
+    Ok(())
+}
+
+/// A relay starts while the store does not answer it and no other relay is there. Until it knows a
+/// configuration it must neither say that it is ready nor deny what may well be allowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_without_a_configuration_says_come_back() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 0, 0, 1).await?;
+    deployment.add_relay()?;
+    deployment.relays[0].door.down().await;
+    deployment.relays[0].process.signal(Signal::Kill)?;
+    deployment.relays[0].process.wait_end(PATIENCE).await?;
+    deployment.restart_relay(0)?;
+    deployment.wait(0, StatusCode::SERVICE_UNAVAILABLE).await?;
+    let ask = Ask::new("GET", "/slots/1", "early", KEY);
+    let heard = ask.send(deployment.relays[0].callers).await?;
+    assert_eq!(heard.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(heard.headers.contains_key("retry-after"));
+    deployment.relays[0].door.up()?;
+    deployment.wait_ready(0).await?;
+    let heard = ask.send(deployment.relays[0].callers).await?;
+    assert_eq!(heard.status, StatusCode::OK);
+    Ok(())
+}
+
+/// The store turns one relay away, and a key is revoked meanwhile. The relay learns it from the other
+/// one, and the key is refused there too.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_the_store_turns_away_learns_from_the_others() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 2, 0, 1).await?;
+    // The relays have met: each has heard of the other's version.
+    sleep(Duration::from_secs(2)).await;
+    deployment.relays[0].door.down().await;
+    deployment.configure(2, &["a-new-key"]);
+    let begun = Instant::now();
+    let ask = Ask::new("GET", "/slots/1", "revoked", KEY);
+    while begun.elapsed() < PATIENCE {
+        if ask.send(deployment.relays[0].callers).await?.status == StatusCode::UNAUTHORIZED {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    bail!(
+        "the revoked key still holds: {}",
+        deployment.relays[0].process.log()
+    )
+}
+
+/// The store is away for all. What is known serves on, streams and plain calls alike.
+#[tokio::test(flavor = "multi_thread")]
+async fn relays_serve_on_without_the_store() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 1, 1).await?;
+    deployment.relays[0].door.down().await;
+    sleep(Duration::from_millis(800)).await;
+    let relay = deployment.relays[0].callers;
+    let heard = Ask::stream("draft", KEY, 500, 20).send(relay).await?;
+    assert_eq!(heard.events("draft")?.len(), 20);
+    let heard = Ask::new("POST", "/deposits/1", "deposit", KEY)
+        .send(relay)
+        .await?;
+    assert_eq!(heard.status, StatusCode::OK);
+    Ok(())
+}
+
+/// While the store is away an engine leaves and another one comes, of which only its scout can tell.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_comes_while_the_store_is_away_is_used() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    deployment.relays[0].door.down().await;
+    sleep(Duration::from_millis(800)).await;
+    deployment.add_engine()?;
+    deployment.engines[0].engine.leave(Duration::from_secs(30));
+    let relay = deployment.relays[0].callers;
+    let begun = Instant::now();
+    let mut number = 0;
+    while deployment.engines[1].engine.arrivals().is_empty() {
+        assert!(
+            begun.elapsed() < PATIENCE,
+            "{}",
+            deployment.relays[0].process.log()
+        );
+        number += 1;
+        Ask::stream(&format!("draft-{number}"), KEY, 500, 2)
+            .send(relay)
+            .await?;
+        sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
+/// The store drops its history while a watch waits, and a server has come in between.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_came_in_forgotten_history_is_used() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 0, 1).await?;
+    deployment.relays[0].door.down().await;
+    deployment.services[0].1.down().await;
+    deployment.add_service()?;
+    deployment.store.forget_history();
+    deployment.relays[0].door.up()?;
+    let begun = Instant::now();
+    let ask = Ask::new("GET", "/slots/1", "read", KEY);
+    while begun.elapsed() < PATIENCE {
+        if ask.send(deployment.relays[0].callers).await?.status == StatusCode::OK {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    bail!(
+        "the new server is not used: {}",
+        deployment.relays[0].process.log()
+    )
+}
+
+/// SIGHUP must not end a relay, and SIGTERM cuts off no stream that is under way: readiness fails at
+/// once, the stream comes to its end, then the process ends well.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_drains_without_cutting_a_stream() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    deployment.relays[0].process.signal(Signal::Hangup)?;
+    let stream = start_stream(&deployment, 0, "draft", 150);
+    until("the run has begun", || {
+        deployment.engines[0].engine.running() == 1
+    })
+    .await?;
+    deployment.relays[0].process.signal(Signal::Term)?;
+    deployment.wait(0, StatusCode::SERVICE_UNAVAILABLE).await?;
+    let heard = stream.await??;
+    assert!(heard.whole);
+    assert_eq!(heard.events("draft")?.len(), 150);
+    let status = deployment.relays[0].process.wait_end(PATIENCE).await?;
+    assert!(status.success(), "{status}");
+    Ok(())
+}
--- /dev/null
+++ b/lib/tests/fleet.rs
@@ -0,0 +1,377 @@
+//! Which backend server a request goes to, under the loads that the fleet is made for.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cicada_lib::dialect::EngineReport;
+use cicada_lib::fleet::Fleet;
+use cicada_lib::fleet::Need;
+use cicada_lib::fleet::NoServer;
+use cicada_lib::fleet::Place;
+use cicada_lib::ids::Name;
+use cicada_lib::peer_words::EngineHere;
+use cicada_lib::routing::ServerKey;
+use cicada_lib::site::EngineSpec;
+use cicada_lib::site::ServerChange;
+use cicada_lib::site::ServerPhase;
+use cicada_lib::site::ServerRecord;
+use cicada_lib::site::ServiceSpec;
+use cicada_lib::time::Time;
+
+const CAPACITY: u64 = 34_000;
+const DRAFT: u64 = 4_000;
+const PROMPT: u64 = 3_000;
+
+fn spec() -> ServiceSpec {
+    ServiceSpec {
+        health: Name::new("/healthz"),
+        connections: 200,
+        engine: Some(EngineSpec {
+            slots: 24,
+            capacity: CAPACITY,
+            token_bytes: 18_432,
+            link_mbps: 2_700.0,
+            moves: true,
+            backups: true,
+            stride: 4,
+        }),
+    }
+}
+
+fn plain() -> ServiceSpec {
+    ServiceSpec {
+        engine: None,
+        ..spec()
+    }
+}
+
+fn fleet(zone: &str) -> Fleet {
+    let regions = ["a", "b", "c"].map(|z| (Name::new(z), Name::new(format!("region-{z}"))));
+    Fleet::new(Place {
+        zone: Name::new(zone),
+        regions: HashMap::from(regions),
+    })
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 8_701))
+}
+
+fn record(number: u16, zone: &str) -> ServerRecord {
+    ServerRecord {
+        id: Name::new(format!("i-{number}")),
+        service: Name::new("llm"),
+        address: address(number),
+        zone: Name::new(zone),
+        slots: 24,
+        phase: ServerPhase::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+fn here(number: u16, zone: &str) -> EngineHere {
+    EngineHere {
+        address: address(number),
+        service: Name::new("llm"),
+        zone: Name::new(zone),
+    }
+}
+
+fn report(used: u64, running: u32) -> EngineReport {
+    EngineReport {
+        running,
+        used,
+        capacity: CAPACITY,
+        ..EngineReport::default()
+    }
+}
+
+fn need<'a>(service: &'a Name, tried: &'a [ServerKey]) -> Need<'a> {
+    Need {
+        service,
+        prompt: PROMPT,
+        tokens: DRAFT,
+        tried,
+        zone: None,
+    }
+}
+
+fn millis(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+/// Sends a draft; the number of the engine in its identifier.
+fn send(fleet: &mut Fleet, now: Time) -> Result<String, NoServer> {
+    let service = Name::new("llm");
+    let need = need(&service, &[]);
+    let key = fleet.choose(now, &need, &spec())?;
+    fleet.started(now, key, &need);
+    Ok(fleet
+        .record(key)
+        .map(|r| r.id.to_string())
+        .unwrap_or_default())
+}
+
+/// Load pattern: long drafts, one after the other, as many as the memory of all engines holds. Placed
+/// by their number alone they would meet where short ones ran before.
+#[test]
+fn long_drafts_fill_the_engines_evenly() {
+    let mut fleet = fleet("a");
+    let records: Vec<ServerRecord> = (0..4).map(|n| record(n, "a")).collect();
+    fleet.set_all(millis(0), &records);
+    fleet.report(millis(0), &here(0, "a"), &report(16_000, 4));
+    let mut counts: HashMap<String, u64> = HashMap::new();
+    for number in 0..20 {
+        let now = millis(1_000 * number);
+        let id = send(&mut fleet, now).unwrap();
+        *counts.entry(id).or_default() += 1;
+        let first = counts.get("i-0").copied().unwrap_or_default();
+        let told = report(16_000 + first * DRAFT, 4 + first as u32);
+        let engine = fleet.key_at(address(id.trim_start_matches("i-").parse().unwrap()));
+        fleet.began(engine.unwrap(), PROMPT);
+        fleet.report(now + Duration::from_millis(500), &here(0, "a"), &told);
+    }
+    let first = counts.get("i-0").copied().unwrap_or_default();
+    assert!(
+        first <= 3,
+        "the engine that was half full got {first} of 20"
+    );
+    assert!(counts.values().all(|count| *count <= 8), "{counts:?}");
+}
+
+/// Load pattern: one availability zone is so full that its engines could not take in the runs of one of
+/// them, which may leave at any time, while another region has room. Without the headroom a draft stays
+/// near and is lost with the next engine that leaves.
+#[test]
+fn a_zone_without_room_to_retreat_sends_drafts_to_another_region() {
+    let mut fleet = fleet("a");
+    let records = [
+        record(0, "a"),
+        record(1, "a"),
+        record(2, "b"),
+        record(3, "b"),
+        record(4, "b"),
+    ];
+    fleet.set_all(millis(0), &records);
+    for (number, zone, used) in [
+        (0, "a", 17_000),
+        (1, "a", 17_000),
+        (2, "b", 9_000),
+        (3, "b", 9_000),
+    ] {
+        fleet.report(millis(0), &here(number, zone), &report(used, 4));
+    }
+    fleet.report(millis(0), &here(4, "b"), &report(9_000, 2));
+    let id = send(&mut fleet, millis(10)).unwrap();
+    assert!(
+        ["i-2", "i-3", "i-4"].contains(&id.as_str()),
+        "it went to {id}"
+    );
+}
+
+#[test]
+fn a_zone_with_room_keeps_its_drafts() {
+    let mut fleet = fleet("a");
+    let records: Vec<ServerRecord> = (0..4)
+        .map(|n| record(n, "a"))
+        .chain((4..8).map(|n| record(n, "b")))
+        .collect();
+    fleet.set_all(millis(0), &records);
+    for number in 0..8 {
+        let zone = if number < 4 { "a" } else { "b" };
+        fleet.report(millis(0), &here(number, zone), &report(10_000, 3));
+    }
+    let id = send(&mut fleet, millis(10)).unwrap();
+    assert!(
+        ["i-0", "i-1", "i-2", "i-3"].contains(&id.as_str()),
+        "it went to {id}"
+    );
+}
+
+/// Load pattern: five entries read the same report of an engine that has just come, empty. Without
+/// word of each other's requests all of them send there, and their prompts are read one after the other.
+#[test]
+fn entries_that_hear_of_each_others_requests_do_not_meet_at_one_engine() {
+    let mut fleets: Vec<Fleet> = (0..5).map(|_| fleet("a")).collect();
+    let records: Vec<ServerRecord> = (0..4).map(|n| record(n, "a")).collect();
+    for fleet in &mut fleets {
+        fleet.set_all(millis(0), &records);
+        for number in 0..4 {
+            let used = if number == 3 { 0 } else { 6_000 };
+            fleet.report(millis(0), &here(number, "a"), &report(used, 2));
+        }
+    }
+    let mut counts: HashMap<String, u32> = HashMap::new();
+    for entry in 0..5 {
+        let now = millis(10 + entry as u64);
+        let id = send(&mut fleets[entry], now).unwrap();
+        let number: u16 = id.trim_start_matches("i-").parse().unwrap();
+        for (other, fleet) in fleets.iter_mut().enumerate() {
+            if other != entry {
+                fleet.started_elsewhere(now, address(number), PROMPT, DRAFT);
+            }
+        }
+        *counts.entry(id).or_default() += 1;
+    }
+    assert!(counts.values().all(|count| *count <= 2), "{counts:?}");
+}
+
+#[test]
+fn a_leaving_or_gone_server_gets_nothing_new() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "a")]);
+    let mut draining = record(0, "a");
+    draining.phase = ServerPhase::Draining;
+    fleet.change(millis(1), &ServerChange::Put(draining));
+    for _ in 0..10 {
+        assert_eq!(send(&mut fleet, millis(2)).unwrap(), "i-1");
+    }
+    fleet.change(millis(3), &ServerChange::Gone(Name::new("i-1")));
+    assert_eq!(send(&mut fleet, millis(4)), Err(NoServer::None));
+}
+
+/// An engine says itself that it leaves, before the list does; an older word of the list, that it is
+/// ready, must not bring it back.
+#[test]
+fn a_server_that_leaves_does_not_come_back_by_an_older_word() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "a")]);
+    let mut leaves = report(0, 0);
+    leaves.leaving = true;
+    assert!(
+        fleet.report(millis(1), &here(0, "a"), &leaves),
+        "that is news"
+    );
+    fleet.change(millis(2), &ServerChange::Put(record(0, "a")));
+    assert_eq!(send(&mut fleet, millis(3)).unwrap(), "i-1");
+    assert_eq!(send(&mut fleet, millis(3)).unwrap(), "i-1");
+}
+
+/// A server starts again under the identifier that it had: what was there before is gone with it.
+#[test]
+fn another_life_under_the_same_identifier_is_another_server() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a")]);
+    let service = Name::new("llm");
+    let before = fleet
+        .choose(millis(1), &need(&service, &[]), &spec())
+        .unwrap();
+    fleet.started(millis(1), before, &need(&service, &[]));
+    let mut reborn = record(0, "a");
+    reborn.born = 2;
+    fleet.change(millis(2), &ServerChange::Put(reborn));
+    assert!(fleet.leaving(before).is_some());
+    let after = fleet
+        .choose(millis(3), &need(&service, &[]), &spec())
+        .unwrap();
+    assert_ne!(before, after);
+    assert!(fleet.leaving(after).is_none());
+}
+
+#[test]
+fn a_server_that_cannot_be_reached_rests_and_comes_back() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "a")]);
+    let service = Name::new("llm");
+    let key = fleet
+        .choose(millis(0), &need(&service, &[]), &spec())
+        .unwrap();
+    fleet.failed(millis(0), key, true);
+    let lost = fleet.record(key).map(|r| r.id.to_string()).unwrap();
+    for _ in 0..3 {
+        assert_ne!(send(&mut fleet, millis(10)).unwrap(), lost);
+    }
+    let back = (0..8).any(|_| send(&mut fleet, millis(5_000)).unwrap() == lost);
+    assert!(back, "it never came back");
+}
+
+/// While the directory is away only its scout tells of an engine. When the list has it again, it is the
+/// same engine, and what runs there goes on.
+#[test]
+fn an_announced_engine_stays_itself_when_the_list_has_it() {
+    let mut fleet = fleet("a");
+    assert!(fleet.announced(millis(0), &here(0, "a")));
+    assert!(
+        !fleet.announced(millis(1), &here(0, "a")),
+        "that is no news"
+    );
+    let service = Name::new("llm");
+    let key = fleet
+        .choose(millis(2), &need(&service, &[]), &spec())
+        .unwrap();
+    assert_eq!(
+        Fleet::expected_id(fleet.record(key).unwrap()),
+        Name::default()
+    );
+    fleet.started(millis(2), key, &need(&service, &[]));
+    fleet.set_all(millis(3), &[record(0, "a")]);
+    assert!(fleet.leaving(key).is_none());
+    assert_eq!(fleet.record(key).unwrap().id, Name::new("i-0"));
+}
+
+#[test]
+fn an_announced_engine_whose_scout_falls_silent_is_forgotten() {
+    let mut fleet = fleet("a");
+    fleet.announced(millis(0), &here(0, "a"));
+    fleet.report(millis(100), &here(0, "a"), &report(0, 0));
+    fleet.trim_announced(millis(500));
+    assert!(send(&mut fleet, millis(600)).is_ok());
+    fleet.trim_announced(millis(5_000));
+    assert_eq!(send(&mut fleet, millis(5_100)), Err(NoServer::None));
+}
+
+/// All engines have lost power and started again under new identifiers; the list still names the old
+/// ones. A request finds the new one at the address, and its scout says what it is.
+#[test]
+fn an_engine_found_in_place_of_another_serves_before_the_list_has_it() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a")]);
+    let service = Name::new("llm");
+    let key = fleet
+        .choose(millis(1), &need(&service, &[]), &spec())
+        .unwrap();
+    fleet.is_other(millis(2), key, &Name::new("i-new"));
+    assert_eq!(send(&mut fleet, millis(3)), Err(NoServer::None));
+    fleet.report(millis(4), &here(0, "a"), &report(0, 0));
+    assert_eq!(send(&mut fleet, millis(5)).unwrap(), "i-new");
+    // Without a scout's word the address may be another service's by now.
+    let key = fleet.key_at(address(0)).unwrap();
+    fleet.is_other(millis(6), key, &Name::new("i-newer"));
+    assert_eq!(send(&mut fleet, millis(7)), Err(NoServer::None));
+    fleet.report(millis(9_000), &here(0, "a"), &report(0, 0));
+    assert_eq!(
+        send(&mut fleet, millis(9_001)),
+        Err(NoServer::None),
+        "the word is too old"
+    );
+}
+
+/// Load pattern: a burst of plain calls. They stay near while there is a free place, and go to another
+/// region only when the queue would take longer than the way.
+#[test]
+fn plain_calls_stay_near_until_the_queue_outweighs_the_way() {
+    let mut fleet = fleet("a");
+    let mut near = record(0, "a");
+    near.slots = 6;
+    let mut far = record(1, "b");
+    far.slots = 6;
+    fleet.set_all(millis(0), &[near, far]);
+    let service = Name::new("llm");
+    let need = Need {
+        service: &service,
+        prompt: 0,
+        tokens: 0,
+        tried: &[],
+        zone: None,
+    };
+    let mut went = Vec::new();
+    for _ in 0..12 {
+        let key = fleet.choose(millis(1), &need, &plain()).unwrap();
+        fleet.started(millis(1), key, &need);
+        went.push(fleet.record(key).unwrap().id.to_string());
+    }
+    assert!(went[..6].iter().all(|id| id == "i-0"), "{went:?}");
+    assert!(went[6..].iter().any(|id| id == "i-1"), "{went:?}");
+}
--- /dev/null
+++ b/lib/tests/route_table.rs
@@ -0,0 +1,146 @@
+//! Routes, keys and shares of a configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cicada_lib::ids::Name;
+use cicada_lib::route_table::Denied;
+use cicada_lib::route_table::RouteTable;
+use cicada_lib::route_table::share_of;
+use cicada_lib::route_table::time_limit;
+use cicada_lib::site::CallKind;
+use cicada_lib::site::Route;
+use cicada_lib::site::Share;
+use cicada_lib::site::SiteConfig;
+use cicada_lib::site::SiteWorkspace;
+
+fn route(name: &str, prefix: &str, anonymous: bool) -> Route {
+    Route {
+        name: Name::new(name),
+        host: Name::new("rites.example"),
+        prefix: Name::new(prefix),
+        kind: CallKind::Idempotent,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(300),
+        gap: Duration::ZERO,
+        priority: 2,
+        shares: vec![share("booking", 1)],
+        attempts: 1,
+        anonymous,
+    }
+}
+
+fn share(service: &str, weight: u32) -> Share {
+    Share {
+        service: Name::new(service),
+        weight,
+    }
+}
+
+fn table() -> RouteTable {
+    let workspace = |name: &str, key: &str, priority| SiteWorkspace {
+        name: Name::new(name),
+        keys: vec![Name::new(key)],
+        priority,
+    };
+    RouteTable::new(Arc::new(SiteConfig {
+        version: 7,
+        routes: vec![
+            route("all", "/", false),
+            route("slots", "/slots/", false),
+            route("open", "/slots/open/", true),
+        ],
+        workspaces: vec![
+            workspace("chapel", "key-1", Some(0)),
+            workspace("abbey", "key-2", None),
+        ],
+        ..SiteConfig::default()
+    }))
+}
+
+#[test]
+fn the_longest_prefix_takes_the_request() {
+    let table = table();
+    for (path, name) in [
+        ("/", "all"),
+        ("/slots", "all"),
+        ("/slots/", "slots"),
+        ("/slots/7", "slots"),
+        ("/slots/open", "slots"),
+        ("/slots/open/7", "open"),
+    ] {
+        let admitted = table.admit("rites.example", path, Some("key-1"));
+        assert_eq!(
+            admitted.map(|a| a.route.name),
+            Ok(Name::new(name)),
+            "{path}"
+        );
+    }
+}
+
+#[test]
+fn a_host_is_told_by_its_name_whatever_its_case_and_port() {
+    let table = table();
+    assert!(
+        table
+            .admit("Rites.Example:8740", "/", Some("key-1"))
+            .is_ok()
+    );
+    let other = table.admit("other.example", "/", Some("key-1"));
+    assert_eq!(other.map(|a| a.version), Err(Denied::NoRoute));
+}
+
+#[test]
+fn a_key_names_the_workspace_and_its_rank_goes_first() {
+    let table = table();
+    let chapel = table.admit("rites.example", "/", Some("key-1")).unwrap();
+    assert_eq!(
+        (chapel.workspace, chapel.priority),
+        (Some(Name::new("chapel")), 0)
+    );
+    let abbey = table.admit("rites.example", "/", Some("key-2")).unwrap();
+    assert_eq!(
+        (abbey.workspace, abbey.priority),
+        (Some(Name::new("abbey")), 2)
+    );
+    for key in [None, Some("key-3"), Some("")] {
+        let denied = table.admit("rites.example", "/", key);
+        assert_eq!(denied.map(|a| a.version), Err(Denied::BadKey));
+    }
+}
+
+#[test]
+fn an_anonymous_route_needs_no_key_and_knows_one() {
+    let table = table();
+    let path = "/slots/open/1";
+    assert_eq!(
+        table
+            .admit("rites.example", path, Some("key-3"))
+            .unwrap()
+            .workspace,
+        None
+    );
+    let known = table.admit("rites.example", path, Some("key-2")).unwrap();
+    assert_eq!(known.workspace, Some(Name::new("abbey")));
+}
+
+#[test]
+fn shares_are_taken_by_weight() {
+    let mut split = route("split", "/", false);
+    split.shares = vec![share("a", 90), share("none", 0), share("b", 10)];
+    let taken = |name: &str| {
+        let draws = (0..1_000).map(|n| f64::from(n) / 1_000.0);
+        let services = draws.filter_map(|draw| share_of(&split, draw));
+        services.filter(|service| service.as_str() == name).count()
+    };
+    assert_eq!((taken("a"), taken("none"), taken("b")), (900, 0, 100));
+}
+
+#[test]
+fn the_shorter_of_deadline_and_route_limits_the_time() {
+    let route = route("all", "/", false);
+    let secs = Duration::from_secs;
+    assert_eq!(time_limit(&route, Some(secs(1))), secs(1));
+    assert_eq!(time_limit(&route, Some(secs(9))), secs(2));
+    assert_eq!(time_limit(&route, None), secs(2));
+}
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -29,6 +29,8 @@
 pub enum Signal {
     /// Asks it to end gracefully.
     Term,
+    /// Says that its settings have changed.
+    Hangup,
     /// Ends it at once.
     Kill,
     /// Pauses it.
@@ -41,6 +43,7 @@
     fn flag(self) -> &'static str {
         match self {
             Signal::Term => "-TERM",
+            Signal::Hangup => "-HUP",
             Signal::Kill => "-KILL",
             Signal::Stop => "-STOP",
             Signal::Cont => "-CONT",
--- a/lib/testutils/src/engine_api.rs
+++ b/lib/testutils/src/engine_api.rs
@@ -1,6 +1,6 @@
 //! The HTTP interface of a stand-in engine.
 
-use std::convert::Infallible;
+use std::io;
 use std::sync::Arc;
 use std::sync::Weak;
 use std::time::Duration;
@@ -148,7 +148,7 @@
     };
     let frames = stream::unfold(Some(reader), |reader| async move {
         let (bytes, rest) = reader?.next().await;
-        Some((Ok::<_, Infallible>(Frame::data(bytes)), rest))
+        Some((Ok::<_, io::Error>(Frame::data(bytes)), rest))
     });
     let body: Body = StreamBody::new(frames).boxed_unsync();
     Reply::stream(body).with_header("content-type", "application/x-ndjson")
--- a/lib/testutils/src/http_server.rs
+++ b/lib/testutils/src/http_server.rs
@@ -1,6 +1,5 @@
 //! A small HTTP server whose connections can all be cut at once, as when a process dies.
 
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,8 +26,8 @@
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
-/// The body of an answer.
-pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+/// The body of an answer. An error cuts its connection before the body's end.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// What becomes of a request.
 pub enum Reply {
@@ -46,7 +45,11 @@
 
     /// An answer with a status and a body.
     pub fn bytes(status: StatusCode, body: Bytes) -> Self {
-        let mut response = Response::new(Full::new(body).boxed_unsync());
+        let mut response = Response::new(
+            Full::new(body)
+                .map_err(|never| match never {})
+                .boxed_unsync(),
+        );
         *response.status_mut() = status;
         Reply::Answer(response)
     }
--- a/relay/src/caller_io.rs
+++ b/relay/src/caller_io.rs
@@ -14,11 +14,14 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 /// What goes on on a connection.
 #[derive(Debug)]
 pub(crate) struct Progress {
     state: Mutex<State>,
+    // Raised when what is due next has changed.
+    changed: Notify,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -49,9 +52,15 @@
                 head: None,
                 idle: Instant::now(),
             }),
+            changed: Notify::new(),
         }
     }
 
+    /// Waits until something else is due than before.
+    pub(crate) async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
     /// The head of a request is there.
     pub(crate) fn began(&self) {
         let mut state = self.lock();
@@ -64,6 +73,7 @@
         let mut state = self.lock();
         state.open = state.open.saturating_sub(1);
         state.idle = Instant::now();
+        self.changed.notify_one();
     }
 
     /// When the connection will be overdue if nothing comes, and of what.
@@ -80,6 +90,7 @@
         let mut state = self.lock();
         if state.open == 0 && state.head.is_none() {
             state.head = Some(Instant::now());
+            self.changed.notify_one();
         }
     }
 
--- a/relay/src/caller_server.rs
+++ b/relay/src/caller_server.rs
@@ -149,6 +149,7 @@
                     _ => {}
                 }
             }
+            () = progress.changed() => {}
             _ = ending.changed(), if !closing => {
                 closing = true;
                 serving.as_mut().graceful_shutdown();
