--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -126,7 +126,7 @@
     for number in 0..20 {
         let now = millis(1_000 * number);
         let id = send(&mut fleet, now).unwrap();
-        *counts.entry(id).or_default() += 1;
+        *counts.entry(id.clone()).or_default() += 1;
         let first = counts.get("i-0").copied().unwrap_or_default();
         let told = report(16_000 + first * DRAFT, 4 + first as u32);
         let engine = fleet.key_at(address(id.trim_start_matches("i-").parse().unwrap()));
