--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -79,6 +79,26 @@
     Ok(())
 }
 
+/// The last part of a run's copy waits on a link for other runs, long after its stream has ended. The
+/// relay knows that the run is being moved, and must not give it up meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_whose_copy_is_late_goes_on() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 2, 0).await?;
+    let stream = start_stream(&deployment, 0, "draft", 200);
+    let running = |engine: usize| deployment.engines[engine].engine.running();
+    until("the run has begun", || running(0) + running(1) == 1).await?;
+    // Until scouts know of each other.
+    sleep(Duration::from_millis(1_500)).await;
+    let engine = usize::from(running(1) == 1);
+    let late = Duration::from_millis(900);
+    deployment.engines[engine].engine.set_last_copy(late);
+    deployment.leave(engine, Duration::from_secs(3));
+    let heard = stream.await??;
+    assert!(heard.whole, "{}", deployment.relays[0].process.log());
+    assert_eq!(heard.events("draft")?, (1..=200).collect::<Vec<u64>>());
+    Ok(())
+}
+
 /// An engine leaves. What is sent after the relays have learnt of it goes to the other one.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leaving_engine_gets_no_new_work() -> Result<()> {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -73,7 +73,7 @@
 const UNSEEN_NEAR: Duration = Duration::from_millis(60);
 const UNSEEN_FAR: Duration = Duration::from_millis(130);
 
-/// The cost of a request whose availability zone has no room for the runs of an engine that leaves, in
+/// The cost of a request whose region has no room for the runs of an engine that leaves, in
 /// milliseconds, where it is one request's size short. Another region's engine costs 60 and a connection.
 const NO_RETREAT: f64 = 300.0;
 
@@ -173,6 +173,13 @@
     pub regions: HashMap<Name, Name>,
 }
 
+impl Place {
+    /// The region of an availability zone; a zone whose region is not known is one by itself.
+    pub fn region_of<'a>(&'a self, zone: &'a Name) -> &'a Name {
+        self.regions.get(zone).unwrap_or(zone)
+    }
+}
+
 /// The backend servers of all services.
 #[derive(Debug)]
 pub struct Fleet {
@@ -292,7 +299,7 @@
         let rooms = spec
             .engine
             .as_ref()
-            .map(|engine| self.zone_rooms(now, need, engine));
+            .map(|engine| self.region_rooms(now, need, engine));
         let mut best: Option<(f64, ServerKey)> = None;
         for (key, server) in &self.servers {
             if !server.usable() || &server.record.service != need.service {
@@ -304,9 +311,8 @@
             if need.zone.is_some_and(|zone| *zone != server.record.zone) {
                 continue;
             }
-            let room = rooms
-                .as_ref()
-                .and_then(|rooms| rooms.get(&server.record.zone));
+            let region = self.place.region_of(&server.record.zone);
+            let room = rooms.as_ref().and_then(|rooms| rooms.get(region));
             let crowded = room.map_or(0.0, |room| room.penalty(need.tokens));
             let score = self.score(now, server, need, spec) + crowded;
             if best.is_none_or(|(least, _)| score < least) {
@@ -379,12 +385,13 @@
         if self.key_at(address).is_none() {
             self.take_fresh(now, engine);
         }
-        let mut listed = self.servers.values_mut().filter(|s| s.listed);
-        let server = listed.find(|s| {
+        // One that has left the list may still run what it was sent, and its scout tells of it.
+        let there = self.servers.values_mut().filter(|s| {
             let known = s.record.born;
             let same_life = report.born.is_none_or(|born| born == known || known == 0);
             s.record.address == address && same_life
         });
+        let server = there.max_by_key(|s| s.listed);
         let Some(server) = server else {
             return false;
         };
@@ -512,19 +519,20 @@
         way + 10.0 * rest + cold + load
     }
 
-    /// The memory of a service's engines in each availability zone.
-    fn zone_rooms(
+    /// The memory of a service's engines in each region.
+    fn region_rooms(
         &self,
         now: Time,
         need: &Need<'_>,
         engine: &EngineSpec,
-    ) -> HashMap<Name, ZoneRoom> {
-        let mut rooms: HashMap<Name, ZoneRoom> = HashMap::new();
+    ) -> HashMap<Name, RegionRoom> {
+        let mut rooms: HashMap<Name, RegionRoom> = HashMap::new();
         for server in self.servers.values() {
             if &server.record.service != need.service || !server.listed {
                 continue;
             }
-            let room = rooms.entry(server.record.zone.clone()).or_default();
+            let region = self.place.region_of(&server.record.zone);
+            let room = rooms.entry(region.clone()).or_default();
             let used = server.used(now);
             if server.leaving.is_some() {
                 // What runs there needs room at the others now.
@@ -565,18 +573,18 @@
     }
 }
 
-/// The memory of the engines of one service in one availability zone, in tokens.
+/// The memory of the engines of one service in one region, in tokens.
 #[derive(Clone, Copy, Debug, Default)]
-struct ZoneRoom {
+struct RegionRoom {
     capacity: u64,
     used: u64,
     // The memory of the largest engine.
     largest: u64,
 }
 
-impl ZoneRoom {
-    /// The cost of one more request of `tokens`, in milliseconds: it counts where the zone's runs would
-    /// no longer fit when one engine leaves. Runs can only be moved within their zone in time.
+impl RegionRoom {
+    /// The cost of one more request of `tokens`, in milliseconds: it counts where the region's runs
+    /// would no longer fit when one engine leaves. Runs can only be moved within their region in time.
     fn penalty(&self, tokens: u64) -> f64 {
         let room = self.capacity.saturating_sub(self.largest) as f64 * MEMORY_PART;
         let lack = (self.used + tokens) as f64 - room;
--- a/lib/src/move_plan.rs
+++ b/lib/src/move_plan.rs
@@ -35,6 +35,9 @@
     pub capacity: u64,
     /// Requests that run or wait there, with those sent there since.
     pub busy: u32,
+    /// Whether it stands in the availability zone of the engine that leaves: to another zone of the region
+    /// a copy takes twice as long.
+    pub near: bool,
     /// Whether it falls to this engine among those that leave together. See [`falls_to`].
     pub own: bool,
 }
@@ -68,7 +71,8 @@
     worth.min_by_key(|run| (run.tokens, run.id.clone()))
 }
 
-/// The target with the most room for a run, among those not in `refused`; own targets first.
+/// The target with the most room for a run, among those not in `refused`; own targets first, and
+/// near ones among them.
 pub fn target_for<'a>(
     tokens: u64,
     targets: &'a [Target],
@@ -81,6 +85,11 @@
     });
     fits.max_by_key(|target| {
         let room = target.capacity - target.used;
-        (target.own, room, std::cmp::Reverse(target.busy))
+        (
+            target.own,
+            target.near,
+            room,
+            std::cmp::Reverse(target.busy),
+        )
     })
 }
--- a/lib/tests/move_plan.rs
+++ b/lib/tests/move_plan.rs
@@ -35,6 +35,7 @@
         capacity: 34_000,
         busy: 3,
         own: true,
+        near: true,
     }
 }
 
@@ -137,3 +138,12 @@
     targets[1].used = 32_000;
     assert_eq!(target_for(4_000, &targets, &[]).unwrap().address.port(), 1);
 }
+
+#[test]
+fn a_near_target_is_preferred_and_a_far_one_is_better_than_none() {
+    let mut targets = [target(1, 2_000), target(2, 20_000)];
+    targets[0].near = false;
+    assert_eq!(target_for(4_000, &targets, &[]).unwrap().address.port(), 2);
+    targets[1].used = 32_000;
+    assert_eq!(target_for(4_000, &targets, &[]).unwrap().address.port(), 1);
+}
--- a/relay/src/evacuation.rs
+++ b/relay/src/evacuation.rs
@@ -15,6 +15,7 @@
 use cicada_lib::ids::Name;
 use cicada_lib::move_plan;
 use cicada_lib::move_plan::Target;
+use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::MovedRun;
 use cicada_lib::peer_words::ScoutReport;
 use tokio::sync::mpsc;
@@ -53,8 +54,8 @@
         self.lock().insert(report.address, neighbour);
     }
 
-    /// The engines that runs of `engine` can be moved to.
-    fn targets(&self, engine: SocketAddr) -> Vec<Target> {
+    /// The engines that runs of `engine`, in availability zone `zone`, can be moved to.
+    fn targets(&self, engine: SocketAddr, zone: &Name) -> Vec<Target> {
         let neighbours = self.lock();
         let fresh = neighbours.values().filter(|n| n.at.elapsed() < REPORT_AGE);
         let (leaving, mut staying): (Vec<_>, Vec<_>) = fresh.partition(|n| n.report.leaving);
@@ -65,6 +66,7 @@
             used: n.report.used + n.sent,
             capacity: n.report.capacity,
             busy: n.report.running + n.report.queued + n.runs,
+            near: n.report.zone == *zone,
             own: move_plan::falls_to(engine, &leaving, place),
         });
         targets.collect()
@@ -96,14 +98,15 @@
 /// Moves runs until the engine is gone; ends when the reports do.
 pub(crate) async fn run(
     engines: Arc<dyn EngineCalls>,
-    engine: SocketAddr,
+    here: EngineHere,
     neighbours: Arc<Neighbours>,
     mut reports: watch::Receiver<EngineReport>,
     news: mpsc::Sender<RunNews>,
 ) {
     let mut mover = Mover {
         engines,
-        engine,
+        engine: here.address,
+        zone: here.zone,
         neighbours,
         news,
         done: Vec::new(),
@@ -139,6 +142,7 @@
 struct Mover {
     engines: Arc<dyn EngineCalls>,
     engine: SocketAddr,
+    zone: Name,
     neighbours: Arc<Neighbours>,
     news: mpsc::Sender<RunNews>,
     // Runs that are moved, or cannot be.
@@ -164,7 +168,7 @@
 
     /// Moves one run; `None` where it stays for now.
     async fn move_run(&mut self, run: &EngineRun) -> Option<MovedRun> {
-        let targets = self.neighbours.targets(self.engine);
+        let targets = self.neighbours.targets(self.engine, &self.zone);
         let Some(target) = move_plan::target_for(run.tokens, &targets, &self.refused) else {
             // Said once for each run, since it is tried again until the engine has gone.
             if !self.told.contains(&run.id) {
--- a/relay/src/moved_runs.rs
+++ b/relay/src/moved_runs.rs
@@ -21,9 +21,13 @@
 const KEPT: Duration = Duration::from_secs(6);
 
 /// How long a broken stream waits for word that its run was moved. The word is sent at once, and comes
-/// before the stream's end but for a lost datagram; a scout is asked [`ASKS`] times meanwhile.
+/// before the stream's end but for a lost datagram; a scout is asked at each [`ASK`] meanwhile.
 const WAIT: Duration = Duration::from_millis(260);
-const ASKS: u32 = 4;
+const ASK: Duration = Duration::from_millis(65);
+
+/// The same where the scout has said that it copies the run: the last part of the copy may wait on a
+/// link for other runs after the stream has ended. Callers give a stream up after two seconds.
+const WAIT_MOVING: Duration = Duration::from_millis(1_700);
 
 /// Questions to scouts that wait to be sent.
 const WAITING_ASKS: usize = 256;
@@ -38,7 +42,7 @@
 /// Moves that were heard of lately.
 pub(crate) struct MovedRuns {
     // The runs whose streams are here, with connections to the engines that they go to.
-    own: Arc<Mutex<HashMap<Name, Option<Prepared>>>>,
+    own: Arc<Mutex<HashMap<Name, OwnState>>>,
     moved: Mutex<HashMap<Name, (Instant, MovedRun)>>,
     // Raised with every move.
     news: watch::Sender<u64>,
@@ -62,7 +66,7 @@
 
     /// A stream of the run is here, until the guard is dropped.
     pub(crate) fn watch(&self, id: &Name) -> OwnRun {
-        lock(&self.own).insert(id.clone(), None);
+        lock(&self.own).insert(id.clone(), OwnState::default());
         OwnRun {
             id: id.clone(),
             own: self.own.clone(),
@@ -75,16 +79,17 @@
         let Some(target) = moving.target else {
             return;
         };
-        if !lock(&self.own).contains_key(&moving.id) {
-            return;
+        match lock(&self.own).get_mut(&moving.id) {
+            Some(run) => run.moving = true,
+            None => return,
         }
         let own = self.own.clone();
         let id = moving.id.clone();
         tokio::spawn(async move {
             match upstream::open(target).await {
                 Ok(opened) => {
-                    if let Some(prepared) = lock(&own).get_mut(&id) {
-                        *prepared = Some(Prepared { target, opened });
+                    if let Some(run) = lock(&own).get_mut(&id) {
+                        run.prepared = Some(Prepared { target, opened });
                     }
                 }
                 Err(error) => tracing::debug!(%id, %target, %error, "move: no connection ahead"),
@@ -94,7 +99,10 @@
 
     /// The connection to the engine that was opened ahead for the run.
     pub(crate) fn prepared(&self, id: &Name, target: SocketAddr) -> Option<Opened> {
-        let prepared = lock(&self.own).get_mut(id)?.take()?;
+        let mut own = lock(&self.own);
+        let run = own.get_mut(id)?;
+        run.moving = false;
+        let prepared = run.prepared.take()?;
         (prepared.target == target).then_some(prepared.opened)
     }
 
@@ -116,8 +124,9 @@
     /// The move of a run off the engine whose stream has broken; waits a moment for word of it.
     pub(crate) async fn wait(&self, id: &Name, engine: SocketAddr) -> Option<MovedRun> {
         let mut news = self.news.subscribe();
-        let begun = Instant::now();
-        for round in 1..=ASKS {
+        let moving = lock(&self.own).get(id).is_some_and(|run| run.moving);
+        let end = Instant::now() + if moving { WAIT_MOVING } else { WAIT };
+        while Instant::now() < end {
             if let Some(moved) = self.take(id, engine) {
                 return Some(moved);
             }
@@ -128,7 +137,7 @@
             if self.asks.try_send(ask).is_err() {
                 tracing::debug!(%id, "move: too many questions wait, one is left out");
             }
-            let until = begun + WAIT * round / ASKS;
+            let until = Instant::now() + ASK;
             while let Ok(Ok(())) = timeout_at(until, news.changed()).await {
                 if let Some(moved) = self.take(id, engine) {
                     return Some(moved);
@@ -153,6 +162,14 @@
     }
 }
 
+/// What is known of the moves of a run whose stream is here.
+#[derive(Default)]
+struct OwnState {
+    // Whether its scout has said that it copies the run.
+    moving: bool,
+    prepared: Option<Prepared>,
+}
+
 /// A connection that was opened ahead of a move.
 struct Prepared {
     target: SocketAddr,
@@ -162,7 +179,7 @@
 /// A run whose stream is here.
 pub(crate) struct OwnRun {
     id: Name,
-    own: Arc<Mutex<HashMap<Name, Option<Prepared>>>>,
+    own: Arc<Mutex<HashMap<Name, OwnState>>>,
 }
 
 impl Drop for OwnRun {
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -69,7 +69,7 @@
                 _ = renewals.tick() => self.subscribe().await,
                 _ = hellos.tick() => self.hello().await,
                 Some(news) = news.recv() => self.tell_news(news).await,
-                Some(word) = sent.recv() => self.tell_peers(&Datagram::Sent(word)).await,
+                Some(word) = sent.recv() => self.tell_sent(&Datagram::Sent(word)).await,
                 Some(ask) = asks.recv() => {
                     self.send(&Datagram::WasMoved(ask.id), self.scout(ask.engine)).await;
                 }
@@ -128,6 +128,13 @@
         self.hello().await;
     }
 
+    async fn tell_sent(&self, word: &Datagram) {
+        let peers = self.relay.peers().pick_for_sent();
+        for peer in peers {
+            self.send(word, peer).await;
+        }
+    }
+
     async fn tell_peers(&self, word: &Datagram) {
         let peers = self.relay.peers().pick();
         for peer in peers {
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -17,6 +17,10 @@
 /// everywhere within a few rounds, since each passes it on.
 const FANOUT: usize = 12;
 
+/// Relays that are told of each request to an engine: all of a deployment of this size, which send to the
+/// same engines. At two streams a second and 25 bytes that is under 2 KB a second.
+const SENT_FANOUT: usize = 32;
+
 /// A relay counts among those that share bounds for this long after its last word: one that is cut off
 /// spends on.
 const COUNTED: Duration = Duration::from_secs(60);
@@ -70,6 +74,11 @@
         fastrand::choose_multiple(self.known.iter().copied(), FANOUT)
     }
 
+    /// The relays that are told of a request to an engine.
+    pub(crate) fn pick_for_sent(&self) -> Vec<SocketAddr> {
+        fastrand::choose_multiple(self.known.iter().copied(), SENT_FANOUT)
+    }
+
     /// The relays of an availability zone that were heard lately.
     pub(crate) fn of_zone(&self, zone: &Name) -> Vec<SocketAddr> {
         let heard = self
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -314,14 +314,15 @@
         self.out_of_reach.store(out, Ordering::Relaxed);
     }
 
-    /// The engines, those of a service and availability zone together.
+    /// The engines, those of a service and region together: runs can be moved between them.
     pub(crate) fn engine_groups(&self) -> Vec<Vec<SocketAddr>> {
         let table = self.table();
         let mut groups: HashMap<(Name, Name), Vec<SocketAddr>> = HashMap::new();
         for server in self.fleet().servers() {
             let spec = table.service(&server.service);
             if spec.is_some_and(|spec| spec.engine.is_some()) {
-                let group = (server.service.clone(), server.zone.clone());
+                let region = self.settings.place.region_of(&server.zone);
+                let group = (server.service.clone(), region.clone());
                 groups.entry(group).or_default().push(server.address);
             }
         }
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -220,7 +220,7 @@
             self.evacuating = Some(sender);
             tokio::spawn(evacuation::run(
                 self.engines.clone(),
-                self.engine,
+                self.here.clone(),
                 self.neighbours.clone(),
                 runs,
                 self.moves_in.clone(),
