--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -37,6 +37,7 @@
 mod record;
 mod refusal;
 mod relay_role;
+mod reload;
 mod runs;
 mod scout_role;
 mod servers_controller;
@@ -82,7 +83,7 @@
     match command {
         Command::Check(_) => println!("the settings are good"),
         Command::Print(_) => print!("{}", settings.print()),
-        _ => return run(settings),
+        _ => return run(settings, file),
     }
     ExitCode::SUCCESS
 }
@@ -97,9 +98,9 @@
     Settings::parse(&text).map_err(|err| format!("{}:\n{err}", file.display()))
 }
 
-fn run(settings: Settings) -> ExitCode {
+fn run(settings: Settings, file: &Path) -> ExitCode {
     let _written = logs::start(&settings);
-    match process::run(settings) {
+    match process::run(settings, file) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             tracing::error!("process: {err:#}");
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -1,5 +1,6 @@
 //! Puts a process together in its role.
 
+use std::path::Path;
 use std::sync::Arc;
 
 use cicada_lib::daemon_settings::Program;
@@ -32,7 +33,7 @@
 use crate::status::Process;
 
 /// Runs until the process has drained or is stopped.
-pub(crate) fn run(settings: Settings) -> eyre::Result<()> {
+pub(crate) fn run(settings: Settings, file: &Path) -> eyre::Result<()> {
     let threads = settings.count("process", "threads") as usize;
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
@@ -43,7 +44,7 @@
     match settings.program() {
         Program::Entry => run_entry(settings, &traffic),
         Program::Agent => run_agent(settings, &traffic),
-        Program::Relay => relay_role::run(settings, &traffic),
+        Program::Relay => relay_role::run(settings, file, &traffic),
         Program::Scout => scout_role::run(&settings, &traffic),
     }
 }
--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -1,6 +1,7 @@
 //! The role of a relay: puts the parts together, and obeys signals.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 
 use cicada_lib::daemon_settings::Settings;
@@ -9,6 +10,7 @@
 use cicada_platform::HttpEngines;
 use cicada_platform::PlatformDialect;
 use cicada_platform::StoreDirectory;
+use cicada_relay::Changing;
 use cicada_relay::Figures;
 use cicada_relay::Keeper;
 use cicada_relay::Relay;
@@ -23,12 +25,14 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+use crate::reload;
+use crate::reload::Reload;
 use crate::status;
 use crate::status::ProcessState;
 use crate::status::StatusSource;
 
 /// Runs until the process has drained.
-pub(crate) fn run(settings: Settings, traffic: &Runtime) -> eyre::Result<()> {
+pub(crate) fn run(settings: Settings, file: &Path, traffic: &Runtime) -> eyre::Result<()> {
     let registry = Registry::new();
     let figures = Figures::new(&registry)?;
     let relay = Relay::new(
@@ -51,10 +55,10 @@
         settings: settings.clone(),
     };
     status::serve(Arc::new(source), status)?;
-    traffic.block_on(serve(&settings, &relay))
+    traffic.block_on(serve(&settings, file, &relay))
 }
 
-async fn serve(settings: &Settings, relay: &Arc<Relay>) -> eyre::Result<()> {
+async fn serve(settings: &Settings, file: &Path, relay: &Arc<Relay>) -> eyre::Result<()> {
     let mut term = signal(SignalKind::terminate()).wrap_err("process: no SIGTERM")?;
     let mut hup = signal(SignalKind::hangup()).wrap_err("process: no SIGHUP")?;
     relay
@@ -65,10 +69,13 @@
         name = settings.text("process", "name"),
         "process: relay started"
     );
+    let mut reload = Reload::new(file, settings.clone());
+    let mut looks = tokio::time::interval(reload::LOOK);
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            _ = hup.recv() => tracing::info!("process: SIGHUP, the settings are read again"),
+            _ = hup.recv() => reload.look(true, |new| relay.set_changing(changing(new))),
+            _ = looks.tick() => reload.look(false, |new| relay.set_changing(changing(new))),
         }
     }
     cicada_relay::drain(relay).await;
@@ -105,13 +112,20 @@
             zone: settings.name("process", "zone"),
             regions: settings.pairs("relay", "zones").into_iter().collect(),
         },
+        changing: changing(settings),
+    })
+}
+
+/// The settings that take effect while a relay runs.
+fn changing(settings: &Settings) -> Changing {
+    Changing {
         retries: RetryBound {
             ratio: settings.number("relay", "retry_ratio"),
             slack: settings.number("relay", "retry_slack"),
             window: settings.seconds("relay", "retry_window"),
         },
         grace: settings.seconds("relay", "grace"),
-    })
+    }
 }
 
 /// Where processes of the system take datagrams on the hosts that the setting `seeds` names: at the same port as
--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -360,3 +360,37 @@
     assert!(status.success(), "{status}");
     Ok(())
 }
+
+/// The settings file changes without a signal, first to one with a fault. The fault changes nothing and
+/// is named; what follows is taken over while the process runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_changed_settings_file_is_taken_over() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 0, 1).await?;
+    deployment.services[0].0.set_mode(Mode::Failing);
+    deployment.set(0, "retry_slack = 32", "retry_slack = many")?;
+    let log = |deployment: &Deployment| deployment.relays[0].process.log();
+    until("the fault is named", || {
+        log(&deployment).contains("mend the file")
+    })
+    .await?;
+    let ask = Ask::new("GET", "/slots/1", "repeated", KEY);
+    ask.send(deployment.relays[0].callers).await?;
+    assert_eq!(
+        deployment.services[0].0.ran().len(),
+        2,
+        "the read is repeated once"
+    );
+    deployment.set(0, "retry_slack = many", "retry_slack = 0\nretry_ratio = 0")?;
+    until("the change is taken over", || {
+        log(&deployment).contains("were read again")
+    })
+    .await?;
+    let ask = Ask::new("GET", "/slots/1", "once", KEY);
+    ask.send(deployment.relays[0].callers).await?;
+    assert_eq!(
+        deployment.services[0].0.ran().len(),
+        3,
+        "the bound allows no repeat"
+    );
+    Ok(())
+}
--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -164,6 +164,17 @@
         out.trim_start().to_string()
     }
 
+    /// The keys whose values differ, as `[section] key`.
+    pub fn changes_since(&self, before: &Settings) -> Vec<String> {
+        let changed = self
+            .values
+            .iter()
+            .filter(|(key, text)| before.values.get(*key) != Some(*text));
+        changed
+            .map(|((section, name), _)| format!("[{section}] {name}"))
+            .collect()
+    }
+
     /// The text of a key. The key must stand in [`KEYS`].
     pub fn text(&self, section: &str, name: &str) -> &str {
         self.values
--- a/lib/src/retry_window.rs
+++ b/lib/src/retry_window.rs
@@ -17,7 +17,7 @@
 const USED_PART: f64 = 0.85;
 
 /// The bound for all entries together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryBound {
     /// Sends beyond the first of a request, for each request.
     pub ratio: f64,
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -91,6 +91,12 @@
         Ok(Process { child, dir })
     }
 
+    /// Replaces the file that it was started with.
+    pub fn write_config(&self, config: &str) -> Result<()> {
+        fs::write(self.dir.join("cicada.ini"), config)?;
+        Ok(())
+    }
+
     /// Its process id.
     pub fn pid(&self) -> u32 {
         self.child.id()
--- a/relay/src/drain.rs
+++ b/relay/src/drain.rs
@@ -27,7 +27,7 @@
 /// Drains an entry; returns when it may end.
 pub async fn drain(relay: &Arc<Relay>) {
     let begun = Instant::now();
-    let end = begun + relay.settings().grace.saturating_sub(MARGIN);
+    let end = begun + relay.grace().saturating_sub(MARGIN);
     relay.set_draining();
     tracing::info!("process: draining");
     sleep(CLOSING).await;
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -26,6 +26,7 @@
 pub use drain::drain;
 pub use figures::Figures;
 pub use keeper::Keeper;
+pub use relay::Changing;
 pub use relay::Relay;
 pub use relay::RelaySettings;
 pub use scout::Scout;
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -64,6 +64,13 @@
     pub ready: SocketAddr,
     /// The availability zone, and the regions of all.
     pub place: Place,
+    /// What may change while the relay runs.
+    pub changing: Changing,
+}
+
+/// Settings that take effect at once when they change.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Changing {
     /// The bound of further sends, for all entries together.
     pub retries: RetryBound,
     /// From SIGTERM to the end by force.
@@ -82,6 +89,7 @@
 /// An entry.
 pub struct Relay {
     settings: RelaySettings,
+    changing: ArcSwap<Changing>,
     dialect: Arc<dyn Dialect>,
     engines: Arc<dyn EngineCalls>,
     figures: Figures,
@@ -123,6 +131,7 @@
             sent,
             news,
             pending: Mutex::new(Some((sent_out, news_out))),
+            changing: ArcSwap::from_pointee(settings.changing),
             fleet: Mutex::new(Fleet::new(settings.place.clone())),
             settings,
             dialect,
@@ -343,6 +352,27 @@
         self.entries.store(entries.max(1), Ordering::Relaxed);
     }
 
+    /// Takes settings that have changed. The sends that were counted under an older bound are forgotten.
+    pub fn set_changing(&self, changing: Changing) {
+        let before = self.changing.swap(Arc::new(changing));
+        if before.retries != changing.retries {
+            let mut windows = self
+                .retries
+                .lock()
+                .unwrap_or_else(|poisoned| poisoned.into_inner());
+            windows.clear();
+        }
+    }
+
+    fn changing(&self) -> Changing {
+        **self.changing.load()
+    }
+
+    /// From SIGTERM to the end by force.
+    pub(crate) fn grace(&self) -> Duration {
+        self.changing().grace
+    }
+
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         let knows = self.table.load().is_known() && self.listed.load(Ordering::Relaxed);
@@ -390,7 +420,7 @@
             .draining
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner());
-        begun.map(|begun| self.settings.grace.saturating_sub(begun.elapsed()))
+        begun.map(|begun| self.grace().saturating_sub(begun.elapsed()))
     }
 
     pub(crate) fn set_draining(&self) {
@@ -460,7 +490,7 @@
             .retries
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner());
-        let bound = self.settings.retries;
+        let bound = self.changing().retries;
         let window = windows
             .entry(service.clone())
             .or_insert_with(|| RetryWindow::new(bound));
