--- /dev/null
+++ b/daemon/tests/relay_soak.rs
@@ -0,0 +1,45 @@
+//! Short runs of the soak: relays and scouts under overlapping faults keep every promise.
+
+use std::path::Path;
+use std::time::Duration;
+
+use cicada_standins::soak;
+use eyre::Result;
+
+const LENGTH: Duration = Duration::from_secs(8);
+
+async fn promises_hold(seed: u64) -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let report = soak::run(daemon, seed, LENGTH).await?;
+    assert!(!report.faults.is_empty());
+    assert!(
+        report.broken.is_empty(),
+        "{:#?}\n{:#?}",
+        report.faults,
+        report.broken
+    );
+    let served: usize = report
+        .ends
+        .iter()
+        .filter(|(end, _)| end.ends_with(" 200"))
+        .map(|(_, n)| n)
+        .sum();
+    assert!(served > 0, "{:?}", report.ends);
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_1_keeps_every_promise() -> Result<()> {
+    promises_hold(1).await
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_2_keeps_every_promise() -> Result<()> {
+    promises_hold(2).await
+}
+
+#[test]
+fn a_seed_gives_the_same_schedule() {
+    assert_eq!(soak::schedule(7, LENGTH), soak::schedule(7, LENGTH));
+    assert_ne!(soak::schedule(7, LENGTH), soak::schedule(8, LENGTH));
+}
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -88,8 +88,11 @@
     async fn subscribe(&self) {
         let now = self.relay.now();
         self.relay.fleet().trim_announced(now);
-        for neighbours in self.relay.engine_groups() {
-            let word = Datagram::Subscribe(neighbours.iter().copied().take(MOST_NAMED).collect());
+        for (neighbours, near) in self.relay.engine_groups() {
+            // Relays of the region name the neighbours; from all relays they would be most of what a
+            // scout receives.
+            let named = if near { MOST_NAMED } else { 0 };
+            let word = Datagram::Subscribe(neighbours.iter().copied().take(named).collect());
             for engine in &neighbours {
                 self.send(&word, self.scout(*engine)).await;
             }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -323,8 +323,9 @@
         self.out_of_reach.store(out, Ordering::Relaxed);
     }
 
-    /// The engines, those of a service and region together: runs can be moved between them.
-    pub(crate) fn engine_groups(&self) -> Vec<Vec<SocketAddr>> {
+    /// The engines, those of a service and region together: runs can be moved between them. Each with
+    /// whether the group is of this relay's region.
+    pub(crate) fn engine_groups(&self) -> Vec<(Vec<SocketAddr>, bool)> {
         let table = self.table();
         let mut groups: HashMap<(Name, Name), Vec<SocketAddr>> = HashMap::new();
         for server in self.fleet().servers() {
@@ -335,7 +336,11 @@
                 groups.entry(group).or_default().push(server.address);
             }
         }
-        groups.into_values().collect()
+        let own = self.settings.place.region_of(&self.settings.place.zone);
+        let groups = groups.into_iter();
+        groups
+            .map(|((_, region), engines)| (engines, region == *own))
+            .collect()
     }
 
     /// A scout has moved a run.
