keeper: an outage behind a waiting watch is noticed within seconds

Change: that watch waits 2.5 s, either watch's failure counts, and only a relay that watches and is answered counts as fed. A read that a server failed goes to another one. Test red before (no engine within 9 s).

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -317,6 +317,35 @@
     Ok(())
 }
 
+/// The store turns new calls away, and the watches that wait hear nothing and do not end. An engine
+/// leaves and another one comes. A relay that took its waiting watch for a sign of life would learn
+/// nothing until the watch ends after ten seconds.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_behind_a_waiting_watch_is_noticed() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    sleep(Duration::from_millis(500)).await;
+    deployment.store.set_busy(true);
+    deployment.add_engine()?;
+    deployment.engines[0].engine.leave(Duration::from_secs(30));
+    let relay = deployment.relays[0].callers;
+    let begun = Instant::now();
+    let mut number = 0;
+    while deployment.engines[1].engine.arrivals().is_empty() {
+        let waited = begun.elapsed();
+        assert!(
+            waited < Duration::from_secs(9),
+            "{}",
+            deployment.relays[0].process.log()
+        );
+        number += 1;
+        Ask::stream(&format!("draft-{number}"), KEY, 500, 2)
+            .send(relay)
+            .await?;
+        sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
 /// The store drops its history while a watch waits, and a server has come in between.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_that_came_in_forgotten_history_is_used() -> Result<()> {
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -79,7 +79,7 @@
     pub struct RelayHello {
         /// Its availability zone.
         pub zone: Name,
-        /// Whether the directory answers it, as far as it knows.
+        /// Whether it watches the directory and is answered.
         pub fed: bool,
         /// The version of the configuration in force there.
         pub version: u64,
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -14,9 +14,11 @@
 use crate::peer_pull;
 use crate::relay::Relay;
 
-/// How long a watch waits: each costs a call, and a connection that went silent is noticed by its
-/// keep-alive sooner.
-const WATCH: Duration = Duration::from_secs(10);
+/// How long a watch on the configuration waits, and one on the backend servers. Each costs a call. A
+/// directory that turns new calls away while a watch waits is noticed only at the watch's end, and until
+/// then no engine is taken on its scout's word.
+const CONFIG_WATCH: Duration = Duration::from_secs(10);
+const SERVER_WATCH: Duration = Duration::from_millis(2_500);
 
 /// Pauses after a call that failed, from the first to the longest. A store that refuses is asked often
 /// enough that its return is noticed within half a second, and by each process at another time.
@@ -84,6 +86,7 @@
     async fn follow_config(&self) {
         let mut backoff = Backoff::new();
         let mut at: Option<Revision> = None;
+        let mut lost: Option<Instant> = None;
         loop {
             if self.relay.version() > 0 && self.is_told().await {
                 at = None;
@@ -91,11 +94,12 @@
             }
             let outcome = match at {
                 None => self.directory.config().await,
-                Some(after) => self.directory.next_config(after, WATCH).await,
+                Some(after) => self.directory.next_config(after, CONFIG_WATCH).await,
             };
             match outcome {
                 Ok((config, revision)) => {
                     backoff.reset();
+                    lost = None;
                     at = Some(revision);
                     if let Some(config) = config {
                         self.relay.set_config(config);
@@ -104,6 +108,10 @@
                 Err(error) => {
                     tracing::info!(%error, "directory: no news of the configuration");
                     at = None;
+                    let lost = *lost.get_or_insert_with(Instant::now);
+                    if lost.elapsed() >= OUT_OF_REACH {
+                        self.relay.set_out_of_reach(true);
+                    }
                     backoff.wait().await;
                 }
             }
@@ -115,6 +123,7 @@
         let mut view = ServerView::new();
         loop {
             if self.relay.revision().0 > 0 && self.is_told().await {
+                self.relay.set_fed(false);
                 view.at = None;
                 continue;
             }
@@ -122,11 +131,13 @@
                 Ok(()) => {
                     backoff.reset();
                     view.lost = None;
+                    self.relay.set_fed(true);
                     self.relay.set_out_of_reach(false);
                 }
                 Err(error) => {
                     tracing::info!(%error, "directory: no news of the backend servers");
                     view.at = None;
+                    self.relay.set_fed(false);
                     let lost = *view.lost.get_or_insert_with(Instant::now);
                     if lost.elapsed() >= OUT_OF_REACH {
                         self.relay.set_out_of_reach(true);
@@ -169,8 +180,10 @@
             return Ok(());
         };
         let wait = match view.again {
-            Some(again) => again.saturating_duration_since(Instant::now()).min(WATCH),
-            None => WATCH,
+            Some(again) => again
+                .saturating_duration_since(Instant::now())
+                .min(SERVER_WATCH),
+            None => SERVER_WATCH,
         };
         let news = self.directory.next_servers(after, wait).await?;
         if !news.changes.is_empty() {
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -102,7 +102,7 @@
     async fn hello(&self) {
         let word = Datagram::Hello(RelayHello {
             zone: self.relay.settings().place.zone.clone(),
-            fed: !self.relay.is_out_of_reach(),
+            fed: self.relay.is_fed(),
             version: self.relay.version(),
             revision: self.relay.revision().0,
             others: self.relay.peers().some(PASSED_ON),
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -128,6 +128,7 @@
             Sent::Whole(whole) => {
                 ran = true;
                 failure = Some(whole);
+                tried.push(placed.key);
             }
             Sent::Refused => tried.push(placed.key),
             Sent::Unreached => {
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -102,6 +102,7 @@
     // Whether the list of servers has been read once.
     listed: AtomicBool,
     out_of_reach: AtomicBool,
+    fed: AtomicBool,
     // When the drain began.
     draining: Mutex<Option<Instant>>,
     // Raised when what is known of a server's leaving changes.
@@ -143,6 +144,7 @@
             entries: AtomicUsize::new(ASSUMED_ENTRIES),
             listed: AtomicBool::new(false),
             out_of_reach: AtomicBool::new(false),
+            fed: AtomicBool::new(false),
             draining: Mutex::new(None),
             leaving: watch::Sender::new(0),
             moved: MovedRuns::new(),
@@ -318,8 +320,18 @@
         self.out_of_reach.load(Ordering::Relaxed)
     }
 
+    /// Whether this relay watches the directory and is answered.
+    pub(crate) fn is_fed(&self) -> bool {
+        self.fed.load(Ordering::Relaxed) && !self.is_out_of_reach()
+    }
+
+    /// Notes whether this relay watches the directory and was answered last.
+    pub(crate) fn set_fed(&self, fed: bool) {
+        self.fed.store(fed, Ordering::Relaxed);
+    }
+
     /// Notes whether the directory fails.
-    pub fn set_out_of_reach(&self, out: bool) {
+    pub(crate) fn set_out_of_reach(&self, out: bool) {
         self.out_of_reach.store(out, Ordering::Relaxed);
     }
 
