--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -269,6 +269,16 @@
         }
     }
 
+    /// The tokens of memory that a server is taken to have in use, and how old the report is on which
+    /// that rests; `None` where it rests on own requests alone.
+    pub fn load(&self, now: Time, key: ServerKey) -> (u64, Option<Duration>) {
+        let Some(server) = self.servers.get(key) else {
+            return (0, None);
+        };
+        let age = server.fresh_report(now).map(|report| now.since(report.at));
+        (server.used(now), age)
+    }
+
     /// The listed server at the address.
     pub fn key_at(&self, address: SocketAddr) -> Option<ServerKey> {
         let mut listed = self.ids.values().copied();
--- a/relay/src/evacuation.rs
+++ b/relay/src/evacuation.rs
@@ -195,7 +195,7 @@
             self.failed(run, address, &error);
             return None;
         }
-        let copied = begun.elapsed().as_millis();
+        let copied = begun.elapsed().as_millis() as u64;
         let moved = match self.step(run, address, MoveStep::Stop).await {
             Ok(handle) => self.moved(run, Some(address), handle),
             Err(MoveError::NoRoom(Some(handle))) => self.moved(run, None, handle),
@@ -204,7 +204,7 @@
                 return None;
             }
         };
-        let stopped = begun.elapsed().as_millis();
+        let stopped = begun.elapsed().as_millis() as u64;
         tracing::info!(id = %run.id, tokens = run.tokens, events = run.events, target = ?moved.target, copied, stopped, "move: run stopped");
         Some(moved)
     }
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -121,6 +121,16 @@
         note(relay, call, &placed, &outcome);
         match outcome {
             Sent::Whole(whole) if !whole.status.is_server_error() => {
+                tracing::info!(
+                    id = call.id(),
+                    route = %call.admitted.route.name,
+                    version = call.admitted.version,
+                    server = %placed.record.id,
+                    status = whole.status.as_u16(),
+                    sends = sent + 1,
+                    waited = call.arrived.elapsed().as_millis() as u64,
+                    "request: answered"
+                );
                 relay.figures().answer("whole");
                 relay.figures().first(call.arrived.elapsed());
                 return whole.response();
@@ -176,7 +186,7 @@
 /// The entry's own answer, where no server gave one.
 fn conclude(relay: &Relay, call: &Call, ran: bool) -> Response<AnswerBody> {
     let id = call.id();
-    let waited = call.arrived.elapsed().as_millis();
+    let waited = call.arrived.elapsed().as_millis() as u64;
     let (outcome, own) = match (ran, call.left().is_zero()) {
         (false, _) => ("not_run", OwnAnswer::NotRun(come_back(call))),
         (true, true) => ("time_over", OwnAnswer::TimeOver),
@@ -211,7 +221,7 @@
     }
     if word != "ok" {
         relay.figures().retry(word);
-        let waited = call.arrived.elapsed().as_millis();
+        let waited = call.arrived.elapsed().as_millis() as u64;
         let server = placed.record.id.as_str();
         tracing::info!(
             id = call.id(),
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -474,15 +474,21 @@
         let mut fleet = self.fleet();
         let key = fleet.choose(now, need, spec)?;
         let record = fleet.record(key).cloned().ok_or(NoServer::None)?;
+        let (used, age) = fleet.load(now, key);
         fleet.started(now, key, need);
         drop(fleet);
         if need.tokens > 0 {
             self.tell_sent(record.address, need);
         }
+        let basis = Basis {
+            used,
+            age: age.map(|age| age.as_millis() as u64),
+        };
         Ok(Placed {
             relay: self.clone(),
             key,
             record,
+            basis,
             prompt: need.prompt,
             tokens: need.tokens,
             begun: false,
@@ -529,6 +535,7 @@
             relay: self.clone(),
             key,
             record,
+            basis: Basis::default(),
             prompt: need.prompt,
             tokens: need.tokens,
             begun: false,
@@ -559,11 +566,21 @@
     }
 }
 
+/// What a server was chosen by, for the logs.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Basis {
+    // Tokens of its memory that were taken to be in use.
+    pub(crate) used: u64,
+    // Milliseconds since the report on which that rests, if it rests on one.
+    pub(crate) age: Option<u64>,
+}
+
 /// A request's place at a backend server, counted until it is dropped.
 pub(crate) struct Placed {
     relay: Arc<Relay>,
     pub(crate) key: ServerKey,
     pub(crate) record: ServerRecord,
+    pub(crate) basis: Basis,
     prompt: u64,
     tokens: u64,
     begun: bool,
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -127,13 +127,22 @@
         let Ok(placed) = relay.place(&need, &call.spec) else {
             break;
         };
+        tracing::info!(
+            id = call.id(),
+            route = %call.admitted.route.name,
+            version = call.admitted.version,
+            server = %placed.record.id,
+            tokens,
+            used = placed.basis.used,
+            age = placed.basis.age,
+            "stream: placed"
+        );
         let outcome = send(relay, &call, &placed, None).await;
         let id = call.id();
         let server = placed.record.id.as_str();
-        let waited = call.arrived.elapsed().as_millis();
+        let waited = call.arrived.elapsed().as_millis() as u64;
         match outcome {
             Sent::Began(began) => {
-                tracing::debug!(id, server, waited, "stream: began");
                 return stream(relay, call, placed, began, tokens);
             }
             Sent::Other(parts, body, connection) => {
@@ -174,7 +183,7 @@
 
 fn conclude(relay: &Relay, call: &Call, ran: bool, refused: bool) -> Response<AnswerBody> {
     let id = call.id();
-    let waited = call.arrived.elapsed().as_millis();
+    let waited = call.arrived.elapsed().as_millis() as u64;
     let (outcome, own) = match (ran, call.left().is_zero()) {
         (false, _) => ("not_run", OwnAnswer::NotRun(come_back(call, refused))),
         (true, true) => ("time_over", OwnAnswer::TimeOver),
@@ -392,7 +401,7 @@
         };
         self.relay.figures().answer(word);
         let events = self.events.count();
-        let waited = self.call.arrived.elapsed().as_millis();
+        let waited = self.call.arrived.elapsed().as_millis() as u64;
         let server = self.placed.record.id.as_str();
         tracing::info!(
             id = self.call.id(),
@@ -487,7 +496,7 @@
         if let Some(before) = self.resumed.take() {
             let gap = before.elapsed();
             self.relay.figures().gap(gap);
-            let gap = gap.as_millis();
+            let gap = gap.as_millis() as u64;
             tracing::info!(id = self.call.id(), gap, server = %self.placed.record.id, "move: went on");
         }
         self.sender.send(Ok(whole)).await.is_ok()
