--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -398,7 +398,10 @@
     deployment.services[0].0.set_mode(Mode::Slow(250));
     deployment.set(0, "grace = 8", "grace = 5")?;
     until("the grace is taken over", || {
-        deployment.relays[0].process.log().contains("were read again")
+        deployment.relays[0]
+            .process
+            .log()
+            .contains("were read again")
     })
     .await?;
     let relay = deployment.relays[0].callers;
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -116,7 +116,10 @@
 async fn answer(relay: &Arc<Relay>, call: Call) -> Response<AnswerBody> {
     if relay.grace_left().is_some_and(|left| left < LAST_CALLS) {
         relay.figures().refusal("draining");
-        tracing::info!(id = call.id(), "request: refused, this relay is about to end");
+        tracing::info!(
+            id = call.id(),
+            "request: refused, this relay is about to end"
+        );
         return OwnAnswer::NotRun(ELSEWHERE).response();
     }
     relay.count_request(&call.service);
