--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -434,6 +434,32 @@
     Ok(())
 }
 
+/// A stream comes late in a drain and says that it will be short, but may be long. Cut at the end it would
+/// have been better off elsewhere: it is turned away unrun, and one that can only be short is served.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_may_outlast_a_drain_is_turned_away() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    let relay = deployment.relays[0].callers;
+    // Keeps the relay up through its drain.
+    let long = start_stream(&deployment, 0, "long", 380);
+    until("the run has begun", || {
+        deployment.engines[0].engine.running() == 1
+    })
+    .await?;
+    deployment.relays[0].process.signal(Signal::Term)?;
+    sleep(Duration::from_millis(3_500)).await;
+    let unsure =
+        Ask::stream("unsure", KEY, 200, 500).with_header("x-cicadastream-length-hint", "8");
+    let heard = unsure.send(relay).await?;
+    assert_eq!(heard.status, StatusCode::SERVICE_UNAVAILABLE);
+    let short = Ask::stream("short", KEY, 200, 4).send(relay).await?;
+    assert!(short.whole && short.status == StatusCode::OK, "{short:?}");
+    assert!(long.await??.whole);
+    let arrivals = deployment.engines[0].engine.arrivals();
+    assert!(arrivals.iter().all(|arrival| arrival.id != "unsure"));
+    Ok(())
+}
+
 /// The settings file changes without a signal, first to one with a fault. The fault changes nothing and
 /// is named; what follows is taken over while the process runs.
 #[tokio::test(flavor = "multi_thread")]
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -99,6 +99,8 @@
 async fn run(relay: &Arc<Relay>, call: &Call, gone: &AtomicBool) -> Response<AnswerBody> {
     let repeatable = call.admitted.route.kind == cicada_lib::site::CallKind::Idempotent;
     let mut tried: Vec<ServerKey> = Vec::new();
+    // Servers that ran the request and failed: asked again only where there is no other.
+    let mut failed: Vec<ServerKey> = Vec::new();
     let mut sent = 0;
     // Whether a server may have run the request.
     let mut ran = false;
@@ -107,14 +109,9 @@
         if gone.load(Ordering::Relaxed) || call.left().is_zero() {
             break;
         }
-        let need = Need {
-            service: &call.service,
-            prompt: 0,
-            tokens: 0,
-            tried: &tried,
-            zone: None,
-        };
-        let Ok(placed) = relay.place(&need, &call.spec) else {
+        let others: Vec<ServerKey> = tried.iter().chain(&failed).copied().collect();
+        let placed = place(relay, call, &others).or_else(|| place(relay, call, &tried));
+        let Some(placed) = placed else {
             break;
         };
         let outcome = send(relay, call, &placed).await;
@@ -138,7 +135,7 @@
             Sent::Whole(whole) => {
                 ran = true;
                 failure = Some(whole);
-                tried.push(placed.key);
+                failed.push(placed.key);
             }
             Sent::Refused => tried.push(placed.key),
             Sent::Unreached => {
@@ -183,6 +180,17 @@
     conclude(relay, call, ran)
 }
 
+fn place(relay: &Arc<Relay>, call: &Call, tried: &[ServerKey]) -> Option<Placed> {
+    let need = Need {
+        service: &call.service,
+        prompt: 0,
+        tokens: 0,
+        tried,
+        zone: None,
+    };
+    relay.place(&need, &call.spec).ok()
+}
+
 /// The entry's own answer, where no server gave one.
 fn conclude(relay: &Relay, call: &Call, ran: bool) -> Response<AnswerBody> {
     let id = call.id();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -55,6 +55,9 @@
 /// stays for 1.5 s and more, and a move costs a pause.
 const SHORT_REST: Duration = Duration::from_millis(700);
 
+/// The part of the grace that is left while a drain is early.
+const EARLY_PART: f64 = 0.7;
+
 /// Events that a run makes in less than a second.
 const SHORT_EVENTS: u32 = 16;
 
@@ -99,13 +102,13 @@
 pub(crate) async fn serve(relay: &Arc<Relay>, call: Call) -> Response<AnswerBody> {
     if let Some(left) = relay
         .grace_left()
-        .filter(|left| *left < expected_time(&call))
+        .filter(|left| outlasts(relay, &call, *left))
     {
         relay.figures().refusal("draining");
         tracing::info!(
             id = call.id(),
             ?left,
-            "stream: refused, this relay ends before it would"
+            "stream: refused, this relay may end before it does"
         );
         return OwnAnswer::NotRun(ELSEWHERE).response();
     }
@@ -215,9 +218,16 @@
         .min(call.head.output)
 }
 
-/// How long the stream is expected to take.
-fn expected_time(call: &Call) -> Duration {
-    START_TIME + TOKEN_TIME * expected_output(call)
+/// Whether the stream may take longer than the relay, which drains, is `left`. Early in the drain its
+/// expected length counts, and few are longer by all that is left; later the longest that it may have,
+/// since a wrong estimate would be cut.
+fn outlasts(relay: &Relay, call: &Call, left: Duration) -> bool {
+    let early = left > relay.grace().mul_f64(EARLY_PART);
+    let tokens = match early {
+        true => expected_output(call),
+        false => call.head.output,
+    };
+    START_TIME + TOKEN_TIME * tokens > left
 }
 
 /// Whether the run is expected to end before an engine that says it leaves is gone.
