--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -7,6 +7,7 @@
 use cicada_standins::caller::Heard;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::headers;
 use cicada_standins::service::Mode;
 use eyre::Result;
 use eyre::bail;
@@ -23,6 +24,22 @@
     Path::new(env!("CARGO_BIN_EXE_cicadad"))
 }
 
+/// Asks for short drafts until the engine of this number has had one. Fails after `patience`.
+async fn ask_until_used(deployment: &Deployment, engine: usize, patience: Duration) -> Result<()> {
+    let relay = &deployment.relays[0];
+    let begun = Instant::now();
+    let mut number = 0;
+    while deployment.engines[engine].engine.arrivals().is_empty() {
+        assert!(begun.elapsed() < patience, "{}", relay.process.log());
+        number += 1;
+        Ask::stream(&format!("draft-{number}"), KEY, 500, 2)
+            .send(relay.callers)
+            .await?;
+        sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
 fn start_stream(
     deployment: &Deployment,
     relay: usize,
@@ -206,7 +223,7 @@
     let relay = deployment.relays[0].callers;
     let heard = Ask::new("GET", "/slots/1", "read", KEY).send(relay).await?;
     assert_eq!(heard.status, StatusCode::INTERNAL_SERVER_ERROR);
-    assert_eq!(heard.headers["x-cicadastream-response-seal"], "seal-read");
+    assert_eq!(heard.headers[headers::SIGNATURE], "seal-read");
     let heard = Ask::new("POST", "/deposits/1", "deposit", KEY)
         .send(relay)
         .await?;
@@ -299,22 +316,7 @@
     sleep(Duration::from_millis(800)).await;
     deployment.add_engine()?;
     deployment.engines[0].engine.leave(Duration::from_secs(30));
-    let relay = deployment.relays[0].callers;
-    let begun = Instant::now();
-    let mut number = 0;
-    while deployment.engines[1].engine.arrivals().is_empty() {
-        assert!(
-            begun.elapsed() < PATIENCE,
-            "{}",
-            deployment.relays[0].process.log()
-        );
-        number += 1;
-        Ask::stream(&format!("draft-{number}"), KEY, 500, 2)
-            .send(relay)
-            .await?;
-        sleep(Duration::from_millis(50)).await;
-    }
-    Ok(())
+    ask_until_used(&deployment, 1, PATIENCE).await
 }
 
 /// The store turns new calls away, and the watches that wait hear nothing and do not end. An engine
@@ -327,23 +329,7 @@
     deployment.store.set_busy(true);
     deployment.add_engine()?;
     deployment.engines[0].engine.leave(Duration::from_secs(30));
-    let relay = deployment.relays[0].callers;
-    let begun = Instant::now();
-    let mut number = 0;
-    while deployment.engines[1].engine.arrivals().is_empty() {
-        let waited = begun.elapsed();
-        assert!(
-            waited < Duration::from_secs(9),
-            "{}",
-            deployment.relays[0].process.log()
-        );
-        number += 1;
-        Ask::stream(&format!("draft-{number}"), KEY, 500, 2)
-            .send(relay)
-            .await?;
-        sleep(Duration::from_millis(50)).await;
-    }
-    Ok(())
+    ask_until_used(&deployment, 1, Duration::from_secs(9)).await
 }
 
 /// The store drops its history while a watch waits, and a server has come in between.
@@ -448,8 +434,7 @@
     .await?;
     deployment.relays[0].process.signal(Signal::Term)?;
     sleep(Duration::from_millis(3_500)).await;
-    let unsure =
-        Ask::stream("unsure", KEY, 200, 500).with_header("x-cicadastream-length-hint", "8");
+    let unsure = Ask::stream("unsure", KEY, 200, 500).with_header(headers::HINT, "8");
     let heard = unsure.send(relay).await?;
     assert_eq!(heard.status, StatusCode::SERVICE_UNAVAILABLE);
     let short = Ask::stream("short", KEY, 200, 4).send(relay).await?;
--- a/daemon/tests/relay_path.rs
+++ b/daemon/tests/relay_path.rs
@@ -7,6 +7,8 @@
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
 use cicada_standins::deployment::WORKSPACE;
+use cicada_standins::headers;
+use cicada_standins::headers::ID;
 use cicada_standins::service::Mode;
 use eyre::Result;
 use http::StatusCode;
@@ -26,10 +28,7 @@
     assert_eq!(heard.status, StatusCode::OK);
     assert!(heard.whole);
     assert_eq!(heard.events("draft-1")?, (1..=40).collect::<Vec<u64>>());
-    assert_eq!(
-        heard.headers["x-cicadastream-response-seal"],
-        "seal-draft-1"
-    );
+    assert_eq!(heard.headers[headers::SIGNATURE], "seal-draft-1");
     let arrivals = deployment
         .engines
         .iter()
@@ -103,10 +102,10 @@
 async fn a_caller_cannot_speak_for_the_system() -> Result<()> {
     let deployment = Deployment::start(daemon(), 1, 1, 0).await?;
     let ask = Ask::stream("draft-1", KEY, 500, 5)
-        .with_header("kv-from", "127.0.0.1:1/copy-of-another")
-        .with_header("x-cicadastream-tenant", "another")
-        .with_header("x-cicadastream-expect-instance", "another")
-        .with_header("connection", "x-cicadastream-token-counts");
+        .with_header(headers::RESUME, "127.0.0.1:1/copy-of-another")
+        .with_header(headers::WORKSPACE, "another")
+        .with_header(headers::EXPECTED, "another")
+        .with_header("connection", headers::COUNTS);
     let heard = ask.send(deployment.relays[0].callers).await?;
     assert_eq!(heard.events("draft-1")?.len(), 5);
     let arrivals = deployment.engines[0].engine.arrivals();
@@ -123,11 +122,11 @@
     let mut stream = TcpStream::connect(deployment.relays[0].callers).await?;
     let hidden = format!(
         "POST /deposits/hidden HTTP/1.1\r\nHost: rites.example\r\nAuthorization: Bearer {KEY}\r\n\
-         X-Cicadastream-Attempt-Id: hidden\r\nContent-Length: 0\r\n\r\n"
+         {ID}: hidden\r\nContent-Length: 0\r\n\r\n"
     );
     let request = format!(
         "POST /deposits/1 HTTP/1.1\r\nHost: rites.example\r\nAuthorization: Bearer {KEY}\r\n\
-         X-Cicadastream-Attempt-Id: outer\r\nContent-Length: {}\r\n\
+         {ID}: outer\r\nContent-Length: {}\r\n\
          Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
         5 + hidden.len()
     );
@@ -146,7 +145,7 @@
     for id in ["first", "second"] {
         let request = format!(
             "GET /slots/1 HTTP/1.1\r\nHost: rites.example\r\nAuthorization: Bearer {KEY}\r\n\
-             X-Cicadastream-Attempt-Id: {id}\r\n\r\n"
+             {ID}: {id}\r\n\r\n"
         );
         stream.write_all(request.as_bytes()).await?;
         let mut answer = Vec::new();
