testutils: no process is started while a port is tried

Cause: under cargo test, where the tests of a file are threads of one process, tests failed now and then with 'address already in use': a process that another test was starting held the socket with which a port had just been tried, until it ran its program. Change: one lock for trying ports and for starting processes.

--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -12,6 +12,7 @@
 use std::process::ExitStatus;
 use std::process::Stdio;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -82,6 +83,7 @@
 
     fn start(mut command: Command, dir: PathBuf) -> Result<Self> {
         let log = File::create(dir.join("log"))?;
+        let _ports = lock(&PORTS_TRIED);
         let child = command
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -244,6 +246,18 @@
 // Half of the pairs may be in use before a test gives up.
 const PORT_TRIES: usize = 1_000;
 
+// Held while ports are tried and while a process is started. A process that is started has all open
+// sockets until it runs its program: one that a port was tried with would keep the port taken for as
+// long, and who was given it would find its address in use. Tests of one file that run as threads of
+// one process meet so; it is enough, since no other sockets are opened and given up at once.
+static PORTS_TRIED: Mutex<()> = Mutex::new(());
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
 /// An address of the loopback for a process that is started next, free for TCP and UDP.
 ///
 /// Tests run side by side as processes of their own. So ports go in pairs: the even one is given out,
@@ -251,6 +265,7 @@
 /// taken.
 pub fn free_addr() -> Result<SocketAddr> {
     static HELD: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
+    let _ports = lock(&PORTS_TRIED);
     for _ in 0..PORT_TRIES {
         let port = fastrand::u16(PORTS) & !1;
         let Ok(mark) = TcpListener::bind(("127.0.0.1", port + 1)) else {
@@ -259,8 +274,7 @@
         let free = TcpListener::bind(("127.0.0.1", port)).is_ok()
             && UdpSocket::bind(("127.0.0.1", port)).is_ok();
         if free {
-            let mut held = HELD.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
-            held.push(mark);
+            lock(&HELD).push(mark);
             return Ok(SocketAddr::from(([127, 0, 0, 1], port)));
         }
     }
