scout: names its engine's new life; an end that was seen outlasts the list

Cause: after a loss of power the list names the engines' former lives for seconds. Relays asked scouts for reports only at the next renewal (700 ms), found each engine's new life by a refused send, four of which turn a caller away, and each reading of the list brought the dead ones back. Change: a scout learns from its engine's health path under which identifier it lives, and names it to who listens; relays ask for reports as soon as engines come into the list, and are answered at once; ended lives are remembered for 8 s.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -319,6 +319,32 @@
     ask_until_used(&deployment, 1, PATIENCE).await
 }
 
+/// An engine crashes and is back under another identifier, while the store still names its former life.
+/// Its scout notices and names it to the relay, so that the next request reaches it at once; without
+/// that word each relay would be refused there first, and turn its caller away after a few such engines.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_life_that_the_store_does_not_have_is_named_by_its_scout() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    let host = &deployment.engines[0];
+    until("the engine has named itself", || host.engine.named() == 1).await?;
+    host.server.down().await;
+    host.engine.begin_life("e-second");
+    sleep(Duration::from_millis(300)).await;
+    host.server.up()?;
+    until("the new life has named itself", || host.engine.named() == 1).await?;
+    let relay = &deployment.relays[0];
+    until("the relay knows", || {
+        relay.process.log().contains("names another life")
+    })
+    .await?;
+    let heard = Ask::stream("draft", KEY, 500, 5)
+        .send(relay.callers)
+        .await?;
+    assert!(heard.whole, "{}", relay.process.log());
+    assert_eq!(host.engine.misdirected(), 0);
+    Ok(())
+}
+
 /// The store turns new calls away, and the watches that wait hear nothing and do not end. An engine
 /// leaves and another one comes. A relay that took its waiting watch for a sign of life would learn
 /// nothing until the watch ends after ten seconds.
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -192,6 +192,10 @@
     /// Asks for the load.
     async fn report(&self, engine: SocketAddr) -> Result<EngineReport, ReportError>;
 
+    /// Asks at the service's health path under which identifier the engine lives. Costs more than a
+    /// report: once in a life is enough.
+    async fn identity(&self, engine: SocketAddr, health: &Name) -> Result<Name, ReportError>;
+
     /// Copies the memory of the run `id` to the engine `target`. Returns when the copy is complete.
     async fn move_run(
         &self,
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -19,6 +19,7 @@
 use crate::ids::Name;
 use crate::peer_words::EngineHere;
 use crate::routing::ServerKey;
+use crate::server_lives::ServerLives;
 use crate::site::EngineSpec;
 use crate::site::ServerChange;
 use crate::site::ServerPhase;
@@ -95,9 +96,6 @@
 /// The beginning of identifiers under which engines stand that are known by their scouts' word only.
 const UNLISTED: &str = "unlisted ";
 
-/// How long an identifier counts that a request has found at an address: the list has it by then.
-const FRESH_AGE: Duration = Duration::from_secs(4);
-
 /// A scout that was silent for longer than this does not count on: it tells five times a second.
 const SCOUT_AGE: Duration = Duration::from_millis(1_200);
 
@@ -128,6 +126,8 @@
     record: ServerRecord,
     // Whether the list still has it.
     listed: bool,
+    // Since when it is known by another word than the list's, while the list has not had it.
+    found: Option<Time>,
     // When it was learnt that it leaves, by whichever way first.
     leaving: Option<Time>,
     // Requests of this entry that are there, and the tokens they are expected to hold.
@@ -185,8 +185,9 @@
     servers: SlotMap<ServerKey, Server>,
     // Listed servers only.
     ids: HashMap<Name, ServerKey>,
-    // Identifiers that requests have found at addresses in place of the expected ones.
-    fresh: HashMap<SocketAddr, (Time, Name)>,
+    lives: ServerLives,
+    // Engines that have come since they were last asked for.
+    joined: Vec<SocketAddr>,
 }
 
 impl Fleet {
@@ -196,7 +197,8 @@
             place,
             servers: SlotMap::with_key(),
             ids: HashMap::new(),
-            fresh: HashMap::new(),
+            lives: ServerLives::default(),
+            joined: Vec::new(),
         }
     }
 
@@ -205,7 +207,7 @@
         let listed: Vec<Name> = self.ids.keys().cloned().collect();
         for id in listed {
             let announced = id.as_str().starts_with(UNLISTED);
-            if !announced && !records.iter().any(|r| r.id == id) {
+            if !announced && !self.is_young(now, &id) && !records.iter().any(|r| r.id == id) {
                 self.gone(now, &id);
             }
         }
@@ -238,6 +240,33 @@
         self.ids.values().map(|key| &self.servers[*key].record)
     }
 
+    /// Whether the list need not have the server yet.
+    fn is_young(&self, now: Time, id: &Name) -> bool {
+        let found = self.ids.get(id).and_then(|key| self.servers[*key].found);
+        found.is_some_and(|since| ServerLives::is_young(now, since))
+    }
+
+    /// The addresses of servers that have come since this was last asked.
+    pub fn take_joined(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.joined)
+    }
+
+    /// A scout says under which identifier its engine lives; whether that is news. The list may name a
+    /// former life at the address: that one has ended. Where the list has nothing there, the engine
+    /// counts by the list's word only, since it may be one that leaves without saying so.
+    pub fn identified(&mut self, now: Time, here: &EngineHere, id: &Name) -> bool {
+        let Some(key) = self.key_at(here.address) else {
+            return false;
+        };
+        let record = &self.servers[key].record;
+        if record.id == *id || record.service != here.service {
+            return false;
+        }
+        self.lives.found(now, here.address, id);
+        self.replace(now, key, id);
+        true
+    }
+
     /// Forgets engines that only their scouts told of, and whose scouts are silent now.
     pub fn trim_announced(&mut self, now: Time) {
         let announced = self
@@ -391,13 +420,14 @@
     pub fn report(&mut self, now: Time, engine: &EngineHere, report: &EngineReport) -> bool {
         let address = engine.address;
         if self.key_at(address).is_none() {
-            self.take_fresh(now, engine);
+            self.take_found(now, engine);
         }
         // One that has left the list may still run what it was sent, and its scout tells of it.
         let there = self.servers.values_mut().filter(|s| {
             let known = s.record.born;
             let same_life = report.born.is_none_or(|born| born == known || known == 0);
-            s.record.address == address && same_life
+            let same_service = s.record.service == engine.service;
+            s.record.address == address && same_service && same_life
         });
         let server = there.max_by_key(|s| s.listed);
         let Some(server) = server else {
@@ -420,30 +450,65 @@
         turned
     }
 
-    /// A request found another server at the address than the expected one: that one has ended.
+    /// A request found another server at the address than the expected one: that one has ended. The other
+    /// one takes its place at once where a scout has said what stands there; without such a word the
+    /// address may be another service's by now.
     pub fn is_other(&mut self, now: Time, key: ServerKey, other: &Name) {
         let Some(server) = self.servers.get(key) else {
             return;
         };
         let (id, address) = (server.record.id.clone(), server.record.address);
-        self.fresh.insert(address, (now, other.clone()));
-        if self.ids.get(&id) == Some(&key) {
-            self.gone(now, &id);
+        self.lives.found(now, address, other);
+        if self.ids.get(&id) != Some(&key) {
+            return;
+        }
+        if self.has_scout(now, key) {
+            self.replace(now, key, other);
+        } else {
+            self.end(now, &id);
+        }
+    }
+
+    /// The life at `key` has ended, and `id` is the one that stands there now. What its scout has said
+    /// of it still holds.
+    fn replace(&mut self, now: Time, key: ServerKey, id: &Name) {
+        let server = &self.servers[key];
+        let report = server.report;
+        let former = server.record.clone();
+        self.end(now, &former.id);
+        let record = ServerRecord {
+            id: id.clone(),
+            phase: ServerPhase::Ready,
+            cold: Duration::ZERO,
+            born: 0,
+            ..former
+        };
+        self.put(now, &record);
+        if let Some(key) = self.ids.get(id) {
+            let server = &mut self.servers[*key];
+            server.found = Some(now);
+            server.report = report;
         }
     }
 
+    /// The life under the identifier has ended, whatever the list says.
+    fn end(&mut self, now: Time, id: &Name) {
+        if let Some(key) = self.ids.get(id) {
+            self.lives.ended(now, &self.servers[*key].record);
+        }
+        self.gone(now, id);
+    }
+
     /// Takes in an engine that a request has found at an address and whose scout says what it is, before
-    /// the list has it. After all engines have started again the list names their former lives for some
-    /// seconds, and nothing could be served meanwhile.
-    fn take_fresh(&mut self, now: Time, engine: &EngineHere) {
-        let Some((at, id)) = self.fresh.get(&engine.address).cloned() else {
+    /// the list has it.
+    fn take_found(&mut self, now: Time, engine: &EngineHere) {
+        let Some(id) = self.lives.found_at(now, engine.address) else {
             return;
         };
-        if now.since(at) > FRESH_AGE {
-            self.fresh.remove(&engine.address);
-            return;
+        self.put(now, &unlisted(id.clone(), engine));
+        if let Some(key) = self.ids.get(&id) {
+            self.servers[*key].found = Some(now);
         }
-        self.put(now, &unlisted(id, engine));
     }
 
     /// A plain server said what runs and waits there.
@@ -455,6 +520,9 @@
     }
 
     fn put(&mut self, now: Time, record: &ServerRecord) {
+        if self.lives.has_ended(now, record) {
+            return;
+        }
         if let Some(key) = self.ids.get(&record.id).copied() {
             let server = &mut self.servers[key];
             let same_life = server.record.born == record.born || server.record.born == 0;
@@ -463,6 +531,7 @@
                     server.leaving.get_or_insert(now);
                 }
                 server.record = record.clone();
+                server.found = None;
                 return;
             }
             // Another life under the same identifier: it holds nothing of the one before.
@@ -475,6 +544,7 @@
         let key = self.servers.insert(Server {
             record: record.clone(),
             listed: true,
+            found: None,
             leaving: draining.then_some(now),
             open: 0,
             tokens: 0,
@@ -486,6 +556,7 @@
             others: 0.0,
         });
         self.ids.insert(record.id.clone(), key);
+        self.joined.push(record.address);
     }
 
     /// The list has an engine that was known by its scout's word only: it is the same one, and what runs
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod rumours;
 pub mod scheduler;
 pub mod secrets;
+mod server_lives;
 pub mod service_http;
 pub mod settings;
 pub mod shares;
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -97,11 +97,29 @@
         pub changes: ServerChanges,
     }
 
+    /// A process wants an engine's reports for the next seconds.
+    #[derive(Default)]
+    pub struct Subscription {
+        /// Engines of the same service and region, to which runs can be moved.
+        pub neighbours: Vec<SocketAddr>,
+        /// The path at which the engine says under which identifier it lives, where that is known.
+        pub health: Option<Name>,
+    }
+
+    /// Under which identifier an engine lives: the directory may still name a former life.
+    pub struct EngineIdentity {
+        /// The engine.
+        pub here: EngineHere,
+        /// Its identifier.
+        pub id: Name,
+    }
+
     /// A datagram.
     pub enum Datagram {
-        /// A relay, or a scout of the same availability zone, wants an engine's reports for the next
-        /// seconds. Names engines of the same service and availability zone, to which runs can be moved.
-        Subscribe(Vec<SocketAddr>),
+        /// A relay, or a scout of the same region, wants an engine's reports.
+        Subscribe(Subscription),
+        /// A scout says who its engine is.
+        Identity(EngineIdentity),
         /// A scout's report.
         Report(ScoutReport),
         /// An engine is there. Passed on once by the relay that gets it first.
--- /dev/null
+++ b/lib/src/server_lives.rs
@@ -0,0 +1,67 @@
+//! What is known of the lives of backend servers beyond the list: which have ended, which have begun.
+//!
+//! Load pattern: all hosts lose power at once and are back within two seconds, with callers who have
+//! waited since. The list names the servers' former lives until those lapse, four seconds and more. Each
+//! request finds another server at the address, goes on to the next one, and is turned away after a few;
+//! and each reading of the list brings the dead ones back.
+//!
+//! So an end that was seen outlasts the list's word, and a life that was found at an address is kept until
+//! the list can have it.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::ids::Name;
+use crate::site::ServerRecord;
+use crate::time::Time;
+
+/// How long an end that was seen counts for more than the list: entries lapse after three heartbeats of
+/// about a second, and later where the directory was away. Were the word of the end wrong, the server
+/// would stand idle for no longer than this.
+const ENDED: Duration = Duration::from_secs(8);
+
+/// How long an identifier counts that was found at an address, or that the list does not have yet: a
+/// server that starts writes its entry within a heartbeat or two.
+const FOUND: Duration = Duration::from_secs(4);
+
+/// Ends and beginnings that were seen lately.
+#[derive(Debug, Default)]
+pub(crate) struct ServerLives {
+    // When each life ended, with its start: the identifier alone may come back.
+    ended: HashMap<Name, (Time, u64)>,
+    // Identifiers that were found at addresses in place of the expected ones.
+    found: HashMap<SocketAddr, (Time, Name)>,
+}
+
+impl ServerLives {
+    /// The record's life has ended.
+    pub(crate) fn ended(&mut self, now: Time, record: &ServerRecord) {
+        self.ended.retain(|_, (at, _)| now.since(*at) < ENDED);
+        self.ended.insert(record.id.clone(), (now, record.born));
+    }
+
+    /// Whether the life that the record tells of is known to have ended.
+    pub(crate) fn has_ended(&self, now: Time, record: &ServerRecord) -> bool {
+        self.ended
+            .get(&record.id)
+            .is_some_and(|(at, born)| now.since(*at) < ENDED && *born == record.born)
+    }
+
+    /// A server of this identifier answers at the address.
+    pub(crate) fn found(&mut self, now: Time, address: SocketAddr, id: &Name) {
+        self.ended.remove(id);
+        self.found.insert(address, (now, id.clone()));
+    }
+
+    /// The identifier that was found at the address lately.
+    pub(crate) fn found_at(&mut self, now: Time, address: SocketAddr) -> Option<Name> {
+        self.found.retain(|_, (at, _)| now.since(*at) < FOUND);
+        self.found.get(&address).map(|(_, id)| id.clone())
+    }
+
+    /// Whether a server that was found at `since` need not be in the list yet.
+    pub(crate) fn is_young(now: Time, since: Time) -> bool {
+        now.since(since) < FOUND
+    }
+}
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod events;
 mod exchange;
 mod figures;
+mod identity;
 mod keeper;
 mod lock;
 mod moved_runs;
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use cicada_lib::dialect::EngineReport;
+use cicada_lib::ids::Name;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
 use cicada_lib::peer_words::EngineHere;
@@ -12,6 +13,7 @@
 use cicada_lib::peer_words::ScoutReport;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::peer_words::ServerNews;
+use cicada_lib::peer_words::Subscription;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -64,6 +66,7 @@
         loop {
             tokio::select! {
                 _ = renewals.tick() => self.subscribe().await,
+                () = self.relay.engines_joined() => self.subscribe_new().await,
                 _ = hellos.tick() => self.hello().await,
                 Some(news) = news.recv() => self.tell_news(news).await,
                 Some(word) = sent.recv() => self.tell_sent(&Datagram::Sent(word)).await,
@@ -85,16 +88,44 @@
     async fn subscribe(&self) {
         let now = self.relay.now();
         self.relay.fleet().trim_announced(now);
-        for (neighbours, near) in self.relay.engine_groups() {
+        for group in self.relay.engine_groups() {
             // Relays of the region name the neighbours; from all relays they would be most of what a
             // scout receives.
-            let named = if near { MOST_NAMED } else { 0 };
-            let word = Datagram::Subscribe(neighbours.iter().copied().take(named).collect());
-            let scouts = self.socket.on_hosts(&neighbours);
-            self.socket.send(&word, &scouts).await;
+            let named = if group.near { MOST_NAMED } else { 0 };
+            let neighbours = group.engines.iter().copied().take(named).collect();
+            self.subscribe_to(&group.engines, neighbours, &group.health)
+                .await;
         }
     }
 
+    /// Asks for the reports of engines that have just come. Until the next renewal they would count as
+    /// empty, and after all hosts have started again as the former lives that the list names.
+    async fn subscribe_new(&self) {
+        let joined = self.relay.fleet().take_joined();
+        if joined.is_empty() {
+            return;
+        }
+        for group in self.relay.engine_groups() {
+            let engines = group.engines.iter().copied();
+            let new: Vec<SocketAddr> = engines.filter(|e| joined.contains(e)).collect();
+            self.subscribe_to(&new, Vec::new(), &group.health).await;
+        }
+    }
+
+    async fn subscribe_to(
+        &self,
+        engines: &[SocketAddr],
+        neighbours: Vec<SocketAddr>,
+        health: &Name,
+    ) {
+        let word = Datagram::Subscribe(Subscription {
+            neighbours,
+            health: Some(health.clone()),
+        });
+        let scouts = self.socket.on_hosts(engines);
+        self.socket.send(&word, &scouts).await;
+    }
+
     async fn hello(&self) {
         let word = Datagram::Hello(RelayHello {
             zone: self.relay.settings().place.zone.clone(),
@@ -156,6 +187,9 @@
                 self.relay.engine_here(&here);
                 return Some(Datagram::HerePassedOn(here));
             }
+            Ok(Datagram::Identity(word)) if word.here.address.ip() == from.ip() => {
+                self.relay.engine_identity(&word);
+            }
             Ok(Datagram::HerePassedOn(here)) => self.relay.engine_here(&here),
             Ok(Datagram::Hello(hello)) => {
                 let mut peers = self.relay.peers();
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -20,6 +20,7 @@
 use cicada_lib::fleet::Place;
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::EngineHere;
+use cicada_lib::peer_words::EngineIdentity;
 use cicada_lib::peer_words::MovedRun;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::peer_words::ServerNews;
@@ -35,6 +36,7 @@
 use cicada_lib::site::SiteConfig;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
+use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -83,6 +85,15 @@
 /// What waits to be told to other relays.
 type Pending = (mpsc::Receiver<SentWord>, mpsc::Receiver<ServerNews>);
 
+/// The engines of a service in a region.
+pub(crate) struct EngineGroup {
+    pub(crate) engines: Vec<SocketAddr>,
+    // Whether it is this relay's own region.
+    pub(crate) near: bool,
+    // The path at which they name themselves.
+    pub(crate) health: Name,
+}
+
 /// An entry.
 pub struct Relay {
     settings: RelaySettings,
@@ -107,6 +118,8 @@
     // What other relays are to be told; the receivers until their task takes them.
     sent: mpsc::Sender<SentWord>,
     news: mpsc::Sender<ServerNews>,
+    // Told when the list has changed, and engines may have come.
+    joined: Notify,
     pending: Mutex<Option<Pending>>,
     revision: AtomicU64,
     // Raised when idle connections are to be closed.
@@ -128,6 +141,7 @@
         Arc::new(Relay {
             sent,
             news,
+            joined: Notify::new(),
             pending: Mutex::new(Some((sent_out, news_out))),
             changing: ArcSwap::from_pointee(settings.changing),
             fleet: Mutex::new(Fleet::new(settings.place.clone())),
@@ -261,6 +275,7 @@
         self.revision.fetch_max(revision.0, Ordering::Relaxed);
         self.listed.store(true, Ordering::Relaxed);
         self.note_leaving();
+        self.joined.notify_one();
     }
 
     /// Whether this relay is the one of its availability zone that watches the directory.
@@ -294,6 +309,15 @@
         }
     }
 
+    /// A scout says who its engine is.
+    pub(crate) fn engine_identity(&self, word: &EngineIdentity) {
+        let (here, id) = (&word.here, &word.id);
+        if self.fleet().identified(self.now(), here, id) {
+            let address = here.address;
+            tracing::info!(engine = %address, server = %id, "fleet: a scout names another life of its engine");
+        }
+    }
+
     /// A scout says that its engine is there. Heeded only while the directory is out of reach: otherwise
     /// it tells of the engine, and of its identifier, itself.
     pub(crate) fn engine_here(&self, here: &EngineHere) {
@@ -328,22 +352,33 @@
 
     /// The engines, those of a service and region together: runs can be moved between them. Each with
     /// whether the group is of this relay's region.
-    pub(crate) fn engine_groups(&self) -> Vec<(Vec<SocketAddr>, bool)> {
+    pub(crate) fn engine_groups(&self) -> Vec<EngineGroup> {
         let table = self.table();
-        let mut groups: HashMap<(Name, Name), Vec<SocketAddr>> = HashMap::new();
+        let place = &self.settings.place;
+        let own = place.region_of(&place.zone);
+        let mut groups: HashMap<(Name, Name), EngineGroup> = HashMap::new();
         for server in self.fleet().servers() {
-            let spec = table.service(&server.service);
-            if spec.is_some_and(|spec| spec.engine.is_some()) {
-                let region = self.settings.place.region_of(&server.zone);
-                let group = (server.service.clone(), region.clone());
-                groups.entry(group).or_default().push(server.address);
+            let Some(spec) = table.service(&server.service) else {
+                continue;
+            };
+            if spec.engine.is_none() {
+                continue;
             }
+            let region = place.region_of(&server.zone);
+            let key = (server.service.clone(), region.clone());
+            let group = groups.entry(key).or_insert_with(|| EngineGroup {
+                engines: Vec::new(),
+                near: region == own,
+                health: spec.health.clone(),
+            });
+            group.engines.push(server.address);
         }
-        let own = self.settings.place.region_of(&self.settings.place.zone);
-        let groups = groups.into_iter();
-        groups
-            .map(|((_, region), engines)| (engines, region == *own))
-            .collect()
+        groups.into_values().collect()
+    }
+
+    /// Waits until engines have come.
+    pub(crate) async fn engines_joined(&self) {
+        self.joined.notified().await;
     }
 
     /// A scout has moved a run.
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -11,11 +11,14 @@
 
 use cicada_lib::dialect::EngineCalls;
 use cicada_lib::dialect::EngineReport;
+use cicada_lib::ids::Name;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
 use cicada_lib::peer_words::EngineHere;
+use cicada_lib::peer_words::EngineIdentity;
 use cicada_lib::peer_words::MovedRun;
 use cicada_lib::peer_words::ScoutReport;
+use cicada_lib::peer_words::Subscription;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -26,6 +29,7 @@
 use crate::evacuation;
 use crate::evacuation::Neighbours;
 use crate::evacuation::RunNews;
+use crate::identity::Identity;
 use crate::word_socket::WordSocket;
 
 /// How often the engine is asked: an engine that leaves says so 1.5 s before, of which this takes a
@@ -51,8 +55,8 @@
 /// How long an engine counts as a neighbour after a relay named it.
 const NEIGHBOUR: Duration = Duration::from_secs(5);
 
-/// The times after which word of a move is sent again: datagrams are lost now and then, and a relay
-/// without it would give the run up.
+/// The times after which word of a move, or of a new life, is sent again: datagrams are lost now and then,
+/// and a relay without it would give the run up.
 const REPEATS: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(60)];
 
 /// How many moves are remembered for relays that ask.
@@ -78,6 +82,7 @@
     leaving: bool,
     // The latest runs of an engine that leaves, for the task that moves them.
     evacuating: Option<watch::Sender<EngineReport>>,
+    identity: Identity,
     moved: Vec<MovedRun>,
     moves: mpsc::Receiver<RunNews>,
     moves_in: mpsc::Sender<RunNews>,
@@ -107,6 +112,7 @@
             renewed: now,
             leaving: false,
             evacuating: None,
+            identity: Identity::new(),
             moved: Vec::new(),
             moves,
             moves_in,
@@ -127,6 +133,11 @@
                         self.hear(&buffer[..length], from).await;
                     }
                 }
+                id = self.identity.answered() => {
+                    if let Some(id) = id {
+                        self.tell_identity(id).await;
+                    }
+                }
                 Some(news) = self.moves.recv() => match news {
                     RunNews::Coming(run) => self.tell(&Datagram::Moving(run)).await,
                     RunNews::Moved(run) => self.tell_moved(run).await,
@@ -137,16 +148,7 @@
 
     async fn hear(&mut self, bytes: &[u8], from: SocketAddr) {
         match peer_words::decode(bytes) {
-            Ok(Datagram::Subscribe(engines)) => {
-                let now = Instant::now();
-                if self.listeners.insert(from, now).is_none() {
-                    tracing::info!(%from, "scout: reports are asked for");
-                }
-                let others = engines
-                    .into_iter()
-                    .filter(|engine| *engine != self.here.address);
-                self.named.extend(others.map(|engine| (engine, now)));
-            }
+            Ok(Datagram::Subscribe(subscription)) => self.subscribed(from, subscription).await,
             Ok(Datagram::Report(report)) if report.address.ip() == from.ip() => {
                 self.neighbours.report(&report);
             }
@@ -161,10 +163,37 @@
         }
     }
 
+    async fn subscribed(&mut self, from: SocketAddr, subscription: Subscription) {
+        let now = Instant::now();
+        let engines = subscription.neighbours.into_iter();
+        let others = engines.filter(|engine| *engine != self.here.address);
+        self.named.extend(others.map(|engine| (engine, now)));
+        if let Some(path) = subscription.health {
+            self.identity.set_path(path);
+        }
+        if self.listeners.insert(from, now).is_some() {
+            return;
+        }
+        tracing::info!(%from, "scout: reports are asked for");
+        // It need not wait for the next change: until a report comes it takes the engine for empty.
+        if let Some(id) = self.identity.id().filter(|_| !self.leaving) {
+            let word = self.identity_word(id);
+            self.socket.send(&word, &[from]).await;
+        }
+        if let Some(report) = &self.last {
+            let word = Datagram::Report(report.clone());
+            self.socket.send(&word, &[from]).await;
+        }
+    }
+
     async fn look(&mut self) {
+        self.identity.looked();
         self.listeners
             .retain(|_, asked| asked.elapsed() < SUBSCRIBED);
         if self.listeners.is_empty() {
+            // It does not look closely meanwhile, and would miss the engine's end.
+            self.identity.forget();
+            self.last = None;
             self.announce().await;
             return;
         }
@@ -173,9 +202,14 @@
             Ok(report) => report,
             Err(error) => {
                 tracing::debug!(%error, "scout: the engine does not answer");
+                self.identity.forget();
+                self.last = None;
                 return;
             }
         };
+        if !report.leaving {
+            self.identity.ask(&self.engines, self.here.address);
+        }
         let turned = report.leaving && !self.leaving;
         self.leaving = report.leaving;
         let word = self.word(&report);
@@ -250,7 +284,7 @@
         self.named.retain(|_, named| named.elapsed() < NEIGHBOUR);
         let scouts = self.socket.on_hosts(self.named.keys());
         self.socket
-            .send(&Datagram::Subscribe(Vec::new()), &scouts)
+            .send(&Datagram::Subscribe(Subscription::default()), &scouts)
             .await;
     }
 
@@ -281,7 +315,23 @@
             self.moved.remove(0);
         }
         self.moved.push(moved.clone());
-        let word = Datagram::Moved(moved);
+        self.tell_surely(Datagram::Moved(moved)).await;
+    }
+
+    async fn tell_identity(&self, id: Name) {
+        tracing::info!(server = %id, "scout: the engine names itself");
+        self.tell_surely(self.identity_word(id)).await;
+    }
+
+    fn identity_word(&self, id: Name) -> Datagram {
+        Datagram::Identity(EngineIdentity {
+            here: self.here.clone(),
+            id,
+        })
+    }
+
+    /// Tells all listeners, and again a little later.
+    async fn tell_surely(&self, word: Datagram) {
         self.tell(&word).await;
         let listeners: Vec<SocketAddr> = self.listeners.keys().copied().collect();
         let socket = self.socket.clone();
