return_time: callers that found no engine come back half a second to 1.4 s later

Cause: after a loss of power engines serve again within a second of their return, since scouts name them; callers that had found none came back after 0.9 to 2.6 s, most of them past the objective of their first event, some past their last try. Change: 0.5 to 1.4 s; the decision is a module of its own with a replay of that load, of which two tests fail with the former figures.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod query_rows;
 pub mod retry_budget;
 pub mod retry_window;
+pub mod return_time;
 pub mod roster;
 pub mod route_table;
 pub mod router;
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -8,6 +8,8 @@
 use cicada_lib::fleet::Fleet;
 use cicada_lib::fleet::Need;
 use cicada_lib::move_plan;
+use cicada_lib::return_time;
+use cicada_lib::return_time::TurnedAway;
 use cicada_lib::routing::ServerKey;
 use http::Response;
 use http::response::Parts;
@@ -126,18 +128,12 @@
         }
         relay.figures().retry("refused");
     }
-    conclude(relay, &call, ran, come_back(&call, refused))
-}
-
-/// When a caller that was turned away may come back. An engine that `refused` is full for a moment; where
-/// none could be reached, new ones are there in one to three seconds.
-fn come_back(call: &Call, refused: bool) -> Duration {
-    let (least, most) = match refused {
-        true => (Duration::from_millis(150), Duration::from_millis(500)),
-        false => (Duration::from_millis(900), Duration::from_millis(2_600)),
+    let why = match refused {
+        true => TurnedAway::Full,
+        false => TurnedAway::Unreached,
     };
-    let pause = least + (most - least).mul_f64(fastrand::f64());
-    pause.min(call.left() / 3)
+    let pause = return_time::pause(why, call.left(), fastrand::f64());
+    conclude(relay, &call, ran, pause)
 }
 
 /// Tokens that the request is expected to hold at its end.
