--- /dev/null
+++ b/lib/src/fleet_server.rs
@@ -0,0 +1,208 @@
+//! A backend server as one entry sees it: what runs there, and what it costs to send a request there.
+//!
+//! An engine's memory is taken as the larger of what it reports and what this entry has placed there, grown
+//! to the expected end of each. Costs are in milliseconds of the first event's time. The load patterns
+//! that they are made for stand in `fleet`.
+
+use std::time::Duration;
+
+use crate::ids::Name;
+use crate::routing::ServerKey;
+use crate::site::EngineSpec;
+use crate::site::ServerRecord;
+use crate::time::Time;
+
+/// Tokens of a prompt that an engine reads in a millisecond beside its running requests: a chunk of 112
+/// in a step of 16 ms.
+const READ_RATE: f64 = 7.0;
+
+/// Tokens of a prompt of another entry, of which only the number is known.
+const USUAL_PROMPT: f64 = 2_600.0;
+
+/// Tokens by which a running request that is only known by its number is expected to grow: half of what
+/// a long one writes.
+const USUAL_GROWTH: u64 = 400;
+
+/// The weight of a millisecond of reading before the first event. One that is soon over hurts nobody,
+/// and counts as much as balance asks for.
+const READ_WEIGHT: f64 = 0.6;
+
+/// Milliseconds of reading from which each one more may make the first event late, and its weight. The
+/// objectives are 1.5 s and more, and other requests come in between.
+const READ_LONG: f64 = 900.0;
+const READ_LATE: f64 = 3.0;
+
+/// The cost of a full memory, in milliseconds: for balance between engines, and the steeper part from
+/// the share at which an engine can no longer take in the runs of another one.
+const FILL: f64 = 120.0;
+const FILL_HIGH: f64 = 0.7;
+const FILL_STEEP: f64 = 900.0;
+
+/// How much a running request slows the ones beside it, in milliseconds of the first event's time.
+const CROWDING: f64 = 3.0;
+
+/// The part of an engine's memory that is planned with: what grows beyond its expectation needs the
+/// rest.
+const MEMORY_PART: f64 = 0.95;
+
+/// The cost of a request that does not fit, in milliseconds for each time its size is lacking.
+const LACK: f64 = 4_000.0;
+
+/// How long a request that was sent does not show in the reports that come back: the ways there and
+/// back, and the time between two reports.
+pub(crate) const UNSEEN_NEAR: Duration = Duration::from_millis(60);
+pub(crate) const UNSEEN_FAR: Duration = Duration::from_millis(130);
+
+/// The cost of a request whose region has no room for the runs of an engine that leaves, in
+/// milliseconds, where it is one request's size short. Another region's engine costs 60 and a connection.
+const NO_RETREAT: f64 = 300.0;
+
+/// The cost of a place in a plain server's queue, in milliseconds: one call's usual time.
+const QUEUE_STEP: f64 = 40.0;
+
+/// A report older than this says nothing any more.
+const REPORT_AGE: Duration = Duration::from_secs(3);
+
+/// What a request needs.
+#[derive(Clone, Debug)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a Name,
+    /// Tokens of its prompt; zero for a plain call.
+    pub prompt: u64,
+    /// Tokens that it is expected to hold at its end; zero for a plain call.
+    pub tokens: u64,
+    /// The servers that it has been to.
+    pub tried: &'a [ServerKey],
+    /// The only availability zone that will do, if there is one.
+    pub zone: Option<&'a Name>,
+}
+
+/// A backend server as this entry sees it.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) record: ServerRecord,
+    // Whether the list still has it.
+    pub(crate) listed: bool,
+    // Since when it is known by another word than the list's, while the list has not had it.
+    pub(crate) found: Option<Time>,
+    // When it was learnt that it leaves, by whichever way first.
+    pub(crate) leaving: Option<Time>,
+    // Requests of this entry that are there, and the tokens they are expected to hold.
+    pub(crate) open: u32,
+    pub(crate) tokens: u64,
+    // Tokens of prompts of this entry whose first event has not come.
+    pub(crate) unread: u64,
+    pub(crate) report: Option<Report>,
+    // Requests of all entries that the report cannot show yet, in the order of time.
+    pub(crate) unseen: Vec<Unseen>,
+    // Failures since the last success, and until when it rests.
+    pub(crate) failures: u32,
+    pub(crate) rest: Time,
+    // Requests that a plain server said it has running and waiting, besides this entry's.
+    pub(crate) others: f64,
+}
+
+/// An engine's last report.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Report {
+    pub(crate) at: Time,
+    pub(crate) used: u64,
+    pub(crate) queued: u32,
+    pub(crate) running: u32,
+    pub(crate) reading: u32,
+}
+
+/// A request that was sent a moment ago.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Unseen {
+    pub(crate) at: Time,
+    pub(crate) prompt: u64,
+    pub(crate) tokens: u64,
+}
+
+/// The memory of the engines of one service in one region, in tokens.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct RegionRoom {
+    pub(crate) capacity: u64,
+    pub(crate) used: u64,
+    // The memory of the largest engine.
+    pub(crate) largest: u64,
+}
+
+impl RegionRoom {
+    /// The cost of one more request of `tokens`, in milliseconds: it counts where the region's runs
+    /// would no longer fit when one engine leaves. Runs can only be moved within their region in time.
+    pub(crate) fn penalty(&self, tokens: u64) -> f64 {
+        let room = self.capacity.saturating_sub(self.largest) as f64 * MEMORY_PART;
+        let lack = (self.used + tokens) as f64 - room;
+        NO_RETREAT * (lack / tokens.max(1) as f64).clamp(0.0, 2.0)
+    }
+}
+
+impl Server {
+    /// Tokens of memory that are taken, or will be when what runs there has grown, as far as this entry
+    /// knows.
+    pub(crate) fn used(&self, now: Time) -> u64 {
+        let unseen: u64 = self.unseen.iter().map(|sent| sent.tokens).sum();
+        let reported = self.fresh_report(now).map_or(0, |report| {
+            report.used + u64::from(report.running) * USUAL_GROWTH + unseen
+        });
+        reported.max(self.tokens)
+    }
+
+    pub(crate) fn fresh_report(&self, now: Time) -> Option<Report> {
+        self.report.filter(|r| now.since(r.at) < REPORT_AGE)
+    }
+
+    pub(crate) fn sent(&mut self, now: Time, prompt: u64, tokens: u64) {
+        self.unseen.retain(|sent| now.since(sent.at) < REPORT_AGE);
+        self.unseen.push(Unseen {
+            at: now,
+            prompt,
+            tokens,
+        });
+    }
+
+    pub(crate) fn usable(&self) -> bool {
+        self.listed && self.leaving.is_none()
+    }
+
+    pub(crate) fn engine_cost(&self, now: Time, need: &Need<'_>, engine: &EngineSpec) -> f64 {
+        let unseen: u64 = self.unseen.iter().map(|sent| sent.prompt).sum();
+        let (running, reading) = match self.fresh_report(now) {
+            Some(report) => {
+                let running = report.running + report.queued + self.unseen.len() as u32;
+                (
+                    running,
+                    f64::from(report.reading) * USUAL_PROMPT + unseen as f64,
+                )
+            }
+            None => (self.open, unseen as f64),
+        };
+        let reading = reading.max(self.unread as f64) + need.prompt as f64;
+        let used = (self.used(now) + need.tokens) as f64;
+        let running = f64::from(running.max(self.open));
+        let full = (running + 1.0 - f64::from(engine.slots)).max(0.0);
+        let room = engine.capacity as f64 * MEMORY_PART;
+        let lack = (used - room).max(0.0) / (need.tokens.max(1) as f64);
+        let wait = read_cost(reading / READ_RATE);
+        wait + running * CROWDING + fill_cost(used / room) + (lack + full) * LACK
+    }
+
+    pub(crate) fn queue_cost(&self) -> f64 {
+        let busy = f64::from(self.open) + self.others;
+        let slots = f64::from(self.record.slots.max(1));
+        busy / slots * QUEUE_STEP / 2.0 + (busy + 1.0 - slots).max(0.0) * QUEUE_STEP
+    }
+}
+
+/// The cost of a wait for prompts to be read, in milliseconds.
+fn read_cost(wait: f64) -> f64 {
+    wait * READ_WEIGHT + (wait - READ_LONG).max(0.0) * READ_LATE
+}
+
+/// The cost of a memory that is filled to a part, in milliseconds.
+fn fill_cost(fill: f64) -> f64 {
+    fill * FILL + (fill - FILL_HIGH).max(0.0) * FILL_STEEP
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod ejection;
 pub mod engine_http;
 pub mod fleet;
+mod fleet_server;
 pub mod gossip;
 pub mod gossip_net;
 pub mod handshake;
