moves: a run goes on at an engine that its relay has not heard of

Change: the run alone goes to the address that its scout names, unless a server there has left the list in the last 30 s.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -167,6 +167,20 @@
         true
     }
 
+    /// A place at the engine at the address, for a run that a scout has moved there. Scouts know engines
+    /// that this entry has not heard of; the run alone may go there, and nothing else until the list has
+    /// it. `None` where a server at the address has left: it may be the one.
+    pub fn adopted(&mut self, now: Time, engine: &EngineHere) -> Option<ServerKey> {
+        if let Some(key) = self.key_at(engine.address) {
+            return Some(key);
+        }
+        if self.lives.has_left(now, engine.address) {
+            return None;
+        }
+        let id = Name::new(format!("{UNLISTED}{}", engine.address));
+        Some(self.servers.insert(Server::new(unlisted(id, engine))))
+    }
+
     /// Forgets engines that only their scouts told of, and whose scouts are silent now.
     pub fn trim_announced(&mut self, now: Time) {
         let announced = self
@@ -440,21 +454,11 @@
         if self.take_announced(record) {
             return;
         }
+        let mut server = Server::new(record.clone());
+        server.listed = true;
         let draining = record.phase == ServerPhase::Draining;
-        let key = self.servers.insert(Server {
-            record: record.clone(),
-            listed: true,
-            found: None,
-            leaving: draining.then_some(now),
-            open: 0,
-            tokens: 0,
-            unread: 0,
-            report: None,
-            unseen: Vec::new(),
-            failures: 0,
-            rest: Time::ZERO,
-            others: 0.0,
-        });
+        server.leaving = draining.then_some(now);
+        let key = self.servers.insert(server);
         self.ids.insert(record.id.clone(), key);
         self.joined.push(record.address);
     }
@@ -482,6 +486,7 @@
         let server = &mut self.servers[key];
         server.listed = false;
         server.leaving.get_or_insert(now);
+        self.lives.left(now, server.record.address);
         if server.open == 0 {
             self.servers.remove(key);
         }
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -141,6 +141,24 @@
 }
 
 impl Server {
+    /// A server that the list does not have, and of which nothing is known.
+    pub(crate) fn new(record: ServerRecord) -> Self {
+        Server {
+            record,
+            listed: false,
+            found: None,
+            leaving: None,
+            open: 0,
+            tokens: 0,
+            unread: 0,
+            report: None,
+            unseen: Vec::new(),
+            failures: 0,
+            rest: Time::ZERO,
+            others: 0.0,
+        }
+    }
+
     /// Tokens of memory that are taken, or will be when what runs there has grown, as far as this entry
     /// knows.
     pub(crate) fn used(&self, now: Time) -> u64 {
--- a/lib/src/server_lives.rs
+++ b/lib/src/server_lives.rs
@@ -25,11 +25,17 @@
 /// server that starts writes its entry within a heartbeat or two.
 const FOUND: Duration = Duration::from_secs(4);
 
+/// How long a server that has left the list may still be there: it serves on for some seconds, at times
+/// for many.
+const LEFT: Duration = Duration::from_secs(30);
+
 /// Ends and beginnings that were seen lately.
 #[derive(Debug, Default)]
 pub(crate) struct ServerLives {
     // When each life ended, with its start: the identifier alone may come back.
     ended: HashMap<Name, (Time, u64)>,
+    // When a server at the address left the list.
+    left: HashMap<SocketAddr, Time>,
     // Identifiers that were found at addresses in place of the expected ones.
     found: HashMap<SocketAddr, (Time, Name)>,
 }
@@ -48,6 +54,18 @@
             .is_some_and(|(at, born)| now.since(*at) < ENDED && *born == record.born)
     }
 
+    /// The server at the address has left the list.
+    pub(crate) fn left(&mut self, now: Time, address: SocketAddr) {
+        self.left.retain(|_, at| now.since(*at) < LEFT);
+        self.left.insert(address, now);
+    }
+
+    /// Whether a server at the address left the list lately, and may still be there.
+    pub(crate) fn has_left(&self, now: Time, address: SocketAddr) -> bool {
+        let at = self.left.get(&address);
+        at.is_some_and(|at| now.since(*at) < LEFT)
+    }
+
     /// A server of this identifier answers at the address.
     pub(crate) fn found(&mut self, now: Time, address: SocketAddr, id: &Name) {
         self.ended.remove(id);
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -451,3 +451,30 @@
     assert_eq!(fleet.take_joined(), [address(2)]);
     assert!(fleet.take_joined().is_empty());
 }
+
+/// A scout moves a run to an engine that this entry has not heard of. The run goes there, and nothing
+/// else does; to an engine that has left the list it does not go.
+#[test]
+fn a_moved_run_may_go_where_the_list_has_nothing() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "a")]);
+    let service = Name::new("llm");
+    let key = fleet.adopted(millis(1), &here(2, "a")).unwrap();
+    fleet.started(millis(1), key, &need(&service, &[]));
+    assert_eq!(
+        Fleet::expected_id(fleet.record(key).unwrap()),
+        Name::default(),
+        "its identifier is not known"
+    );
+    fleet.set_all(millis(2), &[]);
+    assert_eq!(send(&mut fleet, millis(3)), Err(NoServer::None));
+    fleet.ended(key, need(&service, &[]).tokens);
+    assert!(fleet.record(key).is_none(), "nothing of it is kept");
+    assert!(
+        fleet.adopted(millis(4), &here(1, "a")).is_none(),
+        "it has left"
+    );
+    fleet.set_all(millis(5), &[record(1, "a")]);
+    let listed = fleet.key_at(address(1));
+    assert_eq!(fleet.adopted(millis(6), &here(1, "a")), listed);
+}
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -527,16 +527,17 @@
         action(window)
     }
 
-    /// Counts a request at the server at the address.
-    pub(crate) fn place_at(
+    /// Counts a run at the engine to which its scout has moved it.
+    pub(crate) fn place_moved(
         self: &Arc<Self>,
-        address: SocketAddr,
+        engine: &EngineHere,
         need: &Need<'_>,
     ) -> Option<Placed> {
+        let now = self.now();
         let mut fleet = self.fleet();
-        let key = fleet.key_at(address)?;
+        let key = fleet.adopted(now, engine)?;
         let record = fleet.record(key).cloned()?;
-        fleet.started(self.now(), key, need);
+        fleet.started(now, key, need);
         drop(fleet);
         Some(Placed::new(self, key, record, need))
     }
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -13,6 +13,7 @@
 use cicada_lib::dialect::Resume;
 use cicada_lib::fleet::Need;
 use cicada_lib::ids::Name;
+use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::MovedRun;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -452,7 +453,14 @@
             tried: &[],
             zone: None,
         };
-        let target = target.and_then(|address| self.relay.place_at(address, &need));
+        let target = target.and_then(|address| {
+            let engine = EngineHere {
+                address,
+                service: self.call.service.clone(),
+                zone: self.placed.record.zone.clone(),
+            };
+            self.relay.place_moved(&engine, &need)
+        });
         match target {
             Some(target) => self.resume(target, &handle).await,
             None => self.go_back(&handle).await,
