moves: a run that its target turns away is moved again, by its relay

Cause: a grey engine turned moved runs away; they went back, their scout took them for moved, and they were cut with their engine. The relay's own look at a run whose engine leaves waited for 80 ms without an event, which never comes about. Change: the relay moves such a run itself, to another target, and looks every 80 ms whether events come or not. The test was red without either.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -96,6 +96,36 @@
     Ok(())
 }
 
+/// An engine leaves, and the engine to which its scout has moved the run turns it away. The run goes back,
+/// and its scout takes it for moved: if its relay did not move it again, the caller's stream would be
+/// cut when the engine is gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_that_its_target_turns_away_is_moved_again() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 3, 0).await?;
+    let stream = start_stream(&deployment, 0, "draft", 300);
+    let running = |engine: usize| deployment.engines[engine].engine.running();
+    let at = || (0..3).find(|engine| running(*engine) == 1);
+    until("the run has begun", || at().is_some()).await?;
+    // Until scouts know of each other.
+    sleep(Duration::from_millis(1_500)).await;
+    let engine = at().unwrap_or_default();
+    for other in (0..3).filter(|other| *other != engine) {
+        deployment.engines[other].engine.refuse_moved(1);
+    }
+    deployment.leave(engine, Duration::from_secs(4));
+    let moved = until("the leaving engine is empty", || {
+        at().is_some_and(|now| now != engine)
+    });
+    if moved.await.is_err() {
+        panic!("{}", deployment.relays[0].process.log());
+    }
+    deployment.engines[engine].server.down().await;
+    let heard = stream.await??;
+    assert!(heard.whole, "{}", deployment.relays[0].process.log());
+    assert_eq!(heard.events("draft")?, (1..=300).collect::<Vec<u64>>());
+    Ok(())
+}
+
 /// The last part of a run's copy waits on a link for other runs, long after its stream has ended. The
 /// relay knows that the run is being moved, and must not give it up meanwhile.
 #[tokio::test(flavor = "multi_thread")]
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -15,12 +15,12 @@
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::MovedRun;
+use cicada_lib::routing::ServerKey;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
-use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
@@ -69,8 +69,12 @@
     latest: Instant,
     moving: Option<Move>,
     failed_moves: u32,
+    // When a run whose engine leaves is to be looked at again: events come faster than that.
+    look_again: Instant,
     // Tells that word of the run's moves is wanted here.
     _own: Option<OwnRun>,
+    // The target that did not take the run, since when it runs on at an engine that may be leaving.
+    refusing: Option<ServerKey>,
     // When the last event before a move came, until the first one after it.
     resumed: Option<Instant>,
 }
@@ -126,7 +130,9 @@
             latest: now,
             moving: None,
             failed_moves: 0,
+            look_again: now,
             _own: own,
+            refusing: None,
             resumed: None,
         }
     }
@@ -219,7 +225,7 @@
             },
             outcome = moving => Wake::Moved(outcome),
             _ = leaving.changed() => Wake::Leaving,
-            () = sleep(MOVE_PAUSE), if recheck => Wake::Leaving,
+            () = sleep_until(self.look_again), if recheck => Wake::Leaving,
             () = sleep_until(self.call.limit) => Wake::TimeOver,
         }
     }
@@ -250,6 +256,7 @@
 
     /// Begins a move where the engine leaves and the run is not about to end.
     fn consider_move(&mut self) {
+        self.look_again = Instant::now() + MOVE_PAUSE;
         if self.moving.is_some() || self.placed.leaving().is_none() {
             return;
         }
@@ -264,7 +271,9 @@
         }
         // The scout sees all runs of the engine and moves them one after the other.
         let now = self.relay.now();
-        if self.relay.fleet().has_scout(now, self.placed.key) {
+        let scout = self.relay.fleet().has_scout(now, self.placed.key);
+        // One that came back has been moved, for all that its scout knows.
+        if scout && self.refusing.is_none() {
             return;
         }
         self.begin_move(MoveStep::Copy, None);
@@ -276,11 +285,13 @@
             None => {
                 // Between regions a copy takes ten times as long, which is more than there is.
                 let zone = self.placed.record.zone.clone();
+                let tried: Vec<ServerKey> =
+                    [self.placed.key].into_iter().chain(self.refusing).collect();
                 let need = Need {
                     service: &self.call.service,
                     prompt: 0,
                     tokens: self.tokens,
-                    tried: &[self.placed.key],
+                    tried: &tried,
                     zone: Some(&zone),
                 };
                 let Ok(target) = self.relay.place(&need, &self.call.spec) else {
@@ -362,6 +373,7 @@
         match send_on(&self.relay, &self.call, &target, resume).await {
             Ok(answered) => {
                 self.relay.figures().moved("done");
+                self.refusing = None;
                 self.placed = target;
                 self.go_on(before, answered);
                 true
@@ -369,6 +381,8 @@
             Err(Unanswered::Refused | Unanswered::Unreached | Unanswered::Elsewhere) => {
                 self.relay.figures().moved("refused");
                 self.failed_moves += 1;
+                tracing::info!(id = self.call.id(), target = %target.record.address, "move: the target did not take the run");
+                self.refusing = Some(target.key);
                 self.go_back(handle).await
             }
             Err(Unanswered::Unknown | Unanswered::TimeOver) => {
