keeper: the pause between watches is taken back

Cause: relays name an engine's neighbours to its scout and take runs over there; with 300 ms between watches both learn later of engines that came, runs that had to move found no target, and others went back to the engine that left.

--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -22,12 +22,6 @@
 const CONFIG_WATCH: Duration = Duration::from_secs(10);
 const SERVER_WATCH: Duration = Duration::from_millis(2_500);
 
-/// The pause after a watch that brought changes of the backend servers, before the next one. Servers come
-/// and go in waves, and each change by itself would cost a call in each availability zone; what is
-/// urgent, an engine that leaves, its scout tells. Of the seconds within which a server that leaves gets
-/// nothing more this is a tenth.
-const GATHER: Duration = Duration::from_millis(300);
-
 /// Pauses after a call that failed, from the first to the longest. A store that refuses is asked often
 /// enough that its return is noticed within half a second, and by each process at another time.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
@@ -141,13 +135,10 @@
                 continue;
             }
             match self.next_servers(&mut view, &tries).await {
-                Ok(changed) => {
+                Ok(()) => {
                     tries.went_well();
                     self.relay.set_fed(true);
                     self.relay.set_out_of_reach(false);
-                    if changed {
-                        sleep(GATHER).await;
-                    }
                 }
                 Err(error) => {
                     tracing::info!(%error, "directory: no news of the backend servers");
@@ -170,8 +161,7 @@
         true
     }
 
-    /// Takes in the next news; whether there were changes.
-    async fn next_servers(&self, view: &mut ServerView, tries: &Tries) -> Result<bool> {
+    async fn next_servers(&self, view: &mut ServerView, tries: &Tries) -> Result<()> {
         let Some(after) = view.at else {
             let listing = self.directory.servers().await?;
             let servers = listing.servers.len();
@@ -190,7 +180,7 @@
                 view.again = Some(Instant::now() + RETURN);
             }
             view.at = Some(listing.revision);
-            return Ok(false);
+            return Ok(());
         };
         let wait = match view.again {
             Some(again) => again
@@ -199,8 +189,7 @@
             None => SERVER_WATCH,
         };
         let news = self.directory.next_servers(after, wait).await?;
-        let changed = !news.changes.is_empty();
-        if changed {
+        if !news.changes.is_empty() {
             let changes = news.changes.len();
             tracing::info!(
                 changes,
@@ -214,7 +203,7 @@
             view.again = None;
             view.at = None;
         }
-        Ok(changed)
+        Ok(())
     }
 
     async fn follow_peers(&self) {
