intake: streams are taken in by the plan of an engine's memory, or refused at once

Cause: relays sent every stream to the best engine, however full. At 1.5 times the usual load memory is full, since a run takes twice as long while prompts are read beside it; engines displace runs, read their prompts again, and everybody waits. Goodput fell as load grew, and urgent queries fared worse than drafts.

Change: relays tell the scout what they expect of each request; its ledger plans the highest point of the memory and the prompts still to be read. A relay takes a stream in where that leaves room, and refuses it at once elsewhere, with a time to come back. Less urgent kinds leave a part free. Callers that are back are told by fingerprint and time: in time they go before new ones, late ones after. Reports tell of a change of what is still to be read, and a request counts as unseen for 130 ms at most (it had counted twice until the next report, up to 400 ms). The end of a stream logs its first event and its longest pause.

Ruled out, with figures in docs/design/admission.md: a bound for the runs of an engine that leaves, the caller's deadline as a sign that it is back, reading judged with the own prompt.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -15,7 +15,7 @@
 
 use slotmap::SlotMap;
 
-use crate::dialect::EngineReport;
+use crate::fleet_server;
 use crate::fleet_server::RegionRoom;
 use crate::fleet_server::Report;
 use crate::fleet_server::Server;
@@ -23,6 +23,7 @@
 use crate::fleet_server::UNSEEN_NEAR;
 use crate::ids::Name;
 use crate::peer_words::EngineHere;
+use crate::peer_words::EngineLoad;
 use crate::routing::ServerKey;
 use crate::server_lives::ServerLives;
 use crate::site::EngineSpec;
@@ -33,6 +34,7 @@
 use crate::time::Time;
 
 pub use crate::fleet_server::Need;
+pub use crate::fleet_server::Outlook;
 
 /// The time that a way to another region costs there and back, in milliseconds: 30 ms each way.
 const REGION_TRIP: f64 = 60.0;
@@ -246,6 +248,26 @@
         }
     }
 
+    /// What a request would meet at the engine that was chosen for it.
+    pub fn outlook(
+        &self,
+        now: Time,
+        key: ServerKey,
+        need: &Need<'_>,
+        spec: &ServiceSpec,
+    ) -> Outlook {
+        let (Some(server), Some(engine)) = (self.servers.get(key), &spec.engine) else {
+            return Outlook::default();
+        };
+        Outlook {
+            memory: server.fill(now, need.tokens, engine),
+            before: server.reading(now),
+            own: fleet_server::reading_time(need.prompt as f64),
+            running: server.running(now),
+            slots: engine.slots,
+        }
+    }
+
     /// Chooses a server.
     pub fn choose(
         &self,
@@ -337,7 +359,7 @@
     }
 
     /// A report of an engine came; whether it is news that the engine leaves.
-    pub fn report(&mut self, now: Time, engine: &EngineHere, report: &EngineReport) -> bool {
+    pub fn report(&mut self, now: Time, engine: &EngineHere, load: &EngineLoad) -> bool {
         let address = engine.address;
         if self.key_at(address).is_none() {
             self.take_found(now, engine);
@@ -345,7 +367,7 @@
         // One that has left the list may still run what it was sent, and its scout tells of it.
         let there = self.servers.values_mut().filter(|s| {
             let known = s.record.born;
-            let same_life = report.born.is_none_or(|born| born == known || known == 0);
+            let same_life = load.born.is_none_or(|born| born == known || known == 0);
             let same_service = s.record.service == engine.service;
             s.record.address == address && same_service && same_life
         });
@@ -353,16 +375,15 @@
         let Some(server) = server else {
             return false;
         };
-        let turned = report.leaving && server.leaving.is_none();
+        let turned = load.leaving && server.leaving.is_none();
         if turned {
             server.leaving = Some(now);
         }
         server.report = Some(Report {
             at: now,
-            used: report.used,
-            queued: report.queued,
-            running: report.running,
-            reading: report.reading,
+            planned: load.planned.max(load.used),
+            unread: load.unread,
+            running: load.running + load.queued,
         });
         let far = server.record.zone != self.place.zone;
         let unseen = if far { UNSEEN_FAR } else { UNSEEN_NEAR };
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -16,13 +16,6 @@
 /// in a step of 16 ms.
 const READ_RATE: f64 = 7.0;
 
-/// Tokens of a prompt of another entry, of which only the number is known.
-const USUAL_PROMPT: f64 = 2_600.0;
-
-/// Tokens by which a running request that is only known by its number is expected to grow: half of what
-/// a long one writes.
-const USUAL_GROWTH: u64 = 400;
-
 /// The weight of a millisecond of reading before the first event. One that is soon over hurts nobody,
 /// and counts as much as balance asks for.
 const READ_WEIGHT: f64 = 0.6;
@@ -57,6 +50,13 @@
 /// milliseconds, where it is one request's size short. Another region's engine costs 60 and a connection.
 const NO_RETREAT: f64 = 300.0;
 
+/// The part of the memory of a region's other engines that the runs of one that leaves may fill: they grow
+/// on while they move, and each must fit into one engine whole.
+const RETREAT_PART: f64 = 0.85;
+
+/// The part of an engine's memory that a usual long request fills: eight and more run at once.
+const USUAL_PART: f64 = 0.125;
+
 /// The cost of a place in a plain server's queue, in milliseconds: one call's usual time.
 const QUEUE_STEP: f64 = 40.0;
 
@@ -78,6 +78,21 @@
     pub zone: Option<&'a Name>,
 }
 
+/// What a request would meet at an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Outlook {
+    /// The part of the engine's memory that is full at the highest point, this one among it.
+    pub memory: f64,
+    /// How long the engine reads the prompts that it has.
+    pub before: Duration,
+    /// How long it reads this one's prompt.
+    pub own: Duration,
+    /// Requests that run or wait there.
+    pub running: u32,
+    /// Requests that can run there at once.
+    pub slots: u32,
+}
+
 /// A backend server as this entry sees it.
 #[derive(Debug)]
 pub(crate) struct Server {
@@ -107,10 +122,12 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Report {
     pub(crate) at: Time,
-    pub(crate) used: u64,
-    pub(crate) queued: u32,
+    // Tokens at the highest point of what runs, and of what is under way.
+    pub(crate) planned: u64,
+    // Tokens of prompts that are still to be read.
+    pub(crate) unread: u64,
+    // Requests that run or wait.
     pub(crate) running: u32,
-    pub(crate) reading: u32,
 }
 
 /// A request that was sent a moment ago.
@@ -134,7 +151,7 @@
     /// The cost of one more request of `tokens`, in milliseconds: it counts where the region's runs
     /// would no longer fit when one engine leaves. Runs can only be moved within their region in time.
     pub(crate) fn penalty(&self, tokens: u64) -> f64 {
-        let room = self.capacity.saturating_sub(self.largest) as f64 * MEMORY_PART;
+        let room = self.capacity.saturating_sub(self.largest) as f64 * RETREAT_PART;
         let lack = (self.used + tokens) as f64 - room;
         NO_RETREAT * (lack / tokens.max(1) as f64).clamp(0.0, 2.0)
     }
@@ -162,13 +179,40 @@
     /// Tokens of memory that are taken, or will be when what runs there has grown, as far as this entry
     /// knows.
     pub(crate) fn used(&self, now: Time) -> u64 {
-        let unseen: u64 = self.unseen.iter().map(|sent| sent.tokens).sum();
-        let reported = self.fresh_report(now).map_or(0, |report| {
-            report.used + u64::from(report.running) * USUAL_GROWTH + unseen
-        });
+        let unseen: u64 = self.unseen(now).map(|sent| sent.tokens).sum();
+        let reported = self
+            .fresh_report(now)
+            .map_or(0, |report| report.planned + unseen);
         reported.max(self.tokens)
     }
 
+    /// Requests that the latest report need not show. A scout tells of each within 30 ms, and then of nothing
+    /// until something changes: by the age of the report alone they would count twice until then.
+    fn unseen(&self, now: Time) -> impl Iterator<Item = &Unseen> {
+        let young = move |sent: &&Unseen| now.since(sent.at) < UNSEEN_FAR;
+        self.unseen.iter().filter(young)
+    }
+
+    /// The part of the memory that is full at the highest point, with `tokens` more. A large request counts
+    /// as [`USUAL_PART`], so that it is turned away no more often than others while it fits.
+    pub(crate) fn fill(&self, now: Time, tokens: u64, engine: &EngineSpec) -> f64 {
+        let part = |tokens: u64| tokens as f64 / engine.capacity.max(1) as f64;
+        let used = part(self.used(now));
+        let whole = used + part(tokens);
+        match whole > 1.0 {
+            true => whole,
+            false => used + part(tokens).min(USUAL_PART),
+        }
+    }
+
+    /// Requests that run or wait there, as far as this entry knows.
+    pub(crate) fn running(&self, now: Time) -> u32 {
+        let reported = self
+            .fresh_report(now)
+            .map_or(0, |report| report.running + self.unseen(now).count() as u32);
+        reported.max(self.open)
+    }
+
     pub(crate) fn fresh_report(&self, now: Time) -> Option<Report> {
         self.report.filter(|r| now.since(r.at) < REPORT_AGE)
     }
@@ -187,13 +231,9 @@
     }
 
     pub(crate) fn engine_cost(&self, now: Time, need: &Need<'_>, engine: &EngineSpec) -> f64 {
-        let running = match self.fresh_report(now) {
-            Some(report) => report.running + report.queued + self.unseen.len() as u32,
-            None => self.open,
-        };
         let reading = self.unread(now) + need.prompt as f64;
         let used = (self.used(now) + need.tokens) as f64;
-        let running = f64::from(running.max(self.open));
+        let running = f64::from(self.running(now));
         let full = (running + 1.0 - f64::from(engine.slots)).max(0.0);
         let room = engine.capacity as f64 * MEMORY_PART;
         let lack = (used - room).max(0.0) / (need.tokens.max(1) as f64);
@@ -203,16 +243,14 @@
 
     /// Tokens of prompts that the engine has still to read, as far as this entry knows.
     fn unread(&self, now: Time) -> f64 {
-        let unseen: u64 = self.unseen.iter().map(|sent| sent.prompt).sum();
-        let reported = self
-            .fresh_report(now)
-            .map_or(0.0, |report| f64::from(report.reading) * USUAL_PROMPT);
-        (reported + unseen as f64).max(self.unread as f64)
+        let unseen: u64 = self.unseen(now).map(|sent| sent.prompt).sum();
+        let reported = self.fresh_report(now).map_or(0, |report| report.unread);
+        (reported + unseen).max(self.unread) as f64
     }
 
     /// How long the engine takes to read the prompts that it has.
     pub(crate) fn reading(&self, now: Time) -> Duration {
-        Duration::from_secs_f64(self.unread(now) / READ_RATE / 1_000.0)
+        reading_time(self.unread(now))
     }
 
     pub(crate) fn queue_cost(&self) -> f64 {
@@ -231,3 +269,8 @@
 fn fill_cost(fill: f64) -> f64 {
     fill * FILL + (fill - FILL_HIGH).max(0.0) * FILL_STEEP
 }
+
+/// How long an engine reads the tokens of prompts.
+pub(crate) fn reading_time(tokens: f64) -> Duration {
+    Duration::from_secs_f64(tokens / READ_RATE / 1_000.0)
+}
--- a/lib/src/memory_plan.rs
+++ b/lib/src/memory_plan.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Tokens at the highest point that is expected of all of these, without any to spare. Sorts them.
+    pub fn peak(all: &mut [Footprint]) -> f64 {
+        peak(all, 0.0)
+    }
+
     /// Whether the engine would soon displace someone, with `held` tokens of `running` jobs.
     pub fn is_short(&self, held: u64, running: u64) -> bool {
         self.capacity > 0 && running > 1 && held + STEPS_AHEAD * running > self.capacity
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use crate::ids::Name;
+use crate::returns::Return;
 use crate::site::ServerChanges;
 use crate::site::ServerListing;
 use crate::site::SiteConfig;
@@ -17,14 +18,9 @@
 pub const MAX_DATAGRAM: usize = 1_400;
 
 value_type! {
-    /// An engine's load, as its scout has just read it.
-    pub struct ScoutReport {
-        /// Where the engine takes requests.
-        pub address: SocketAddr,
-        /// Its service.
-        pub service: Name,
-        /// Its availability zone.
-        pub zone: Name,
+    /// An engine's load, as its scout knows it.
+    #[derive(Default)]
+    pub struct EngineLoad {
         /// When the engine started, in milliseconds since 1970, if it says so; tells its lives apart.
         pub born: Option<u64>,
         /// Requests that wait.
@@ -35,6 +31,10 @@
         pub reading: u32,
         /// Tokens of memory that are taken and cannot be had back.
         pub used: u64,
+        /// Tokens that are expected at the highest point of what runs, and of what is under way there.
+        pub planned: u64,
+        /// Tokens of prompts that it has still to read.
+        pub unread: u64,
         /// Tokens of memory in all.
         pub capacity: u64,
         /// Whether it leaves.
@@ -43,6 +43,14 @@
         pub leaves: Option<u32>,
     }
 
+    /// A scout's word of its engine's load.
+    pub struct ScoutReport {
+        /// The engine.
+        pub here: EngineHere,
+        /// Its load.
+        pub load: EngineLoad,
+    }
+
     /// A scout's word that its engine is there, for relays that the directory does not tell of it.
     pub struct EngineHere {
         /// Where the engine takes requests.
@@ -65,8 +73,10 @@
         pub handle: Name,
     }
 
-    /// A relay has sent a request to an engine.
+    /// A relay has sent a request to an engine. For other relays, and for the engine's scout.
     pub struct SentWord {
+        /// The attempt's identifier.
+        pub id: Name,
         /// Where the engine takes requests.
         pub engine: SocketAddr,
         /// Tokens of the prompt.
@@ -138,6 +148,8 @@
         Sent(SentWord),
         /// A relay's word.
         Hello(RelayHello),
+        /// A relay has turned callers away, who may come to another one.
+        TurnedAway(Vec<Return>),
     }
 
     /// A question over a connection.
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -4,11 +4,13 @@
 //! host, one by prefix for each length that the host has, and one by key.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::ids::Name;
+use crate::site::CallKind;
 use crate::site::Route;
 use crate::site::ServiceSpec;
 use crate::site::SiteConfig;
@@ -90,6 +92,17 @@
         &self.config.services
     }
 
+    /// How many kinds of streams of the service are more urgent than those of the route. Kinds are told by
+    /// the routes' priorities.
+    pub fn more_urgent(&self, service: &Name, route: &Route) -> u32 {
+        let streams = self.config.routes.iter().filter(|other| {
+            let served = other.shares.iter().any(|share| &share.service == service);
+            served && other.kind == CallKind::Streaming && other.priority < route.priority
+        });
+        let kinds: BTreeSet<u32> = streams.map(|other| other.priority).collect();
+        kinds.len() as u32
+    }
+
     /// Finds the way of a request. `host` may carry a port; `path` has no query.
     pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admitted, Denied> {
         let route = self.route(host, path).ok_or(Denied::NoRoute)?;
--- /dev/null
+++ b/lib/tests/engine_ledger.rs
@@ -0,0 +1,109 @@
+//! The plan of an engine's memory, as its scout keeps it.
+
+use std::time::Duration;
+
+use cicada_lib::dialect::EngineReport;
+use cicada_lib::dialect::EngineRun;
+use cicada_lib::engine_ledger::EngineLedger;
+use cicada_lib::ids::Name;
+use cicada_lib::peer_words::SentWord;
+use cicada_lib::time::Time;
+
+fn millis(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+fn word(id: &str, prompt: u64, tokens: u64) -> SentWord {
+    SentWord {
+        id: Name::new(id),
+        engine: ([10, 0, 0, 1], 8_701).into(),
+        prompt,
+        tokens,
+    }
+}
+
+fn run(id: &str, tokens: u64) -> EngineRun {
+    EngineRun {
+        id: Name::new(id),
+        tokens,
+        events: 1,
+        rank: 2,
+    }
+}
+
+fn report(runs: Vec<EngineRun>, reading: u32) -> EngineReport {
+    EngineReport {
+        running: runs.len() as u32 + reading,
+        reading,
+        used: runs.iter().map(|run| run.tokens).sum(),
+        runs,
+        ..EngineReport::default()
+    }
+}
+
+/// Two entries send within the time that a report takes. Before the engine tells of any of it the plan holds
+/// both, up to their highest point, and their prompts as still to be read.
+#[test]
+fn what_is_under_way_counts_at_once() {
+    let mut ledger = EngineLedger::new();
+    ledger.sent(millis(0), &word("a", 3_000, 4_000));
+    ledger.sent(millis(1), &word("b", 2_000, 2_020));
+    let plan = ledger.plan(millis(10), &report(vec![], 0));
+    assert_eq!(plan.unread, 5_000);
+    assert_eq!(plan.tokens, 5_040);
+}
+
+/// A run that has begun is planned to its expected end, one that outlives its expectation goes on growing, and
+/// one that has ended is gone at once.
+#[test]
+fn a_run_counts_to_its_expected_end() {
+    let mut ledger = EngineLedger::new();
+    ledger.sent(millis(0), &word("a", 3_000, 4_000));
+    let plan = ledger.plan(millis(500), &report(vec![run("a", 3_100)], 0));
+    assert_eq!((plan.tokens, plan.unread), (4_000, 0));
+    let plan = ledger.plan(millis(9_000), &report(vec![run("a", 4_500)], 0));
+    assert!(plan.tokens > 4_500, "{plan:?}");
+    let plan = ledger.plan(millis(9_500), &report(vec![], 0));
+    assert_eq!(plan.tokens, 0);
+    assert!(ledger.is_empty());
+}
+
+/// Runs of different lengths are not at their largest together: the plan is the highest point, not the sum.
+#[test]
+fn runs_that_end_at_different_times_share_memory() {
+    let mut ledger = EngineLedger::new();
+    ledger.sent(millis(0), &word("a", 1_000, 3_000));
+    ledger.sent(millis(0), &word("b", 3_000, 3_400));
+    let runs = vec![run("a", 1_000), run("b", 3_000)];
+    let plan = ledger.plan(millis(500), &report(runs, 0));
+    assert_eq!(plan.tokens, 4_800);
+}
+
+/// The word of a request was lost, or the request was: the engine's own number of those that wait goes first,
+/// and what it never had is forgotten.
+#[test]
+fn the_engine_s_own_word_goes_first() {
+    let mut ledger = EngineLedger::new();
+    let plan = ledger.plan(millis(0), &report(vec![], 2));
+    assert!(
+        plan.unread >= 4_000 && plan.tokens > plan.unread,
+        "{plan:?}"
+    );
+    ledger.sent(millis(0), &word("refused", 3_000, 4_000));
+    assert!(ledger.plan(millis(100), &report(vec![], 0)).tokens > 0);
+    let plan = ledger.plan(millis(1_000), &report(vec![], 0));
+    assert_eq!((plan.tokens, plan.unread), (0, 0));
+    assert!(ledger.is_empty());
+}
+
+/// Words of requests that are never seen do not pile up.
+#[test]
+fn the_ledger_stays_bounded() {
+    let mut ledger = EngineLedger::new();
+    for number in 0..10_000u64 {
+        let now = millis(number * 20);
+        ledger.sent(now, &word(&format!("r-{number}"), 100, 200));
+        ledger.plan(now + Duration::from_millis(5), &report(vec![], 1));
+    }
+    assert!(ledger.len() < 2_500, "{}", ledger.len());
+}
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cicada_lib::dialect::EngineReport;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::fleet::Need;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::Place;
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::EngineHere;
+use cicada_lib::peer_words::EngineLoad;
 use cicada_lib::routing::ServerKey;
 use cicada_lib::site::EngineSpec;
 use cicada_lib::site::ServerChange;
@@ -79,12 +79,13 @@
     }
 }
 
-fn report(used: u64, running: u32) -> EngineReport {
-    EngineReport {
+fn report(used: u64, running: u32) -> EngineLoad {
+    EngineLoad {
         running,
         used,
+        planned: used + u64::from(running) * 400,
         capacity: CAPACITY,
-        ..EngineReport::default()
+        ..EngineLoad::default()
     }
 }
 
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use cicada_lib::fleet::Need;
+use cicada_lib::intake::Asking;
+use cicada_lib::intake::NoPlace;
 use cicada_lib::routing::ServerKey;
 
 use crate::exchange::Call;
@@ -66,10 +68,17 @@
         self.sent
     }
 
-    /// A place at the next server, for a request that is expected to hold `tokens` at its end.
-    pub(crate) fn place(&mut self, relay: &Arc<Relay>, call: &Call, tokens: u64) -> Option<Placed> {
+    /// A place at the next server, for a request that is expected to hold `tokens` at its end, and that
+    /// may be `asking` whether it is taken in.
+    pub(crate) fn place(
+        &mut self,
+        relay: &Arc<Relay>,
+        call: &Call,
+        tokens: u64,
+        asking: Option<&Asking>,
+    ) -> Result<Placed, NoPlace> {
         if self.chosen >= MOST_SERVERS || call.left().is_zero() {
-            return None;
+            return Err(NoPlace::None);
         }
         self.chosen += 1;
         let others: Vec<ServerKey> = self.tried.iter().chain(&self.failed).copied().collect();
@@ -80,10 +89,14 @@
             tried,
             zone: None,
         };
-        let placed = relay.place(&need(&others), &call.spec);
-        placed
-            .or_else(|_| relay.place(&need(&self.tried), &call.spec))
-            .ok()
+        let placed = match relay.place(&need(&others), &call.spec, asking) {
+            Err(NoPlace::None) => relay.place(&need(&self.tried), &call.spec, asking)?,
+            placed => placed?,
+        };
+        if tokens > 0 {
+            relay.tell_sent(&placed, call.head.id.as_ref());
+        }
+        Ok(placed)
     }
 
     /// Whether a request that may have run can be sent to one more server. Takes nothing.
--- a/relay/src/evacuation.rs
+++ b/relay/src/evacuation.rs
@@ -53,22 +53,22 @@
             sent: 0,
             runs: 0,
         };
-        self.lock().insert(report.address, neighbour);
+        self.lock().insert(report.here.address, neighbour);
     }
 
     /// The engines that runs of `engine`, in availability zone `zone`, can be moved to.
     fn targets(&self, engine: SocketAddr, zone: &Name) -> Vec<Target> {
         let neighbours = self.lock();
         let fresh = neighbours.values().filter(|n| n.at.elapsed() < REPORT_AGE);
-        let (leaving, mut staying): (Vec<_>, Vec<_>) = fresh.partition(|n| n.report.leaving);
-        let leaving: Vec<SocketAddr> = leaving.iter().map(|n| n.report.address).collect();
-        staying.sort_by_key(|n| n.report.address);
+        let (leaving, mut staying): (Vec<_>, Vec<_>) = fresh.partition(|n| n.report.load.leaving);
+        let leaving: Vec<SocketAddr> = leaving.iter().map(|n| n.report.here.address).collect();
+        staying.sort_by_key(|n| n.report.here.address);
         let targets = staying.iter().enumerate().map(|(place, n)| Target {
-            address: n.report.address,
-            used: n.report.used + n.sent,
-            capacity: n.report.capacity,
-            busy: n.report.running + n.report.queued + n.runs,
-            near: n.report.zone == *zone,
+            address: n.report.here.address,
+            used: n.report.load.used + n.sent,
+            capacity: n.report.load.capacity,
+            busy: n.report.load.running + n.report.load.queued + n.runs,
+            near: n.report.here.zone == *zone,
             own: move_plan::falls_to(engine, &leaving, place),
         });
         targets.collect()
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -1,6 +1,9 @@
 //! One request of a caller: what it is, whether it may go on, and the way that it takes.
 
 use std::convert::Infallible;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -95,6 +98,18 @@
         }
     }
 
+    /// What tells the request from others, whenever its caller sends it and through whichever entry.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        self.head.key.hash(&mut hasher);
+        self.path.as_str().hash(&mut hasher);
+        self.body.hash(&mut hasher);
+        (self.head.prompt, self.head.output).hash(&mut hasher);
+        let parts = self.head.parts.iter().map(|part| (part.id, part.tokens));
+        parts.for_each(|part| part.hash(&mut hasher));
+        hasher.finish()
+    }
+
     /// The identifier of the last event that the caller has; empty for none, and on routes whose streams
     /// go on in no other run.
     pub(crate) fn last_event(&self) -> Name {
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -4,13 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cicada_lib::dialect::EngineReport;
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
-use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::RelayHello;
-use cicada_lib::peer_words::ScoutReport;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::peer_words::ServerNews;
 use cicada_lib::peer_words::Subscription;
@@ -30,6 +27,10 @@
 /// a second or two.
 const HELLO: Duration = Duration::from_millis(400);
 
+/// How often the zone is told of callers that were turned away: none of them is asked back sooner than
+/// 200 ms later.
+const TELL_REFUSALS: Duration = Duration::from_millis(100);
+
 /// Relays that are named to others in a word.
 const PASSED_ON: usize = 4;
 
@@ -62,14 +63,17 @@
         renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut hellos = interval(HELLO);
         hellos.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut refusals = interval(TELL_REFUSALS);
+        refusals.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = [0; peer_words::MAX_DATAGRAM];
         loop {
             tokio::select! {
                 _ = renewals.tick() => self.subscribe().await,
                 () = self.relay.engines_joined() => self.subscribe_new().await,
                 _ = hellos.tick() => self.hello().await,
+                _ = refusals.tick() => self.tell_refusals().await,
                 Some(news) = news.recv() => self.tell_news(news).await,
-                Some(word) = sent.recv() => self.tell_sent(&Datagram::Sent(word)).await,
+                Some(word) = sent.recv() => self.tell_sent(word).await,
                 Some(ask) = asks.recv() => {
                     let scout = self.socket.on(ask.engine.ip());
                     self.socket.send(&Datagram::WasMoved(ask.id), &[scout]).await;
@@ -138,6 +142,15 @@
         self.tell_peers(&word).await;
     }
 
+    /// Tells the relays of the zone whom this one has turned away: they come to these.
+    async fn tell_refusals(&self) {
+        let now = self.relay.now();
+        let returns = self.relay.returns().take_untold(now);
+        if !returns.is_empty() {
+            self.tell_zone(&Datagram::TurnedAway(returns)).await;
+        }
+    }
+
     async fn tell_zone(&self, word: &Datagram) {
         let zone = &self.relay.settings().place.zone;
         let peers = self.relay.peers().of_zone(zone);
@@ -154,9 +167,10 @@
         self.hello().await;
     }
 
-    async fn tell_sent(&self, word: &Datagram) {
-        let peers = self.relay.peers().pick_for_sent();
-        self.socket.send(word, &peers).await;
+    async fn tell_sent(&self, word: SentWord) {
+        let mut told = self.relay.peers().pick_for_sent();
+        told.push(self.socket.on(word.engine.ip()));
+        self.socket.send(&Datagram::Sent(word), &told).await;
     }
 
     async fn tell_peers(&self, word: &Datagram) {
@@ -167,13 +181,8 @@
     /// Takes a word in; the word to pass on, if there is one.
     fn hear(&self, bytes: &[u8], from: SocketAddr) -> Option<Datagram> {
         match peer_words::decode(bytes) {
-            Ok(Datagram::Report(report)) if report.address.ip() == from.ip() => {
-                let here = EngineHere {
-                    address: report.address,
-                    service: report.service.clone(),
-                    zone: report.zone.clone(),
-                };
-                self.relay.report(&here, &engine_report(&report));
+            Ok(Datagram::Report(report)) if report.here.address.ip() == from.ip() => {
+                self.relay.report(&report);
             }
             Ok(Datagram::Moving(moving)) if moving.source.ip() == from.ip() => {
                 self.relay.moved().prepare(&moving);
@@ -181,6 +190,10 @@
             Ok(Datagram::Moved(moved)) if moved.source.ip() == from.ip() => {
                 self.relay.note_moved(moved);
             }
+            Ok(Datagram::TurnedAway(returns)) => {
+                let now = self.relay.now();
+                self.relay.returns().heard(now, &returns);
+            }
             Ok(Datagram::News(news)) => self.relay.news(&news),
             Ok(Datagram::Sent(word)) => self.relay.sent_elsewhere(&word),
             Ok(Datagram::Here(here)) if here.address.ip() == from.ip() => {
@@ -202,17 +215,3 @@
         None
     }
 }
-
-fn engine_report(report: &ScoutReport) -> EngineReport {
-    EngineReport {
-        queued: report.queued,
-        running: report.running,
-        reading: report.reading,
-        used: report.used,
-        capacity: report.capacity,
-        leaving: report.leaving,
-        leaves: report.leaves.map(|ms| Duration::from_millis(u64::from(ms))),
-        born: report.born,
-        runs: Vec::new(),
-    }
-}
--- a/relay/src/placed.rs
+++ b/relay/src/placed.rs
@@ -5,6 +5,7 @@
 
 use cicada_lib::fleet::Need;
 use cicada_lib::ids::Name;
+use cicada_lib::peer_words::SentWord;
 use cicada_lib::routing::ServerKey;
 use cicada_lib::site::ServerRecord;
 use cicada_lib::time::Time;
@@ -58,6 +59,16 @@
         placed
     }
 
+    /// What others are told of it.
+    pub(crate) fn word(&self, id: &Name) -> SentWord {
+        SentWord {
+            id: id.clone(),
+            engine: self.record.address,
+            prompt: self.prompt,
+            tokens: self.tokens,
+        }
+    }
+
     /// The first event came.
     pub(crate) fn began(&mut self) {
         if !self.begun {
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -13,19 +13,24 @@
 use arc_swap::ArcSwap;
 use cicada_lib::dialect::Dialect;
 use cicada_lib::dialect::EngineCalls;
-use cicada_lib::dialect::EngineReport;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::fleet::Need;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::Place;
 use cicada_lib::ids::Name;
+use cicada_lib::intake;
+use cicada_lib::intake::Asking;
+use cicada_lib::intake::Comebacks;
+use cicada_lib::intake::NoPlace;
 use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::EngineIdentity;
 use cicada_lib::peer_words::MovedRun;
+use cicada_lib::peer_words::ScoutReport;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::peer_words::ServerNews;
 use cicada_lib::retry_window::RetryBound;
 use cicada_lib::retry_window::RetryWindow;
+use cicada_lib::returns::Returns;
 use cicada_lib::route_table::RouteTable;
 use cicada_lib::site::PeerRecord;
 use cicada_lib::site::Revision;
@@ -105,6 +110,8 @@
     table: ArcSwap<RouteTable>,
     fleet: Mutex<Fleet>,
     retries: Mutex<HashMap<Name, RetryWindow>>,
+    comebacks: Mutex<Comebacks>,
+    returns: Mutex<Returns>,
     // Whether the list of servers has been read once.
     listed: AtomicBool,
     out_of_reach: AtomicBool,
@@ -152,6 +159,8 @@
             clock: Clock::new(),
             table: ArcSwap::default(),
             retries: Mutex::default(),
+            comebacks: Mutex::default(),
+            returns: Mutex::default(),
             listed: AtomicBool::new(false),
             out_of_reach: AtomicBool::new(false),
             fed: AtomicBool::new(false),
@@ -300,11 +309,12 @@
     }
 
     /// Takes a report of an engine.
-    pub(crate) fn report(&self, engine: &EngineHere, report: &EngineReport) {
-        let turned = self.fleet().report(self.now(), engine, report);
+    pub(crate) fn report(&self, report: &ScoutReport) {
+        let ScoutReport { here, load } = report;
+        let turned = self.fleet().report(self.now(), here, load);
         if turned {
-            let address = engine.address;
-            tracing::info!(engine = %address, leaves = ?report.leaves, "fleet: an engine says that it leaves");
+            let address = here.address;
+            tracing::info!(engine = %address, leaves = ?load.leaves, "fleet: an engine says that it leaves");
             self.note_leaving();
         }
     }
@@ -482,29 +492,48 @@
         self.leaving.subscribe()
     }
 
-    /// Chooses a server and counts the request as sent there.
+    /// Chooses a server and counts the request as sent there. Where it is `asking` whether it is taken in, it
+    /// goes only to an engine that is not too crowded.
     pub(crate) fn place(
         self: &Arc<Self>,
         need: &Need<'_>,
         spec: &ServiceSpec,
-    ) -> Result<Placed, NoServer> {
+        asking: Option<&Asking>,
+    ) -> Result<Placed, NoPlace> {
         let now = self.now();
         let mut fleet = self.fleet();
-        let key = fleet.choose(now, need, spec)?;
-        let record = fleet.record(key).cloned().ok_or(NoServer::None)?;
+        let key = match asking {
+            Some(asking) => intake::place(&fleet, now, need, spec, asking)?,
+            None => fleet
+                .choose(now, need, spec)
+                .map_err(|NoServer::None| NoPlace::None)?,
+        };
+        let record = fleet.record(key).cloned().ok_or(NoPlace::None)?;
         let (used, age) = fleet.load(now, key);
-        fleet.started(now, key, need);
-        drop(fleet);
-        if need.tokens > 0 {
-            self.tell_sent(record.address, need);
-        }
         let basis = Basis {
             used,
             age: age.map(|age| age.as_millis() as u64),
         };
+        if let Some(asking) = asking {
+            lock(&self.comebacks).taken(now, need.service, asking.before);
+        }
+        fleet.started(now, key, need);
+        drop(fleet);
         Ok(Placed::new(self, key, record, need).with_basis(basis))
     }
 
+    /// The requests that were turned away lately. Held for microseconds.
+    pub(crate) fn returns(&self) -> MutexGuard<'_, Returns> {
+        lock(&self.returns)
+    }
+
+    /// When a caller that was turned away is asked back.
+    pub(crate) fn comeback(&self, service: &Name, asking: &Asking, left: Duration) -> Duration {
+        let now = self.now();
+        let mut comebacks = lock(&self.comebacks);
+        comebacks.pause(now, service, asking, left, fastrand::f64())
+    }
+
     /// Counts a request for a service.
     pub(crate) fn count_request(&self, service: &Name) {
         let now = self.now();
@@ -542,12 +571,11 @@
         Some(Placed::new(self, key, record, need))
     }
 
-    /// Tells other relays of a request to an engine, before the engine's report can.
-    fn tell_sent(&self, engine: SocketAddr, need: &Need<'_>) {
-        let word = SentWord {
-            engine,
-            prompt: need.prompt,
-            tokens: need.tokens,
+    /// Tells other relays and the engine's scout of a request to an engine, before the engine's report can.
+    pub(crate) fn tell_sent(&self, placed: &Placed, id: Option<&Name>) {
+        let engine = placed.record.address;
+        let Some(word) = id.map(|id| placed.word(id)) else {
+            return;
         };
         if self.sent.try_send(word).is_err() {
             tracing::debug!(%engine, "peers: too many words wait, one is left out");
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -11,14 +11,17 @@
 
 use cicada_lib::dialect::EngineCalls;
 use cicada_lib::dialect::EngineReport;
+use cicada_lib::engine_ledger::EngineLedger;
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
 use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::EngineIdentity;
+use cicada_lib::peer_words::EngineLoad;
 use cicada_lib::peer_words::MovedRun;
 use cicada_lib::peer_words::ScoutReport;
 use cicada_lib::peer_words::Subscription;
+use cicada_lib::time::Clock;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -83,6 +86,8 @@
     // The latest runs of an engine that leaves, for the task that moves them.
     evacuating: Option<watch::Sender<EngineReport>>,
     identity: Identity,
+    ledger: EngineLedger,
+    clock: Clock,
     moved: Vec<MovedRun>,
     moves: mpsc::Receiver<RunNews>,
     moves_in: mpsc::Sender<RunNews>,
@@ -113,6 +118,8 @@
             leaving: false,
             evacuating: None,
             identity: Identity::new(),
+            ledger: EngineLedger::new(),
+            clock: Clock::new(),
             moved: Vec::new(),
             moves,
             moves_in,
@@ -149,9 +156,12 @@
     async fn hear(&mut self, bytes: &[u8], from: SocketAddr) {
         match peer_words::decode(bytes) {
             Ok(Datagram::Subscribe(subscription)) => self.subscribed(from, subscription).await,
-            Ok(Datagram::Report(report)) if report.address.ip() == from.ip() => {
+            Ok(Datagram::Report(report)) if report.here.address.ip() == from.ip() => {
                 self.neighbours.report(&report);
             }
+            Ok(Datagram::Sent(word)) if word.engine == self.here.address => {
+                self.ledger.sent(self.clock.now(), &word);
+            }
             Ok(Datagram::WasMoved(id)) => {
                 if let Some(moved) = self.moved.iter().find(|moved| moved.id == id) {
                     let word = Datagram::Moved(moved.clone());
@@ -266,9 +276,13 @@
 
     /// How long after a report the next one goes out.
     fn pause(&self, word: &ScoutReport) -> Duration {
+        let load = &word.load;
         let news = self.last.as_ref().is_none_or(|last| {
-            let same = (last.reading, last.running) == (word.reading, word.running);
-            !same || last.used.abs_diff(word.used) > word.capacity / NEWS_PART
+            let last = &last.load;
+            let same = (last.reading, last.running) == (load.reading, load.running);
+            let part = load.capacity / NEWS_PART;
+            let planned = last.planned.abs_diff(load.planned) > part;
+            !same || planned || last.unread.abs_diff(load.unread) > part
         });
         let pause = if news { LOOK } else { TELL };
         pause.max(Duration::from_secs_f64(
@@ -294,19 +308,22 @@
         self.socket.send(word, &listeners).await;
     }
 
-    fn word(&self, report: &EngineReport) -> ScoutReport {
+    fn word(&mut self, report: &EngineReport) -> ScoutReport {
+        let plan = self.ledger.plan(self.clock.now(), report);
         ScoutReport {
-            address: self.here.address,
-            service: self.here.service.clone(),
-            zone: self.here.zone.clone(),
-            born: report.born,
-            queued: report.queued,
-            running: report.running,
-            reading: report.reading,
-            used: report.used,
-            capacity: report.capacity,
-            leaving: report.leaving,
-            leaves: report.leaves.map(|time| time.as_millis() as u32),
+            here: self.here.clone(),
+            load: EngineLoad {
+                born: report.born,
+                queued: report.queued,
+                running: report.running,
+                reading: report.reading,
+                used: report.used,
+                planned: plan.tokens,
+                unread: plan.unread,
+                capacity: report.capacity,
+                leaving: report.leaving,
+                leaves: report.leaves.map(|time| time.as_millis() as u32),
+            },
         }
     }
 
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -7,6 +7,9 @@
 use cicada_lib::dialect::RunMemory;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::ids::Name;
+use cicada_lib::intake;
+use cicada_lib::intake::Asking;
+use cicada_lib::intake::NoPlace;
 use cicada_lib::move_plan;
 use cicada_lib::patience;
 use cicada_lib::return_time;
@@ -68,7 +71,15 @@
     let tokens = expected_tokens(&call);
     let mut attempts = Attempts::new(SPARE);
     let mut failure: Option<Response<AnswerBody>> = None;
-    while let Some(placed) = attempts.place(relay, &call, tokens) {
+    let asking = asking(relay, &call);
+    loop {
+        let placed = match attempts.place(relay, &call, tokens, Some(&asking)) {
+            Ok(placed) => placed,
+            Err(NoPlace::Crowded(turned)) if attempts.sent() == 0 => {
+                return turn_away(relay, &call, &asking, &turned);
+            }
+            Err(_) => break,
+        };
         tracing::info!(
             id = call.id(),
             route = %call.admitted.route.name,
@@ -112,6 +123,51 @@
     conclude(relay, &call, attempts.ran(), pause)
 }
 
+fn asking(relay: &Relay, call: &Call) -> Asking {
+    let route = &call.admitted.route;
+    Asking {
+        before: relay.table().more_urgent(&call.service, route),
+        age: relay.returns().take(relay.now(), call.fingerprint()),
+        objective: route.objective,
+    }
+}
+
+/// Refuses a request for which the engines are too crowded, at once.
+fn turn_away(
+    relay: &Relay,
+    call: &Call,
+    asking: &Asking,
+    turned: &intake::TurnedAway,
+) -> Response<AnswerBody> {
+    let pause = relay.comeback(&call.service, asking, call.left());
+    let now = relay.now();
+    relay
+        .returns()
+        .turned_away(now, call.fingerprint(), asking.age, pause);
+    let (why, outlook) = (turned.why.word(), &turned.outlook);
+    let (_, age) = relay.fleet().load(relay.now(), turned.server);
+    relay.figures().refusal(why);
+    relay.figures().answer("not_run");
+    tracing::info!(
+        id = call.id(),
+        why,
+        before = asking.before,
+        waited = asking.age.as_millis() as u64,
+        memory = percent(outlook.memory),
+        running = outlook.running,
+        reading = outlook.before.as_millis() as u64,
+        own = outlook.own.as_millis() as u64,
+        age = age.map(|age| age.as_millis() as u64),
+        pause = pause.as_millis() as u64,
+        "stream: turned away"
+    );
+    OwnAnswer::NotRun(pause).response()
+}
+
+fn percent(part: f64) -> u64 {
+    (part * 100.0) as u64
+}
+
 /// Tells of a send that brought no answer.
 pub(crate) fn note(call: &Call, placed: &Placed, unanswered: Unanswered) {
     let word = match unanswered {
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -73,6 +73,8 @@
     // When the answer began, and when the latest event came.
     first: Instant,
     latest: Instant,
+    // The longest pause between two events.
+    longest: Duration,
     // When the run that goes on now began at its engine.
     begun: Instant,
     moving: Option<Move>,
@@ -140,6 +142,7 @@
             sender,
             first: now,
             latest: now,
+            longest: Duration::ZERO,
             begun: now,
             moving: None,
             failed_moves: 0,
@@ -169,6 +172,8 @@
             server,
             word,
             events,
+            first = self.first.duration_since(self.call.arrived).as_millis() as u64,
+            longest = self.longest.as_millis() as u64,
             waited,
             "stream: ended"
         );
@@ -255,11 +260,15 @@
         let Some(whole) = self.events.push(data) else {
             return !self.events.is_overfull();
         };
-        self.latest = Instant::now();
+        let now = Instant::now();
+        let pause = now.duration_since(self.latest);
+        self.latest = now;
         if self.first_event() {
             self.placed.began();
-            self.first = self.latest;
+            self.first = now;
             self.relay.figures().first(self.call.arrived.elapsed());
+        } else {
+            self.longest = self.longest.max(pause);
         }
         if let Some(before) = self.resumed.take() {
             let gap = before.elapsed();
@@ -328,9 +337,10 @@
                     tried: &tried,
                     zone: Some(&zone),
                 };
-                let Ok(target) = self.relay.place(&need, &self.call.spec) else {
+                let Ok(target) = self.relay.place(&need, &self.call.spec, None) else {
                     return;
                 };
+                self.relay.tell_sent(&target, self.call.head.id.as_ref());
                 target
             }
         };
@@ -471,8 +481,10 @@
         self.placed.failed(false);
         let mut key = self.placed.key;
         while self.attempts.goes_on(&self.relay, &self.call, key, setback) {
-            let placed = self.attempts.place(&self.relay, &self.call, self.tokens);
-            let Some(placed) = placed else {
+            let placed = self
+                .attempts
+                .place(&self.relay, &self.call, self.tokens, None);
+            let Ok(placed) = placed else {
                 break;
             };
             let id = self.call.id();
@@ -553,6 +565,9 @@
             };
             self.relay.place_moved(&engine, &need)
         });
+        if let Some(target) = &target {
+            self.relay.tell_sent(target, self.call.head.id.as_ref());
+        }
         match target {
             Some(target) => self.resume(target, &handle).await,
             None => self.go_back(&handle).await,
