relay: what a relay does of itself can be switched off

Change: settings [relay] refuse, returns, resume and patience, on by default, taken over without a restart.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -13,6 +13,7 @@
 use cicada_relay::Changing;
 use cicada_relay::Figures;
 use cicada_relay::Keeper;
+use cicada_relay::Policy;
 use cicada_relay::Relay;
 use cicada_relay::RelaySettings;
 use eyre::Context;
@@ -123,6 +124,17 @@
             window: settings.seconds("relay", "retry_window"),
         },
         grace: settings.seconds("relay", "grace"),
+        policy: policy(settings),
+    }
+}
+
+fn policy(settings: &Settings) -> Policy {
+    let on = |key| settings.text("relay", key) == "on";
+    Policy {
+        refuse: on("refuse"),
+        returns: on("returns"),
+        resume: on("resume"),
+        patience: on("patience"),
     }
 }
 
--- a/daemon/tests/relay_load.rs
+++ b/daemon/tests/relay_load.rs
@@ -64,3 +64,31 @@
     assert!(heard.whole);
     Ok(())
 }
+
+/// The same engine with refusals switched off, in the file and without a signal: nothing is refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_is_refused_where_that_is_switched_off() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    deployment.set(0, "grace = 8\n", "grace = 8\nrefuse = off\n")?;
+    let begun = tokio::time::Instant::now();
+    while !deployment.relays[0]
+        .process
+        .log()
+        .contains("were read again")
+    {
+        assert!(begun.elapsed() < Duration::from_secs(20));
+        sleep(Duration::from_millis(50)).await;
+    }
+    let mut streams = Vec::new();
+    for number in 0..9 {
+        let relay = deployment.relays[0].callers;
+        let ask = Ask::stream(&format!("draft-{number}"), KEY, PROMPT, EVENTS);
+        streams.push(tokio::spawn(async move { ask.send(relay).await }));
+        sleep(Duration::from_millis(50)).await;
+    }
+    for stream in streams {
+        assert!(stream.await??.whole);
+    }
+    assert_eq!(deployment.engines[0].engine.arrivals().len(), 9);
+    Ok(())
+}
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -46,6 +46,9 @@
     Choice(&'static [&'static str]),
 }
 
+/// Whether something is done.
+const SWITCH: &[&str] = &["on", "off"];
+
 /// One setting.
 #[derive(Clone, Copy, Debug)]
 pub struct Key {
@@ -195,6 +198,10 @@
     key("relay", "retry_slack", Kind::Number { min: 0.0, max: 100_000.0 }, "32", "Further sends of a service that are free in each window, of all relays together."),
     key("relay", "retry_window", Kind::Number { min: 0.1, max: 600.0 }, "10", "The window of the bound on further sends, in seconds."),
     key("relay", "grace", Kind::Number { min: 0.5, max: 3_600.0 }, "8", "From SIGTERM to the platform's force, in seconds: a relay ends before."),
+    key("relay", "refuse", Kind::Choice(SWITCH), "on", "Whether streams are refused at once that no engine can hold or begin in time. Off: each goes to the best engine, however full."),
+    key("relay", "returns", Kind::Choice(SWITCH), "on", "Whether callers that were refused and come back are told from new ones."),
+    key("relay", "resume", Kind::Choice(SWITCH), "on", "Whether a stream of a resumable route goes on in another run when its engine fails. A caller may ask for that by itself in any case."),
+    key("relay", "patience", Kind::Choice(SWITCH), "on", "Whether a stream of a resumable route is given up at an engine that makes no progress, before its caller gives it up."),
     key("agent", "linger", Kind::Millis { min: 0, max: 600_000 }, "15000", "How long a stream that nobody reads goes on before it is cancelled. Longer than [entry] resume_window, so that a live entry is never too late."),
     key("agent", "replay", Kind::Millis { min: 0, max: 3_600_000 }, "60000", "How long a stream that ended can be resumed."),
     key("agent", "max_records", Kind::Count { min: 100, max: 1_000_000 }, "20000", "Most requests remembered, ended ones included until [agent] replay is over. Further ones are refused as `queue_full`."),
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -34,6 +34,7 @@
 pub use figures::Figures;
 pub use keeper::Keeper;
 pub use relay::Changing;
+pub use relay::Policy;
 pub use relay::Relay;
 pub use relay::RelaySettings;
 pub use scout::Scout;
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -82,6 +82,21 @@
     pub retries: RetryBound,
     /// From SIGTERM to the end by force.
     pub grace: Duration,
+    /// What the relay does of itself.
+    pub policy: Policy,
+}
+
+/// What a relay does of itself; each can be switched off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Policy {
+    /// Streams are refused that no engine can hold or begin in time.
+    pub refuse: bool,
+    /// Callers that were refused and come back are told from new ones.
+    pub returns: bool,
+    /// Streams that may be resumed go on in another run.
+    pub resume: bool,
+    /// Such streams are given up at engines that make no progress.
+    pub patience: bool,
 }
 
 /// Words to other relays that wait to be sent.
@@ -413,6 +428,10 @@
         **self.changing.load()
     }
 
+    pub(crate) fn policy(&self) -> Policy {
+        self.changing().policy
+    }
+
     /// From SIGTERM to the end by force.
     pub(crate) fn grace(&self) -> Duration {
         self.changing().grace
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -73,7 +73,8 @@
     let mut failure: Option<Response<AnswerBody>> = None;
     let asking = asking(relay, &call);
     loop {
-        let placed = match attempts.place(relay, &call, tokens, Some(&asking)) {
+        let judged = relay.policy().refuse.then_some(&asking);
+        let placed = match attempts.place(relay, &call, tokens, judged) {
             Ok(placed) => placed,
             Err(NoPlace::Crowded(turned)) if attempts.sent() == 0 => {
                 return turn_away(relay, &call, &asking, &turned);
@@ -91,7 +92,7 @@
             "stream: placed"
         );
         let last = call.last_event();
-        let patience = first_patience(&call, &placed, &attempts);
+        let patience = first_patience(relay, &call, &placed, &attempts);
         let outcome = send_run(relay, &call, &placed, Begin::New { last, patience }).await;
         let key = placed.key;
         let setback = match outcome {
@@ -127,11 +128,19 @@
     let route = &call.admitted.route;
     Asking {
         before: relay.table().more_urgent(&call.service, route),
-        age: relay.returns().take(relay.now(), call.fingerprint()),
+        age: age(relay, call),
         objective: route.objective,
     }
 }
 
+/// How long ago the caller first asked, where it was refused and is back; zero for others.
+fn age(relay: &Relay, call: &Call) -> Duration {
+    match relay.policy().returns {
+        true => relay.returns().take(relay.now(), call.fingerprint()),
+        false => Duration::ZERO,
+    }
+}
+
 /// Refuses a request for which the engines are too crowded, at once.
 fn turn_away(
     relay: &Relay,
@@ -188,7 +197,15 @@
 }
 
 /// Until when the first event is awaited, where the request may go to another engine after that.
-fn first_patience(call: &Call, placed: &Placed, attempts: &Attempts) -> Option<Instant> {
+fn first_patience(
+    relay: &Relay,
+    call: &Call,
+    placed: &Placed,
+    attempts: &Attempts,
+) -> Option<Instant> {
+    if !relay.policy().patience {
+        return None;
+    }
     let wait = patience::first_event(call.admitted.route.objective, placed.reading());
     attempts.may_repeat(call).then(|| Instant::now() + wait)
 }
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -282,7 +282,9 @@
     /// When the run is given up at its engine for making no progress. `None` where it may go on nowhere
     /// else, or is being moved.
     fn silent_at(&self) -> Option<Instant> {
-        if self.moving.is_some() || !self.attempts.may_repeat(&self.call) {
+        let policy = self.relay.policy();
+        let may = policy.resume && policy.patience && self.attempts.may_repeat(&self.call);
+        if self.moving.is_some() || !may {
             return None;
         }
         let route = &self.call.admitted.route;
@@ -480,7 +482,8 @@
         let mut setback = Setback::Unanswered(unanswered);
         self.placed.failed(false);
         let mut key = self.placed.key;
-        while self.attempts.goes_on(&self.relay, &self.call, key, setback) {
+        let may = self.relay.policy().resume;
+        while may && self.attempts.goes_on(&self.relay, &self.call, key, setback) {
             let placed = self
                 .attempts
                 .place(&self.relay, &self.call, self.tokens, None);
