outcomes: engines that fail part of their requests are avoided, by what all relays tell their scouts

Cause: an engine that fails or never begins two of five requests reports that it is well. Each relay sends it a request every few seconds and rested it after three failures in a row, which hardly ever came; drafts must not run twice, so that each failure was a caller's.

Change: relays tell the engine's scout how each run ended, and at once where a first event has not come in the time that the load explains; the scout's report carries the failing part, which fades by half in 6 s, and the choice of an engine counts it as a cost. Setting [relay] avoid.

Ruled out: the ejection module of the product's own API, which needs 16 requests of each server at each entry; here an engine gets as many in 25 s from all relays together. A cost leaves the engine in use where nothing else is left, so that no share of engines needs to be bounded.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -135,6 +135,7 @@
         returns: on("returns"),
         resume: on("resume"),
         patience: on("patience"),
+        avoid: on("avoid"),
     }
 }
 
--- a/daemon/tests/relay_load.rs
+++ b/daemon/tests/relay_load.rs
@@ -7,6 +7,7 @@
 use cicada_standins::caller::Heard;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::engine::Trouble;
 use eyre::Result;
 use http::StatusCode;
 use tokio::time::sleep;
@@ -92,3 +93,25 @@
     assert_eq!(deployment.engines[0].engine.arrivals().len(), 9);
     Ok(())
 }
+
+/// One of two engines fails every second request and reports that it is well. Drafts may run once only, so that
+/// each failure is a caller's: a few callers find out, and the others are sent to the other engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_fails_part_of_its_requests_gets_few() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 2, 2, 0).await?;
+    // Until the scouts know both relays.
+    sleep(Duration::from_millis(1_500)).await;
+    let failing = &deployment.engines[0].engine;
+    failing.set_trouble(Trouble::FailEvery(2));
+    let mut failed = 0;
+    for number in 0..40 {
+        let relay = deployment.relays[number % 2].callers;
+        let ask = Ask::stream(&format!("draft-{number}"), KEY, 500, 2);
+        failed += usize::from(!ask.send(relay).await?.whole_success());
+        sleep(Duration::from_millis(60)).await;
+    }
+    let got = failing.arrivals().len();
+    assert!((1..=6).contains(&failed), "{failed} failed of {got}");
+    assert!(got <= 14, "{got} of 40 went to the failing engine");
+    Ok(())
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -384,6 +384,7 @@
             planned: load.planned.max(load.used),
             unread: load.unread,
             running: load.running + load.queued,
+            failing: f64::from(load.failing) / 100.0,
         });
         let far = server.record.zone != self.place.zone;
         let unseen = if far { UNSEEN_FAR } else { UNSEEN_NEAR };
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -41,6 +41,10 @@
 /// The cost of a request that does not fit, in milliseconds for each time its size is lacking.
 const LACK: f64 = 4_000.0;
 
+/// The cost of an engine that fails all of its requests, in milliseconds. One that fails a fifth costs more
+/// than the way to another region and a full memory together, and less than what does not fit elsewhere.
+const FAILING: f64 = 2_500.0;
+
 /// How long a request that was sent does not show in the reports that come back: the ways there and
 /// back, and the time between two reports.
 pub(crate) const UNSEEN_NEAR: Duration = Duration::from_millis(60);
@@ -128,6 +132,8 @@
     pub(crate) unread: u64,
     // Requests that run or wait.
     pub(crate) running: u32,
+    // The part of its requests that it has failed lately, 0 to 1.
+    pub(crate) failing: f64,
 }
 
 /// A request that was sent a moment ago.
@@ -238,7 +244,9 @@
         let room = engine.capacity as f64 * MEMORY_PART;
         let lack = (used - room).max(0.0) / (need.tokens.max(1) as f64);
         let wait = read_cost(reading / READ_RATE);
-        wait + running * CROWDING + fill_cost(used / room) + (lack + full) * LACK
+        let failing = self.fresh_report(now).map_or(0.0, |report| report.failing);
+        let crowd = running * CROWDING + fill_cost(used / room) + (lack + full) * LACK;
+        wait + crowd + failing * FAILING
     }
 
     /// Tokens of prompts that the engine has still to read, as far as this entry knows.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod order;
 pub mod orders;
 pub mod outcome;
+pub mod outcomes;
 pub mod patience;
 pub mod peer_words;
 pub mod platform;
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -37,6 +37,8 @@
         pub unread: u64,
         /// Tokens of memory in all.
         pub capacity: u64,
+        /// The part of its requests that it has failed lately, in hundredths.
+        pub failing: u8,
         /// Whether it leaves.
         pub leaving: bool,
         /// Milliseconds for which it is still there, where that is known.
@@ -99,6 +101,14 @@
         pub others: Vec<SocketAddr>,
     }
 
+    /// How a request ended at an engine.
+    pub struct RunEnded {
+        /// Where the engine takes requests.
+        pub engine: SocketAddr,
+        /// Whether it made progress to its end.
+        pub well: bool,
+    }
+
     /// Changes of the list of backend servers, for relays that do not watch it themselves.
     pub struct ServerNews {
         /// The revision that they follow on.
@@ -148,6 +158,8 @@
         Sent(SentWord),
         /// A relay's word.
         Hello(RelayHello),
+        /// A relay says how a request ended at the scout's engine.
+        Ended(RunEnded),
         /// A relay has turned callers away, who may come to another one.
         TurnedAway(Vec<Return>),
     }
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -16,6 +16,7 @@
 use tokio::time::interval;
 
 use crate::moved_runs::MoveAsk;
+use crate::relay::Pending;
 use crate::relay::Relay;
 use crate::word_socket::WordSocket;
 
@@ -53,12 +54,12 @@
     }
 
     /// Hears and tells until the process ends.
-    pub(crate) async fn run(
-        self,
-        mut asks: mpsc::Receiver<MoveAsk>,
-        mut sent: mpsc::Receiver<SentWord>,
-        mut news: mpsc::Receiver<ServerNews>,
-    ) {
+    pub(crate) async fn run(self, mut asks: mpsc::Receiver<MoveAsk>, pending: Pending) {
+        let Pending {
+            mut sent,
+            mut ended,
+            mut news,
+        } = pending;
         let mut renewals = interval(RENEW);
         renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut hellos = interval(HELLO);
@@ -74,6 +75,10 @@
                 _ = refusals.tick() => self.tell_refusals().await,
                 Some(news) = news.recv() => self.tell_news(news).await,
                 Some(word) = sent.recv() => self.tell_sent(word).await,
+                Some(word) = ended.recv() => {
+                    let scout = self.socket.on(word.engine.ip());
+                    self.socket.send(&Datagram::Ended(word), &[scout]).await;
+                }
                 Some(ask) = asks.recv() => {
                     let scout = self.socket.on(ask.engine.ip());
                     self.socket.send(&Datagram::WasMoved(ask.id), &[scout]).await;
--- a/relay/src/placed.rs
+++ b/relay/src/placed.rs
@@ -90,11 +90,25 @@
 
     pub(crate) fn went_well(&self) {
         self.relay.fleet().went_well(self.key);
+        self.tell_ended(true);
     }
 
+    /// The server failed the request; `hard` where it could not be reached.
     pub(crate) fn failed(&self, hard: bool) {
         let now = self.relay.now();
         self.relay.fleet().failed(now, self.key, hard);
+        self.tell_ended(false);
+    }
+
+    /// A request makes no progress, and is waited for all the same: it may run nowhere else.
+    pub(crate) fn is_slow(&self) {
+        self.tell_ended(false);
+    }
+
+    fn tell_ended(&self, well: bool) {
+        if self.tokens > 0 {
+            self.relay.tell_ended(self.record.address, well);
+        }
     }
 
     /// Another server than the expected one is at the address.
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -24,7 +24,9 @@
 use cicada_lib::intake::NoPlace;
 use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::EngineIdentity;
+use cicada_lib::peer_words::EngineLoad;
 use cicada_lib::peer_words::MovedRun;
+use cicada_lib::peer_words::RunEnded;
 use cicada_lib::peer_words::ScoutReport;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::peer_words::ServerNews;
@@ -97,13 +99,19 @@
     pub resume: bool,
     /// Such streams are given up at engines that make no progress.
     pub patience: bool,
+    /// Engines that fail part of their requests are avoided.
+    pub avoid: bool,
 }
 
 /// Words to other relays that wait to be sent.
 const WAITING_WORDS: usize = 256;
 
-/// What waits to be told to other relays.
-type Pending = (mpsc::Receiver<SentWord>, mpsc::Receiver<ServerNews>);
+/// What waits to be told to other processes.
+pub(crate) struct Pending {
+    pub(crate) sent: mpsc::Receiver<SentWord>,
+    pub(crate) ended: mpsc::Receiver<RunEnded>,
+    pub(crate) news: mpsc::Receiver<ServerNews>,
+}
 
 /// The engines of a service in a region.
 pub(crate) struct EngineGroup {
@@ -139,6 +147,7 @@
     peers: Mutex<Peers>,
     // What other relays are to be told; the receivers until their task takes them.
     sent: mpsc::Sender<SentWord>,
+    ended: mpsc::Sender<RunEnded>,
     news: mpsc::Sender<ServerNews>,
     // Told when the list has changed, and engines may have come.
     joined: Notify,
@@ -159,12 +168,19 @@
         figures: Figures,
     ) -> Arc<Self> {
         let (sent, sent_out) = mpsc::channel(WAITING_WORDS);
+        let (ended, ended_out) = mpsc::channel(WAITING_WORDS);
         let (news, news_out) = mpsc::channel(WAITING_WORDS);
+        let pending = Pending {
+            sent: sent_out,
+            ended: ended_out,
+            news: news_out,
+        };
         Arc::new(Relay {
             sent,
+            ended,
             news,
             joined: Notify::new(),
-            pending: Mutex::new(Some((sent_out, news_out))),
+            pending: Mutex::new(Some(pending)),
             changing: ArcSwap::from_pointee(settings.changing),
             fleet: Mutex::new(Fleet::new(settings.place.clone())),
             settings,
@@ -197,8 +213,8 @@
         tokio::spawn(peer_pull::serve(self.clone(), questions));
         let peers = PeerNet::bind(self.clone(), self.settings.peer).await?;
         let pending = lock(&self.pending).take();
-        if let (Some(asks), Some((sent, news))) = (self.moved.take_asks(), pending) {
-            tokio::spawn(peers.run(asks, sent, news));
+        if let (Some(asks), Some(pending)) = (self.moved.take_asks(), pending) {
+            tokio::spawn(peers.run(asks, pending));
         }
         let callers = caller_server::listen(self.settings.listen)?;
         let ready = caller_server::listen(self.settings.ready)?;
@@ -326,6 +342,11 @@
     /// Takes a report of an engine.
     pub(crate) fn report(&self, report: &ScoutReport) {
         let ScoutReport { here, load } = report;
+        let failing = if self.policy().avoid { load.failing } else { 0 };
+        let load = &EngineLoad {
+            failing,
+            ..load.clone()
+        };
         let turned = self.fleet().report(self.now(), here, load);
         if turned {
             let address = here.address;
@@ -601,6 +622,13 @@
         }
     }
 
+    /// Tells the engine's scout how a request ended there.
+    pub(crate) fn tell_ended(&self, engine: SocketAddr, well: bool) {
+        if self.ended.try_send(RunEnded { engine, well }).is_err() {
+            tracing::debug!(%engine, "peers: too many words wait, one is left out");
+        }
+    }
+
     /// Another relay has sent a request to an engine.
     pub(crate) fn sent_elsewhere(&self, word: &SentWord) {
         let now = self.now();
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -13,6 +13,7 @@
 use cicada_lib::dialect::EngineReport;
 use cicada_lib::engine_ledger::EngineLedger;
 use cicada_lib::ids::Name;
+use cicada_lib::outcomes::Outcomes;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
 use cicada_lib::peer_words::EngineHere;
@@ -45,6 +46,9 @@
 /// A change of this part of the memory is told at once, as are requests that came or ended.
 const NEWS_PART: u64 = 32;
 
+/// So is a change of the failing part by more hundredths than this: two more failures among some.
+const NEWS_FAILING: u8 = 10;
+
 /// Datagrams of reports in a second, to all listeners together: at 45 bytes under 7 KB. Beyond five
 /// listeners each gets its reports less often.
 const TELL_RATE: f64 = 150.0;
@@ -87,6 +91,7 @@
     evacuating: Option<watch::Sender<EngineReport>>,
     identity: Identity,
     ledger: EngineLedger,
+    outcomes: Outcomes,
     clock: Clock,
     moved: Vec<MovedRun>,
     moves: mpsc::Receiver<RunNews>,
@@ -119,6 +124,7 @@
             evacuating: None,
             identity: Identity::new(),
             ledger: EngineLedger::new(),
+            outcomes: Outcomes::new(),
             clock: Clock::new(),
             moved: Vec::new(),
             moves,
@@ -162,6 +168,9 @@
             Ok(Datagram::Sent(word)) if word.engine == self.here.address => {
                 self.ledger.sent(self.clock.now(), &word);
             }
+            Ok(Datagram::Ended(word)) if word.engine == self.here.address => {
+                self.outcomes.ended(self.clock.now(), word.well);
+            }
             Ok(Datagram::WasMoved(id)) => {
                 if let Some(moved) = self.moved.iter().find(|moved| moved.id == id) {
                     let word = Datagram::Moved(moved.clone());
@@ -282,7 +291,8 @@
             let same = (last.reading, last.running) == (load.reading, load.running);
             let part = load.capacity / NEWS_PART;
             let planned = last.planned.abs_diff(load.planned) > part;
-            !same || planned || last.unread.abs_diff(load.unread) > part
+            let failing = last.failing.abs_diff(load.failing) > NEWS_FAILING;
+            !same || planned || failing || last.unread.abs_diff(load.unread) > part
         });
         let pause = if news { LOOK } else { TELL };
         pause.max(Duration::from_secs_f64(
@@ -309,7 +319,8 @@
     }
 
     fn word(&mut self, report: &EngineReport) -> ScoutReport {
-        let plan = self.ledger.plan(self.clock.now(), report);
+        let now = self.clock.now();
+        let plan = self.ledger.plan(now, report);
         ScoutReport {
             here: self.here.clone(),
             load: EngineLoad {
@@ -321,6 +332,7 @@
                 planned: plan.tokens,
                 unread: plan.unread,
                 capacity: report.capacity,
+                failing: (self.outcomes.failing(now) * 100.0) as u8,
                 leaving: report.leaving,
                 leaves: report.leaves.map(|time| time.as_millis() as u32),
             },
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -1,5 +1,6 @@
 //! Streaming requests: the way to an engine, until its stream begins. See `stream_run` for the rest.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -92,8 +93,10 @@
             "stream: placed"
         );
         let last = call.last_event();
-        let patience = first_patience(relay, &call, &placed, &attempts);
-        let outcome = send_run(relay, &call, &placed, Begin::New { last, patience }).await;
+        let wait = Instant::now() + first_wait(&call, &placed);
+        let patience = (relay.policy().patience && attempts.may_repeat(&call)).then_some(wait);
+        let begin = Begin::New { last, patience };
+        let outcome = note_slow(&placed, wait, send_run(relay, &call, &placed, begin)).await;
         let key = placed.key;
         let setback = match outcome {
             Ok(answered) if answered.parts.status.is_success() => {
@@ -196,18 +199,22 @@
     tracing::info!(id = call.id(), server = %placed.record.id, waited, "stream: {word}");
 }
 
-/// Until when the first event is awaited, where the request may go to another engine after that.
-fn first_patience(
-    relay: &Relay,
-    call: &Call,
-    placed: &Placed,
-    attempts: &Attempts,
-) -> Option<Instant> {
-    if !relay.policy().patience {
-        return None;
+/// How long the first event is awaited before the engine counts as making no progress.
+fn first_wait(call: &Call, placed: &Placed) -> Duration {
+    patience::first_event(call.admitted.route.objective, placed.reading())
+}
+
+/// Waits for the outcome of a send, and notes where it has not come at `wait`. An engine that hangs is known
+/// by that alone where the request may be sent nowhere else, seconds before its caller gives it up.
+async fn note_slow<T>(placed: &Placed, wait: Instant, outcome: impl Future<Output = T>) -> T {
+    tokio::pin!(outcome);
+    match timeout_at(wait, &mut outcome).await {
+        Ok(outcome) => outcome,
+        Err(_) => {
+            placed.is_slow();
+            outcome.await
+        }
     }
-    let wait = patience::first_event(call.admitted.route.objective, placed.reading());
-    attempts.may_repeat(call).then(|| Instant::now() + wait)
 }
 
 /// Tokens that the request is expected to hold at its end.
