workspace_use: a workspace that took more than its share leaves room for the others

Cause: under load every workspace was refused alike, so that one which sends as much as nine others took half of what came free.

Change: each relay counts the tokens that it takes in for each workspace, fading by half in 8 s. One that has taken more than three times the mean of the others leaves 0.12 of memory and of the objective free. Setting [relay] shares.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -136,6 +136,7 @@
         resume: on("resume"),
         patience: on("patience"),
         avoid: on("avoid"),
+        shares: on("shares"),
     }
 }
 
--- a/lib/src/intake.rs
+++ b/lib/src/intake.rs
@@ -14,6 +14,8 @@
 //! - **Reading.** The prompts before it must be read in a part of the objective. Its own is not judged: it
 //!   takes as long everywhere, and long ones would be turned away by idle engines.
 //!
+//! A workspace that has taken more than its share leaves room for the others, see [`crate::workspace_use`].
+//!
 //! A caller that was turned away and is back in time goes before others of its kind: its objective runs
 //! since it came first. One that cannot be in time any more takes only what others leave.
 
@@ -46,6 +48,10 @@
 const BACK_PART: f64 = 0.05;
 const LATE_PART: f64 = 0.25;
 
+/// What a workspace that has taken more than its share leaves free for others, of memory and of the objective:
+/// a long request at each engine, which is room for the few that the others send.
+const OVER_PART: f64 = 0.12;
+
 /// The part of the objective in which the prompts before a request may be read, for the most urgent kind and
 /// for the others. Urgent ones are read first and hardly wait: what they need is that few of them are under
 /// way, since all that runs is slower while an engine reads. The others have them come in between; with
@@ -101,6 +107,8 @@
     pub before: u32,
     /// How long ago its caller first asked, where it was turned away and is back; zero for others.
     pub age: Duration,
+    /// Whether its workspace has taken more than its share lately.
+    pub over: bool,
     /// The time within which its first event is worth the most.
     pub objective: Duration,
 }
@@ -167,6 +175,7 @@
         begins if begins <= asking.objective => BACK_PART,
         _ => -LATE_PART,
     };
+    let back = if asking.over { back - OVER_PART } else { back };
     let part = (MEMORY_PART - kinds).max(LEAST_PART) + back;
     if outlook.running >= outlook.slots {
         return Err(Crowded::Slots);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -91,4 +91,5 @@
 pub mod time;
 pub mod transcript;
 pub mod wire;
+pub mod workspace_use;
 pub mod zone_cost;
--- a/lib/tests/burst/mod.rs
+++ b/lib/tests/burst/mod.rs
@@ -30,6 +30,7 @@
 use cicada_lib::site::ServerRecord;
 use cicada_lib::site::ServiceSpec;
 use cicada_lib::time::Time;
+use cicada_lib::workspace_use::WorkspaceUse;
 
 const CAPACITY: u64 = 34_000;
 const SLOTS: u32 = 64;
@@ -122,6 +123,7 @@
     // Of the largest tenth.
     large: bool,
     in_burst: bool,
+    workspace: Name,
 }
 
 struct Run {
@@ -154,6 +156,7 @@
     fleet: Fleet,
     comebacks: Comebacks,
     returns: Returns,
+    used: WorkspaceUse,
 }
 
 enum Event {
@@ -165,12 +168,16 @@
 /// The world.
 pub(crate) struct World {
     rng: fastrand::Rng,
+    // Draws workspaces, so that requests are the same whoever sends them.
+    owners: fastrand::Rng,
     now: u64,
     engines: Vec<Engine>,
     entries: Vec<Entry>,
     // By time; later ones behind.
     events: VecDeque<(u64, Event)>,
     refuses: bool,
+    greedy: bool,
+    shares: bool,
     outcome: Outcome,
     names: u64,
 }
@@ -225,31 +232,51 @@
         fleet,
         comebacks: Comebacks::new(),
         returns: Returns::new(),
+        used: WorkspaceUse::new(),
     }
 }
 
 /// Plays a burst of `load` times the usual rate. Where the entries do not refuse, they send every request
 /// to the best engine.
 pub(crate) fn play(load: f64, seed: u64, refuses: bool) -> Outcome {
-    let mut world = World {
-        rng: fastrand::Rng::with_seed(seed),
-        now: 0,
-        engines: (0..ENGINES).map(|_| Engine::default()).collect(),
-        entries: (0..ENTRIES).map(|_| entry()).collect(),
-        events: VecDeque::new(),
-        refuses,
-        outcome: Outcome::default(),
-        names: 0,
-    };
-    world.callers(load);
-    while world.now < END {
-        world.now += 1;
-        world.step();
-    }
-    world.outcome
+    World::new(seed, refuses).run(load)
+}
+
+/// The same where one of ten workspaces sends as much as all others; those are tallied alone. Shares are kept
+/// or not.
+pub(crate) fn play_greedy(load: f64, seed: u64, shares: bool) -> Outcome {
+    let mut world = World::new(seed, true);
+    world.greedy = true;
+    world.shares = shares;
+    world.run(load)
 }
 
 impl World {
+    fn new(seed: u64, refuses: bool) -> Self {
+        World {
+            rng: fastrand::Rng::with_seed(seed),
+            owners: fastrand::Rng::with_seed(seed),
+            now: 0,
+            engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+            entries: (0..ENTRIES).map(|_| entry()).collect(),
+            events: VecDeque::new(),
+            refuses,
+            greedy: false,
+            shares: true,
+            outcome: Outcome::default(),
+            names: 0,
+        }
+    }
+
+    fn run(mut self, load: f64) -> Outcome {
+        self.callers(load);
+        while self.now < END {
+            self.now += 1;
+            self.step();
+        }
+        self.outcome
+    }
+
     fn callers(&mut self, load: f64) {
         let mut asks = Vec::new();
         for (kind, figures) in KINDS.iter().enumerate() {
@@ -269,6 +296,7 @@
                     again: false,
                     large: size > 0.9,
                     in_burst: BURST.contains(&(at as u64)),
+                    workspace: self.workspace(),
                 };
                 let entry = self.rng.usize(..ENTRIES);
                 asks.push((at as u64, Event::Ask(entry, caller)));
@@ -278,6 +306,13 @@
         self.events = asks.into();
     }
 
+    /// One of ten workspaces; the first has as many callers as all others where it is greedy.
+    fn workspace(&mut self) -> Name {
+        let greedy = self.greedy && self.owners.bool();
+        let number = if greedy { 0 } else { self.owners.usize(1..10) };
+        Name::new(format!("w-{number}"))
+    }
+
     fn later(&mut self, after: u64, event: Event) {
         let at = self.now + after;
         let place = self.events.partition_point(|(other, _)| *other <= at);
@@ -318,7 +353,7 @@
     fn ask(&mut self, entry: usize, caller: Caller) {
         let kind = KINDS[caller.kind];
         let now = Time::from_millis(self.now);
-        if caller.in_burst && !caller.again {
+        if self.tallies(&caller) && !caller.again {
             let tally = &mut self.outcome.kinds[caller.kind];
             tally.asked += 1.0;
             tally.large += f64::from(u8::from(caller.large));
@@ -337,6 +372,7 @@
         let asking = Asking {
             before: kind.priority,
             age: at.returns.take(now, caller.number),
+            over: self.shares && at.used.is_over(now, &caller.workspace),
             objective: kind.objective,
         };
         let placed = match self.refuses {
@@ -348,6 +384,7 @@
             return;
         };
         at.comebacks.taken(now, &service, kind.priority);
+        at.used.taken(now, &caller.workspace, need.tokens);
         at.fleet.started(now, key, &need);
         let engine = at.fleet.record(key).expect("chosen").address;
         self.names += 1;
@@ -378,6 +415,10 @@
         });
     }
 
+    fn tallies(&self, caller: &Caller) -> bool {
+        caller.in_burst && !(self.greedy && caller.workspace.as_str() == "w-0")
+    }
+
     fn refuse(&mut self, entry: usize, caller: Caller, asking: &Asking) {
         let now = Time::from_millis(self.now);
         let kind = KINDS[caller.kind];
@@ -465,7 +506,7 @@
             time += STEP_RUN;
             if !run.told {
                 run.told = true;
-                first(&mut self.outcome, run, self.now);
+                first(&mut self.outcome, run, self.now, self.greedy);
                 self.entries[run.entry]
                     .fleet
                     .began(run.key, run.caller.prompt);
@@ -497,9 +538,9 @@
 }
 
 /// A caller sees its first event.
-fn first(outcome: &mut Outcome, run: &Run, now: u64) {
+fn first(outcome: &mut Outcome, run: &Run, now: u64, greedy: bool) {
     let caller = &run.caller;
-    if !caller.in_burst {
+    if !caller.in_burst || (greedy && caller.workspace.as_str() == "w-0") {
         return;
     }
     let tally = &mut outcome.kinds[caller.kind];
--- a/lib/tests/intake.rs
+++ b/lib/tests/intake.rs
@@ -22,6 +22,7 @@
     Asking {
         before,
         age: Duration::from_millis(age),
+        over: false,
         objective: Duration::from_millis(1_800),
     }
 }
@@ -104,6 +105,30 @@
     }
 }
 
+/// One of ten workspaces sends as much as all others together. These get at least three quarters of an equal
+/// share of what the engines do, in time; the rest goes before the greedy one is known for what it is.
+/// Without shares they get little more than half of it under the heaviest load.
+#[test]
+fn a_greedy_workspace_leaves_the_others_their_share() {
+    for load in [3.0, 6.0] {
+        let even = play(load, true);
+        let greedy = |shares: bool| {
+            let seeds = SEEDS.iter();
+            let outcomes = seeds.map(|seed| burst::play_greedy(load, *seed, shares));
+            outcomes.collect::<Vec<Outcome>>()
+        };
+        let (kept, not_kept) = (greedy(true), greedy(false));
+        for (kind, _) in KINDS.iter().enumerate() {
+            let in_time = |outcomes: &[Outcome]| mean(outcomes, |o| o.kinds[kind].in_time);
+            let asked = mean(&kept, |o| o.kinds[kind].asked);
+            let share = asked.min(0.9 * in_time(&even));
+            let got = in_time(&kept);
+            assert!(got >= 0.75 * share, "{got} of {share} at {load}");
+            assert!(got > in_time(&not_kept), "{got} at {load}");
+        }
+    }
+}
+
 /// A full memory, a long queue of prompts and full slots each turn a request away; the less urgent kind
 /// sooner than the urgent one.
 #[test]
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -43,6 +43,7 @@
 use cicada_lib::site::SiteConfig;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
+use cicada_lib::workspace_use::WorkspaceUse;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -101,6 +102,8 @@
     pub patience: bool,
     /// Engines that fail part of their requests are avoided.
     pub avoid: bool,
+    /// Workspaces that took more than their share leave room for others.
+    pub shares: bool,
 }
 
 /// Words to other relays that wait to be sent.
@@ -135,6 +138,8 @@
     retries: Mutex<HashMap<Name, RetryWindow>>,
     comebacks: Mutex<Comebacks>,
     returns: Mutex<Returns>,
+    // By service.
+    used: Mutex<HashMap<Name, WorkspaceUse>>,
     // Whether the list of servers has been read once.
     listed: AtomicBool,
     out_of_reach: AtomicBool,
@@ -192,6 +197,7 @@
             retries: Mutex::default(),
             comebacks: Mutex::default(),
             returns: Mutex::default(),
+            used: Mutex::default(),
             listed: AtomicBool::new(false),
             out_of_reach: AtomicBool::new(false),
             fed: AtomicBool::new(false),
@@ -567,6 +573,28 @@
         lock(&self.returns)
     }
 
+    /// Whether the workspace has taken more than its share of the service lately.
+    pub(crate) fn is_over(&self, service: &Name, workspace: Option<&Name>) -> bool {
+        let (Some(workspace), true) = (workspace, self.policy().shares) else {
+            return false;
+        };
+        let now = self.now();
+        let mut used = lock(&self.used);
+        used.get_mut(service)
+            .is_some_and(|used| used.is_over(now, workspace))
+    }
+
+    /// A stream of the workspace was taken in, that is expected to hold so many tokens.
+    pub(crate) fn note_taken(&self, service: &Name, workspace: Option<&Name>, tokens: u64) {
+        let Some(workspace) = workspace else {
+            return;
+        };
+        let now = self.now();
+        let mut used = lock(&self.used);
+        let used = used.entry(service.clone()).or_default();
+        used.taken(now, workspace, tokens);
+    }
+
     /// When a caller that was turned away is asked back.
     pub(crate) fn comeback(&self, service: &Name, asking: &Asking, left: Duration) -> Duration {
         let now = self.now();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -76,7 +76,10 @@
     loop {
         let judged = relay.policy().refuse.then_some(&asking);
         let placed = match attempts.place(relay, &call, tokens, judged) {
-            Ok(placed) => placed,
+            Ok(placed) => {
+                relay.note_taken(&call.service, call.admitted.workspace.as_ref(), tokens);
+                placed
+            }
             Err(NoPlace::Crowded(turned)) if attempts.sent() == 0 => {
                 return turn_away(relay, &call, &asking, &turned);
             }
@@ -132,6 +135,7 @@
     Asking {
         before: relay.table().more_urgent(&call.service, route),
         age: age(relay, call),
+        over: relay.is_over(&call.service, call.admitted.workspace.as_ref()),
         objective: route.objective,
     }
 }
@@ -165,6 +169,7 @@
         why,
         before = asking.before,
         waited = asking.age.as_millis() as u64,
+        over = asking.over,
         memory = percent(outlook.memory),
         running = outlook.running,
         reading = outlook.before.as_millis() as u64,
