intake: the ground of a limit is told as it is

Cause: the comment at KIND_PART spoke of two prompts; the limit was halved since, and holds one. Change: the comment. No code changed, no figure either.

--- a/lib/src/intake.rs
+++ b/lib/src/intake.rs
@@ -36,8 +36,8 @@
 /// their expectation, and a displaced run costs its caller a pause and the engine a prompt.
 const MEMORY_PART: f64 = 0.95;
 
-/// The part that each less urgent kind leaves free for those before it: two prompts of 2,500 tokens in
-/// memories of 27,000 and 34,000.
+/// The part that each less urgent kind leaves free for those before it: a prompt of 2,500 tokens in memories of
+/// 27,000 and 34,000, of which an urgent request holds little else and not for long.
 const KIND_PART: f64 = 0.08;
 
 /// The least part that any kind may fill.
