scout: a report follows a request at the times at which relays stop counting it beside the reports

Cause: the bound of 130 ms, and then of 300 ms, for requests that count as unseen was a guess of when the next report comes.

Change: both bounds are gone, a request counts until a report has come late enough, as before; the scout sends such a report 65 and 135 ms after a relay's word of a request, whether or not anything has changed.

--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -50,11 +50,6 @@
 pub(crate) const UNSEEN_NEAR: Duration = Duration::from_millis(60);
 pub(crate) const UNSEEN_FAR: Duration = Duration::from_millis(130);
 
-/// The longest that a request counts as unseen: a scout with thirty listeners tells each of them every 0.2 s,
-/// and the word takes 30 ms from another region. Counted for less, entries of a large deployment meet at the
-/// engine that was empty in the last report.
-const UNSEEN_LONGEST: Duration = Duration::from_millis(300);
-
 /// The cost of a request whose region has no room for the runs of an engine that leaves, in
 /// milliseconds, where it is one request's size short. Another region's engine costs 60 and a connection.
 const NO_RETREAT: f64 = 300.0;
@@ -190,20 +185,13 @@
     /// Tokens of memory that are taken, or will be when what runs there has grown, as far as this entry
     /// knows.
     pub(crate) fn used(&self, now: Time) -> u64 {
-        let unseen: u64 = self.unseen(now).map(|sent| sent.tokens).sum();
+        let unseen: u64 = self.unseen.iter().map(|sent| sent.tokens).sum();
         let reported = self
             .fresh_report(now)
             .map_or(0, |report| report.planned + unseen);
         reported.max(self.tokens)
     }
 
-    /// Requests that the latest report need not show. A scout tells of each when its turn comes, and then of
-    /// nothing until something changes: by the age of the report alone they would count twice until then.
-    fn unseen(&self, now: Time) -> impl Iterator<Item = &Unseen> {
-        let young = move |sent: &&Unseen| now.since(sent.at) < UNSEEN_LONGEST;
-        self.unseen.iter().filter(young)
-    }
-
     /// The part of the memory that is full at the highest point, with `tokens` more. A large request counts
     /// as [`USUAL_PART`], so that it is turned away no more often than others while it fits.
     pub(crate) fn fill(&self, now: Time, tokens: u64, engine: &EngineSpec) -> f64 {
@@ -220,7 +208,7 @@
     pub(crate) fn running(&self, now: Time) -> u32 {
         let reported = self
             .fresh_report(now)
-            .map_or(0, |report| report.running + self.unseen(now).count() as u32);
+            .map_or(0, |report| report.running + self.unseen.len() as u32);
         reported.max(self.open)
     }
 
@@ -256,7 +244,7 @@
 
     /// Tokens of prompts that the engine has still to read, as far as this entry knows.
     fn unread(&self, now: Time) -> f64 {
-        let unseen: u64 = self.unseen(now).map(|sent| sent.prompt).sum();
+        let unseen: u64 = self.unseen.iter().map(|sent| sent.prompt).sum();
         let reported = self.fresh_report(now).map_or(0, |report| report.unread);
         (reported + unseen).max(self.unread) as f64
     }
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -49,6 +49,11 @@
 /// So is a change of the failing part by more hundredths than this: two more failures among some.
 const NEWS_FAILING: u8 = 10;
 
+/// After a relay's word of a request a report goes out once more at these times, though nothing has changed.
+/// Relays of the zone, and of other regions, count a request beside the reports until one comes that is as
+/// much later; without it they would count it twice for up to 0.4 s, and take the engine for crowded.
+const FOLLOW_UPS: [Duration; 2] = [Duration::from_millis(65), Duration::from_millis(135)];
+
 /// Datagrams of reports in a second, to all listeners together: at 45 bytes under 7 KB. Beyond five
 /// listeners each gets its reports less often.
 const TELL_RATE: f64 = 150.0;
@@ -92,6 +97,8 @@
     identity: Identity,
     ledger: EngineLedger,
     outcomes: Outcomes,
+    // When a relay last told of a request.
+    heard: Instant,
     clock: Clock,
     moved: Vec<MovedRun>,
     moves: mpsc::Receiver<RunNews>,
@@ -125,6 +132,7 @@
             identity: Identity::new(),
             ledger: EngineLedger::new(),
             outcomes: Outcomes::new(),
+            heard: now,
             clock: Clock::new(),
             moved: Vec::new(),
             moves,
@@ -167,6 +175,7 @@
             }
             Ok(Datagram::Sent(word)) if word.engine == self.here.address => {
                 self.ledger.sent(self.clock.now(), &word);
+                self.heard = Instant::now();
             }
             Ok(Datagram::Ended(word)) if word.engine == self.here.address => {
                 self.outcomes.ended(self.clock.now(), word.well);
@@ -292,7 +301,11 @@
             let part = load.capacity / NEWS_PART;
             let planned = last.planned.abs_diff(load.planned) > part;
             let failing = last.failing.abs_diff(load.failing) > NEWS_FAILING;
-            !same || planned || failing || last.unread.abs_diff(load.unread) > part
+            let follows = FOLLOW_UPS.iter().any(|after| {
+                let due = self.heard + *after;
+                self.told < due && due <= Instant::now()
+            });
+            !same || planned || failing || follows || last.unread.abs_diff(load.unread) > part
         });
         let pause = if news { LOOK } else { TELL };
         pause.max(Duration::from_secs_f64(
