--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -123,6 +123,14 @@
         pub runs: Vec<EngineRun>,
     }
 
+    /// What an engine says of itself at its health path.
+    pub struct EngineHealth {
+        /// The identifier under which it lives.
+        pub id: Name,
+        /// How much longer it is cold.
+        pub cold: Duration,
+    }
+
     /// A copy of a run's memory at another engine.
     pub struct Copied {
         /// What names the copy.
@@ -196,7 +204,7 @@
 
     /// Asks at the service's health path under which identifier the engine lives. Costs more than a
     /// report: once in a life is enough.
-    async fn identity(&self, engine: SocketAddr, health: &Name) -> Result<Name, ReportError>;
+    async fn health(&self, engine: SocketAddr, path: &Name) -> Result<EngineHealth, ReportError>;
 
     /// Copies the memory of the run `id` to the engine `target`. Returns when the copy is complete.
     async fn move_run(
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -16,8 +16,7 @@
 
 use slotmap::SlotMap;
 
-use crate::fleet_server;
-use crate::fleet_server::RegionRoom;
+use crate::cold_start::ColdShares;
 use crate::fleet_server::Report;
 use crate::fleet_server::Server;
 use crate::fleet_server::UNSEEN_FAR;
@@ -25,27 +24,21 @@
 use crate::ids::Name;
 use crate::peer_words::EngineHere;
 use crate::peer_words::EngineLoad;
-use crate::placement;
-use crate::placement::Candidate;
-use crate::placement::Reach;
 use crate::routing::ServerKey;
 use crate::server_lives::ServerLives;
-use crate::site::EngineSpec;
 use crate::site::ServerChange;
 use crate::site::ServerPhase;
 use crate::site::ServerRecord;
-use crate::site::ServiceSpec;
 use crate::time::Time;
+use crate::zone_evacuation::EvacuatedZones;
+use crate::zone_evacuation::EvacuationChange;
 
+pub use crate::fleet_choice::Exclusion;
+pub use crate::fleet_choice::LeftOut;
+pub use crate::fleet_choice::NoServer;
 pub use crate::fleet_server::Need;
 pub use crate::fleet_server::Outlook;
 
-/// The time that a way to another region costs there and back, in milliseconds: 30 ms each way.
-const REGION_TRIP: f64 = 60.0;
-
-/// The same between availability zones of one region.
-const ZONE_TRIP: f64 = 3.0;
-
 /// Times that a server which could not be reached is left out: doubled with each in a row, from the
 /// first to the longest. A server that crashed is back after some seconds.
 const FIRST_REST: Duration = Duration::from_millis(400);
@@ -61,17 +54,6 @@
 /// A scout that was silent for longer than this does not count on: it tells five times a second.
 const SCOUT_AGE: Duration = Duration::from_millis(1_200);
 
-/// What an engine of another availability zone of the region must be better by, in milliseconds of the first
-/// event: a stream's events would cross between zones, which is paid by volume. A prompt's reading is more.
-const ZONE_CROSSING: f64 = 120.0;
-
-/// Why no server was chosen.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum NoServer {
-    /// No server of the service is known that takes work.
-    None,
-}
-
 /// Where this entry stands.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -91,8 +73,8 @@
 /// The backend servers of all services.
 #[derive(Debug)]
 pub struct Fleet {
-    place: Place,
-    servers: SlotMap<ServerKey, Server>,
+    pub(crate) place: Place,
+    pub(crate) servers: SlotMap<ServerKey, Server>,
     // Listed servers only.
     ids: HashMap<Name, ServerKey>,
     // All servers, listed or not. An address may be a former life's as well.
@@ -100,6 +82,10 @@
     lives: ServerLives,
     // Engines that have come since they were last asked for.
     joined: Vec<SocketAddr>,
+    // Whether the whole list was taken in once: what comes later may have started just now.
+    listed: bool,
+    pub(crate) evacuated: EvacuatedZones,
+    pub(crate) cold_shares: ColdShares,
 }
 
 impl Fleet {
@@ -112,6 +98,9 @@
             addresses: HashMap::new(),
             lives: ServerLives::default(),
             joined: Vec::new(),
+            listed: false,
+            evacuated: EvacuatedZones::default(),
+            cold_shares: ColdShares::default(),
         }
     }
 
@@ -129,6 +118,7 @@
         for record in records {
             self.put(now, record);
         }
+        self.listed = true;
     }
 
     /// Takes in one change.
@@ -150,6 +140,28 @@
         true
     }
 
+    /// Takes over which availability zones are evacuated, if that is news. The servers of a zone that takes work again
+    /// may have started while it took none.
+    pub fn set_evacuated(&mut self, now: Time, evacuated: &EvacuatedZones) -> EvacuationChange {
+        let change = self.evacuated.update(evacuated);
+        for server in self.servers.values_mut() {
+            if change.ended.contains(&server.record.zone) {
+                server.cold.may_have_started(now);
+            }
+        }
+        change
+    }
+
+    /// The evacuated availability zones.
+    pub fn evacuated(&self) -> &EvacuatedZones {
+        &self.evacuated
+    }
+
+    /// Takes over which entries there are, this one at `own`: they share what cold servers tolerate.
+    pub fn set_entries(&mut self, own: SocketAddr, others: impl IntoIterator<Item = SocketAddr>) {
+        self.cold_shares.set_entries(own, others);
+    }
+
     /// The listed servers.
     pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
         self.ids.values().map(|key| &self.servers[*key].record)
@@ -267,53 +279,6 @@
         }
     }
 
-    /// What a request would meet at the engine that was chosen for it.
-    pub fn outlook(
-        &self,
-        now: Time,
-        key: ServerKey,
-        need: &Need<'_>,
-        spec: &ServiceSpec,
-    ) -> Outlook {
-        let (Some(server), Some(engine)) = (self.servers.get(key), &spec.engine) else {
-            return Outlook::default();
-        };
-        Outlook {
-            memory: server.fill(now, need.tokens, engine),
-            before: server.reading(now),
-            own: fleet_server::reading_time(need.prompt as f64),
-            running: server.running(now),
-            slots: engine.slots,
-        }
-    }
-
-    /// Chooses a server.
-    pub fn choose(
-        &self,
-        now: Time,
-        need: &Need<'_>,
-        spec: &ServiceSpec,
-    ) -> Result<ServerKey, NoServer> {
-        let rooms = spec
-            .engine
-            .as_ref()
-            .map(|engine| self.region_rooms(now, need, engine));
-        let mut best: Option<(f64, ServerKey)> = None;
-        for (key, server) in &self.servers {
-            if !need.admits(key, server) {
-                continue;
-            }
-            let region = self.place.region_of(&server.record.zone);
-            let room = rooms.as_ref().and_then(|rooms| rooms.get(region));
-            let crowded = room.map_or(0.0, |room| room.penalty(need.tokens));
-            let score = self.score(now, server, need, spec) + crowded;
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, key));
-            }
-        }
-        best.map(|(_, key)| key).ok_or(NoServer::None)
-    }
-
     /// A request was sent to the server.
     pub fn started(&mut self, now: Time, key: ServerKey, need: &Need<'_>) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -321,6 +286,7 @@
             server.tokens += need.tokens;
             server.unread += need.prompt;
             server.sent(now, need.prompt, need.tokens);
+            server.cold.sent(now);
         }
     }
 
@@ -400,6 +366,9 @@
             failing: f64::from(load.failing) / 100.0,
             every: Duration::from_millis(u64::from(load.every)),
         });
+        server
+            .cold
+            .told(now, Duration::from_millis(u64::from(load.cold)));
         let far = server.record.zone != self.place.zone;
         let unseen = if far { UNSEEN_FAR } else { UNSEEN_NEAR };
         server.unseen.retain(|sent| now.since(sent.at) < unseen);
@@ -416,30 +385,6 @@
         turned
     }
 
-    /// Whether the reports of a service's near engines, or of all where none is near, come too seldom to choose by,
-    /// or none has come yet: all entries would then take the same engine.
-    pub fn is_dated(&self, now: Time, service: &Name) -> bool {
-        let servers = self.servers.values();
-        let able = servers.filter(|s| s.usable() && s.record.service == *service);
-        let (near, far): (Vec<&Server>, Vec<&Server>) =
-            able.partition(|s| self.reach(&s.record.zone) != Reach::Far);
-        let chosen = if near.is_empty() { far } else { near };
-        let mut reports = chosen.iter().filter_map(|s| s.fresh_report(now)).peekable();
-        let unknown = reports.peek().is_none();
-        unknown || reports.any(|report| placement::is_dated(report.every))
-    }
-
-    /// The servers that will do.
-    pub fn options(&self, need: &Need<'_>) -> Vec<Candidate> {
-        let servers = self.servers.iter();
-        let able = servers.filter(|(key, server)| need.admits(*key, server));
-        let options = able.map(|(key, server)| Candidate {
-            key,
-            reach: self.reach(&server.record.zone),
-        });
-        options.collect()
-    }
-
     /// A request found another server at the address than the expected one: that one has ended. The other
     /// one takes its place at once where a scout has said what stands there; without such a word the
     /// address may be another service's by now.
@@ -520,6 +465,7 @@
                 if record.phase == ServerPhase::Draining {
                     server.leaving.get_or_insert(now);
                 }
+                server.cold.told(now, record.cold);
                 server.record = record.clone();
                 server.found = None;
                 return;
@@ -527,13 +473,17 @@
             // Another life under the same identifier: it holds nothing of the one before.
             self.gone(now, &record.id);
         }
-        if self.take_announced(record) {
+        if self.take_announced(now, record) {
             return;
         }
         let mut server = Server::new(record.clone());
         server.listed = true;
         let draining = record.phase == ServerPhase::Draining;
         server.leaving = draining.then_some(now);
+        server.cold.told(now, record.cold);
+        if self.listed {
+            server.cold.may_have_started(now);
+        }
         let key = self.insert(server);
         self.ids.insert(record.id.clone(), key);
         self.joined.push(record.address);
@@ -541,12 +491,13 @@
 
     /// The list has an engine that was known by its scout's word only: it is the same one, and what runs
     /// there goes on.
-    fn take_announced(&mut self, record: &ServerRecord) -> bool {
+    fn take_announced(&mut self, now: Time, record: &ServerRecord) -> bool {
         let id = Name::new(format!("{UNLISTED}{}", record.address));
         let Some(key) = self.ids.remove(&id) else {
             return false;
         };
         let server = &mut self.servers[key];
+        server.cold.told(now, record.cold);
         server.record = record.clone();
         if record.phase == ServerPhase::Draining {
             server.leaving.get_or_insert(Time::ZERO);
@@ -587,64 +538,6 @@
             }
         }
     }
-
-    fn score(&self, now: Time, server: &Server, need: &Need<'_>, spec: &ServiceSpec) -> f64 {
-        let crosses = spec.engine.is_some() && self.reach(&server.record.zone) == Reach::Region;
-        let crossing = if crosses { ZONE_CROSSING } else { 0.0 };
-        let way = self.trip(&server.record.zone) + crossing;
-        let rest = server.rest.since(now).as_secs_f64() * 1_000.0;
-        let cold = server.record.cold.as_secs_f64() * 100.0;
-        let load = match &spec.engine {
-            Some(engine) => server.engine_cost(now, need, engine),
-            None => server.queue_cost(),
-        };
-        way + 10.0 * rest + cold + load
-    }
-
-    /// The memory of a service's engines in each region.
-    fn region_rooms(
-        &self,
-        now: Time,
-        need: &Need<'_>,
-        engine: &EngineSpec,
-    ) -> HashMap<Name, RegionRoom> {
-        let mut rooms: HashMap<Name, RegionRoom> = HashMap::new();
-        for server in self.servers.values() {
-            if &server.record.service != need.service || !server.listed {
-                continue;
-            }
-            let region = self.place.region_of(&server.record.zone);
-            let room = rooms.entry(region.clone()).or_default();
-            let used = server.used(now);
-            if server.leaving.is_some() {
-                // What runs there needs room at the others now.
-                room.used += used;
-            } else {
-                room.capacity += engine.capacity;
-                room.used += used;
-                room.largest = room.largest.max(engine.capacity);
-            }
-        }
-        rooms
-    }
-
-    /// Milliseconds there and back.
-    fn trip(&self, zone: &Name) -> f64 {
-        match self.reach(zone) {
-            Reach::Zone => 0.0,
-            Reach::Region => ZONE_TRIP,
-            Reach::Far => REGION_TRIP,
-        }
-    }
-
-    fn reach(&self, zone: &Name) -> Reach {
-        let place = &self.place;
-        match place.region_of(zone) == place.region_of(&place.zone) {
-            true if *zone == place.zone => Reach::Zone,
-            true => Reach::Region,
-            false => Reach::Far,
-        }
-    }
 }
 
 /// The record of an engine that the list does not have.
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -6,7 +6,10 @@
 
 use std::time::Duration;
 
+use crate::cold_start::ColdState;
 use crate::ids::Name;
+use crate::residency::ANY_REGION;
+use crate::residency::AllowedRegions;
 use crate::routing::ServerKey;
 use crate::site::EngineSpec;
 use crate::site::ServerRecord;
@@ -78,15 +81,30 @@
     pub tokens: u64,
     /// The servers that it has been to.
     pub tried: &'a [ServerKey],
-    /// The only availability zone that will do, if there is one.
+    /// Restricts the choice to this availability zone.
     pub zone: Option<&'a Name>,
-    /// The only servers that will do, if it is some.
+    /// Restricts the choice to these servers.
     pub among: Option<&'a [ServerKey]>,
+    /// Restricts the choice to these regions.
+    pub regions: &'a AllowedRegions,
 }
 
-impl Need<'_> {
-    /// Whether the server is one of those that will do.
-    pub(crate) fn admits(&self, key: ServerKey, server: &Server) -> bool {
+impl<'a> Need<'a> {
+    /// What a request needs that has been nowhere and may go anywhere.
+    pub fn new(service: &'a Name, prompt: u64, tokens: u64) -> Self {
+        Need {
+            service,
+            prompt,
+            tokens,
+            tried: &[],
+            zone: None,
+            among: None,
+            regions: &ANY_REGION,
+        }
+    }
+
+    /// Whether the server is one of those asked for, wherever it stands.
+    pub(crate) fn asks_for(&self, key: ServerKey, server: &Server) -> bool {
         let record = &server.record;
         let serves = server.usable() && record.service == *self.service;
         let here = self.zone.is_none_or(|zone| *zone == record.zone);
@@ -133,6 +151,7 @@
     pub(crate) rest: Time,
     // Requests that a plain server said it has running and waiting, besides this entry's.
     pub(crate) others: f64,
+    pub(crate) cold: ColdState,
 }
 
 /// An engine's last report.
@@ -194,6 +213,7 @@
             failures: 0,
             rest: Time::ZERO,
             others: 0.0,
+            cold: ColdState::default(),
         }
     }
 
--- a/lib/src/intake.rs
+++ b/lib/src/intake.rs
@@ -26,6 +26,7 @@
 use crate::copy_type;
 use crate::fleet::Fleet;
 use crate::fleet::Need;
+use crate::fleet::NoServer;
 use crate::fleet::Outlook;
 use crate::ids::Name;
 use crate::routing::ServerKey;
@@ -128,7 +129,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NoPlace {
     /// No server is left for it.
-    None,
+    NoServer(NoServer),
     /// All that could serve it are too crowded.
     Crowded(TurnedAway),
 }
@@ -142,29 +143,28 @@
     asking: &Asking,
 ) -> Result<ServerKey, NoPlace> {
     let mut passed = need.tried.to_vec();
-    let mut turned = NoPlace::None;
+    let mut turned = None;
     for _ in 0..MOST_JUDGED {
         let need = Need {
             tried: &passed,
             ..need.clone()
         };
-        let Ok(server) = fleet.choose(now, &need, spec) else {
-            break;
+        let server = match fleet.choose(now, &need, spec) {
+            Ok(server) => server,
+            Err(why) => return Err(turned.unwrap_or(NoPlace::NoServer(why))),
         };
         let outlook = fleet.outlook(now, server, &need, spec);
         let Err(why) = judge(asking, &outlook) else {
             return Ok(server);
         };
-        if turned == NoPlace::None {
-            turned = NoPlace::Crowded(TurnedAway {
-                why,
-                server,
-                outlook,
-            });
-        }
+        turned.get_or_insert(NoPlace::Crowded(TurnedAway {
+            why,
+            server,
+            outlook,
+        }));
         passed.push(server);
     }
-    Err(turned)
+    Err(turned.unwrap_or(NoPlace::NoServer(NoServer::None)))
 }
 
 /// Whether the stream is taken in.
--- a/lib/src/move_plan.rs
+++ b/lib/src/move_plan.rs
@@ -38,6 +38,8 @@
     /// Whether it stands in the availability zone of the engine that leaves: to another zone of the region
     /// a copy takes twice as long.
     pub near: bool,
+    /// Whether it has started lately: a cold engine tolerates few arrivals, and others send there too.
+    pub cold: bool,
     /// Whether it falls to this engine among those that leave together. See [`falls_to`].
     pub own: bool,
 }
@@ -71,8 +73,8 @@
     worth.min_by_key(|run| (run.tokens, run.id.clone()))
 }
 
-/// The target with the most room for a run, among those not in `refused`; own targets first, and
-/// near ones among them.
+/// The target with the most room for a run, among those not in `refused`; warm targets first, own ones among
+/// them, and near ones among these.
 pub fn target_for<'a>(
     tokens: u64,
     targets: &'a [Target],
@@ -86,6 +88,7 @@
     fits.max_by_key(|target| {
         let room = target.capacity - target.used;
         (
+            !target.cold,
             target.own,
             target.near,
             room,
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -13,6 +13,7 @@
 use crate::site::ServerListing;
 use crate::site::SiteConfig;
 use crate::value_type;
+use crate::zone_evacuation::EvacuatedZones;
 
 /// The largest datagram: it passes every link whole.
 pub const MAX_DATAGRAM: usize = 1_400;
@@ -41,6 +42,8 @@
         pub failing: u8,
         /// Whether it leaves.
         pub leaving: bool,
+        /// Milliseconds for which it may be cold yet.
+        pub cold: u32,
         /// Milliseconds for which it is still there, where that is known.
         pub leaves: Option<u32>,
         /// Milliseconds between two reports to the same listener while there is news.
@@ -123,6 +126,8 @@
         pub revision: u64,
         /// Other relays that it has heard lately, a few of them.
         pub others: Vec<SocketAddr>,
+        /// The evacuated availability zones, as it knows them.
+        pub evacuated: EvacuatedZones,
     }
 
     /// How a request ended at an engine.
@@ -148,6 +153,10 @@
         pub neighbours: Vec<SocketAddr>,
         /// The path at which the engine says under which identifier it lives, where that is known.
         pub health: Option<Name>,
+        /// Milliseconds for which the engine is cold after a start, where that is known.
+        pub cold: Option<u32>,
+        /// The evacuated availability zones: no run is moved there.
+        pub evacuated: EvacuatedZones,
     }
 
     /// Under which identifier an engine lives: the directory may still name a former life.
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -20,7 +20,7 @@
 
 /// Reports at longer intervals are too old to choose by: at the rate at which an engine reads, a prompt is
 /// a few hundred milliseconds of it.
-const DATED: Duration = Duration::from_millis(100);
+const LONGEST_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Engines of the own availability zone, and of the others of the region, that are asked first.
 const ASKED_ZONE: usize = 3;
@@ -43,11 +43,11 @@
 }
 
 copy_type! {
-    /// How often engines were asked for a request.
+    /// Probe round of a placement.
     pub enum Round {
-        /// Not yet.
+        /// The first.
         First,
-        /// Once; all of them are too crowded.
+        /// Retry after every engine probed first was overloaded.
         Second,
     }
 }
@@ -61,33 +61,37 @@
     pub reach: Reach,
 }
 
-/// Whether reports that come at intervals of `every` are too old to choose by.
-pub fn is_dated(every: Duration) -> bool {
-    every > DATED
+/// Whether reports that come at such an interval are too old to choose by.
+pub fn reports_too_sparse(interval: Duration) -> bool {
+    interval > LONGEST_INTERVAL
 }
 
-/// The servers that are asked in a round, of those that were not asked before.
-pub fn asked(round: Round, options: &[Candidate], rng: &mut fastrand::Rng) -> Vec<ServerKey> {
-    let of = |reach: &[Reach]| -> Vec<Candidate> {
+/// The servers to probe in a round, of those that were not probed before.
+pub fn probe_targets(
+    round: Round,
+    options: &[Candidate],
+    rng: &mut fastrand::Rng,
+) -> Vec<ServerKey> {
+    let within = |reach: &[Reach]| -> Vec<Candidate> {
         let these = options.iter().filter(|c| reach.contains(&c.reach));
         these.copied().collect()
     };
     let near = [Reach::Zone, Reach::Region];
-    let mut asked = match round {
-        Round::First => draw(of(&[Reach::Zone]), ASKED_ZONE, rng),
-        Round::Second => draw(of(&near), ASKED_AGAIN, rng),
+    let mut targets = match round {
+        Round::First => sample(within(&[Reach::Zone]), ASKED_ZONE, rng),
+        Round::Second => sample(within(&near), ASKED_AGAIN, rng),
     };
-    asked.extend(match round {
-        Round::First => draw(of(&[Reach::Region]), ASKED_REGION, rng),
-        Round::Second => draw(of(&[Reach::Far]), ASKED_FAR, rng),
+    targets.extend(match round {
+        Round::First => sample(within(&[Reach::Region]), ASKED_REGION, rng),
+        Round::Second => sample(within(&[Reach::Far]), ASKED_FAR, rng),
     });
-    match asked.is_empty() {
-        true => draw(options.to_vec(), ASKED_ZONE + ASKED_REGION, rng),
-        false => asked,
+    match targets.is_empty() {
+        true => sample(options.to_vec(), ASKED_ZONE + ASKED_REGION, rng),
+        false => targets,
     }
 }
 
-/// Some that are drawn at random.
-fn draw(options: Vec<Candidate>, count: usize, rng: &mut fastrand::Rng) -> Vec<ServerKey> {
+/// A random sample.
+fn sample(options: Vec<Candidate>, count: usize, rng: &mut fastrand::Rng) -> Vec<ServerKey> {
     rng.choose_multiple(options.iter().map(|option| option.key), count)
 }
--- a/lib/src/return_time.rs
+++ b/lib/src/return_time.rs
@@ -29,6 +29,8 @@
         Full,
         /// No engine could be reached.
         Unreached,
+        /// No server may have the request until an operator changes that.
+        NotAllowed,
     }
 }
 
@@ -38,6 +40,7 @@
     let (least, most) = match why {
         TurnedAway::Full => FULL,
         TurnedAway::Unreached => UNREACHED,
+        TurnedAway::NotAllowed => return left / PART,
     };
     let pause = least + (most - least).mul_f64(spread.clamp(0.0, 1.0));
     pause.min(left / PART)
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -10,10 +10,12 @@
 use std::time::Duration;
 
 use crate::ids::Name;
+use crate::residency::AllowedRegions;
 use crate::site::CallKind;
 use crate::site::Route;
 use crate::site::ServiceSpec;
 use crate::site::SiteConfig;
+use crate::site::SiteWorkspace;
 
 /// The routes and keys of one version of the configuration.
 #[derive(Debug, Default)]
@@ -43,6 +45,8 @@
     pub workspace: Option<Name>,
     /// The rank: 0 is the most urgent.
     pub priority: u32,
+    /// Where it may be served, by its route and its workspace.
+    pub regions: AllowedRegions,
     /// The version of the configuration.
     pub version: u64,
 }
@@ -112,10 +116,28 @@
             route: route.clone(),
             workspace: workspace.map(|w| w.name.clone()),
             priority,
+            regions: regions(route, workspace),
             version: self.config.version,
         })
     }
 
+    /// Where a request that was admitted earlier may be served now. A restriction that has come since binds it too;
+    /// one that has gone still does, since the request was admitted under it.
+    pub fn regions_now(&self, admitted: &Admitted) -> AllowedRegions {
+        if admitted.version == self.config.version {
+            return admitted.regions.clone();
+        }
+        let route = self.config.routes.iter();
+        let route = route.filter(|route| route.name == admitted.route.name);
+        let workspaces = self.config.workspaces.iter();
+        let workspace = workspaces.filter(|w| Some(&w.name) == admitted.workspace.as_ref());
+        let routes = route.map(|route| &route.regions);
+        let workspaces = workspace.map(|workspace| &workspace.regions);
+        routes
+            .chain(workspaces)
+            .fold(admitted.regions.clone(), |all, one| all.and(one))
+    }
+
     fn route(&self, host: &str, path: &str) -> Option<&Route> {
         let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
         let host = host.to_ascii_lowercase();
@@ -130,7 +152,7 @@
         &self,
         route: &Route,
         key: Option<&str>,
-    ) -> Result<Option<&crate::site::SiteWorkspace>, Denied> {
+    ) -> Result<Option<&SiteWorkspace>, Denied> {
         if self.config.workspaces.is_empty() {
             return Ok(None);
         }
@@ -143,6 +165,13 @@
     }
 }
 
+fn regions(route: &Route, workspace: Option<&SiteWorkspace>) -> AllowedRegions {
+    match workspace {
+        Some(workspace) => route.regions.and(&workspace.regions),
+        None => route.regions.clone(),
+    }
+}
+
 /// The service of a request among a route's shares. `draw` lies from 0 up to 1.
 pub fn share_of(route: &Route, draw: f64) -> Option<&Name> {
     let total: u64 = route.shares.iter().map(|s| u64::from(s.weight)).sum();
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -23,6 +23,7 @@
 use crate::outcome::RetryReason;
 use crate::prefix_index::PrefixIndex;
 use crate::reach::Reach;
+use crate::rendezvous::hash_name;
 use crate::routing::Ask;
 use crate::routing::Candidate;
 use crate::routing::End;
@@ -34,7 +35,6 @@
 use crate::service::Server;
 use crate::service::ServiceState;
 use crate::subset::SubsetRule;
-use crate::subset::hash_name;
 use crate::time::Time;
 use crate::zone_cost::ZoneCost;
 
--- a/lib/src/service.rs
+++ b/lib/src/service.rs
@@ -7,6 +7,7 @@
 
 use crate::ejection::Ejector;
 use crate::ids::Name;
+use crate::rendezvous::hash_name;
 use crate::retry_budget::RetryBudget;
 use crate::routing::RouterSettings;
 use crate::routing::ServerKey;
@@ -17,7 +18,6 @@
 use crate::subset::Member;
 use crate::subset::Pool;
 use crate::subset::SubsetRule;
-use crate::subset::hash_name;
 use crate::time::Time;
 
 /// A server, with the work that this entry has there.
--- a/lib/src/site.rs
+++ b/lib/src/site.rs
@@ -10,10 +10,13 @@
 use async_trait::async_trait;
 use thiserror::Error;
 
+use crate::cold_start::ColdStart;
 use crate::copy_type;
 use crate::figure_type;
 use crate::ids::Name;
+use crate::residency::AllowedRegions;
 use crate::value_type;
+use crate::zone_evacuation::EvacuatedZones;
 
 copy_type! {
     /// What may be repeated of a route's requests.
@@ -75,6 +78,8 @@
         pub resumable: bool,
         /// Whether requests need no key.
         pub anonymous: bool,
+        /// Where requests may be served.
+        pub regions: AllowedRegions,
     }
 
     /// A workspace and its keys.
@@ -85,6 +90,8 @@
         pub keys: Vec<Name>,
         /// Its rank, which goes before the route's.
         pub priority: Option<u32>,
+        /// Where its requests may be served, beside what their route allows.
+        pub regions: AllowedRegions,
     }
 
     /// What callers may send, and how long they may take.
@@ -139,6 +146,8 @@
         pub connections: u32,
         /// The engine's figures; `None` for a plain service.
         pub engine: Option<EngineSpec>,
+        /// How its servers start.
+        pub cold: ColdStart,
     }
 
     /// One version of the operator's configuration, whole.
@@ -172,7 +181,7 @@
         pub slots: u32,
         /// Whether it takes work.
         pub phase: ServerPhase,
-        /// How much longer it is slow after its start.
+        /// How much longer it is cold, as of its word.
         pub cold: Duration,
         /// When it started, in milliseconds since 1970: tells its lives apart.
         pub born: u64,
@@ -255,6 +264,16 @@
     /// Waits for changes after `after`.
     async fn next_servers(&self, after: Revision, wait: Duration) -> Result<ServerChanges>;
 
+    /// The evacuated availability zones.
+    async fn evacuations(&self) -> Result<EvacuatedZones>;
+
+    /// Waits until the zones differ from those `known`, and returns all; `known` itself where none came within `wait`.
+    async fn next_evacuations(
+        &self,
+        known: &EvacuatedZones,
+        wait: Duration,
+    ) -> Result<EvacuatedZones>;
+
     /// Writes where this process is reached.
     async fn register(&self, peer: &PeerRecord) -> Result<()>;
 
--- a/lib/src/subset.rs
+++ b/lib/src/subset.rs
@@ -8,6 +8,7 @@
 use std::collections::HashMap;
 
 use crate::ids::Name;
+use crate::rendezvous::mix;
 use crate::routing::ServerKey;
 
 /// Keys are first mapped to this many slots, and each slot's order of servers is worked out once.
@@ -111,17 +112,3 @@
     ranked.truncate(count);
     ranked.into_iter().map(|(_, key)| key).collect()
 }
-
-/// A name's hash, the same in every process.
-pub(crate) fn hash_name(name: &Name) -> u64 {
-    let digest = blake3::hash(name.as_str().as_bytes());
-    let head: [u8; 8] = digest.as_bytes()[..8].try_into().unwrap_or_default();
-    u64::from_le_bytes(head)
-}
-
-/// Spreads the bits of a hash: the finalizer of SplitMix64.
-fn mix(value: u64) -> u64 {
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/lib/tests/burst/mod.rs
+++ b/lib/tests/burst/mod.rs
@@ -338,14 +338,7 @@
         let service = Name::new("llm");
         // Estimates of callers are right for half of the runs.
         let guess = caller.output as f64 * (self.rng.f64() * 2.0 - 1.0).exp();
-        let need = Need {
-            service: &service,
-            prompt: caller.prompt,
-            tokens: caller.prompt + guess as u64,
-            tried: &[],
-            zone: None,
-            among: None,
-        };
+        let need = Need::new(&service, caller.prompt, caller.prompt + guess as u64);
         let at = &mut self.entries[entry];
         let asking = Asking {
             before: kind.priority,
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cicada_lib::fleet::Exclusion;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::fleet::Need;
 use cicada_lib::fleet::NoServer;
@@ -11,12 +12,16 @@
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::EngineLoad;
+use cicada_lib::residency::ANY_REGION;
+use cicada_lib::residency::AllowedRegions;
 use cicada_lib::routing::ServerKey;
+use cicada_lib::site::Revision;
 use cicada_lib::site::ServerChange;
 use cicada_lib::site::ServerPhase;
 use cicada_lib::site::ServerRecord;
 use cicada_lib::site::ServiceSpec;
 use cicada_lib::time::Time;
+use cicada_lib::zone_evacuation::EvacuatedZones;
 use testutils::site;
 
 const CAPACITY: u64 = 34_000;
@@ -70,12 +75,8 @@
 
 fn need<'a>(service: &'a Name, tried: &'a [ServerKey]) -> Need<'a> {
     Need {
-        service,
-        prompt: PROMPT,
-        tokens: DRAFT,
         tried,
-        zone: None,
-        among: None,
+        ..Need::new(service, PROMPT, DRAFT)
     }
 }
 
@@ -340,14 +341,7 @@
     far.slots = 6;
     fleet.set_all(millis(0), &[near, far]);
     let service = Name::new("llm");
-    let need = Need {
-        service: &service,
-        prompt: 0,
-        tokens: 0,
-        tried: &[],
-        zone: None,
-        among: None,
-    };
+    let need = Need::new(&service, 0, 0);
     let mut went = Vec::new();
     for _ in 0..12 {
         let key = fleet.choose(millis(1), &need, &plain()).unwrap();
@@ -473,16 +467,16 @@
     };
     let mut near = fleet("a");
     near.set_all(millis(0), &[record(0, "a"), record(1, "b")]);
-    assert!(near.is_dated(millis(1), &service));
+    assert!(near.reports_too_sparse(millis(1), &service, &ANY_REGION));
     near.report(millis(1), &here(0, "a"), &often);
     near.report(millis(1), &here(1, "b"), &seldom);
-    assert!(!near.is_dated(millis(2), &service));
+    assert!(!near.reports_too_sparse(millis(2), &service, &ANY_REGION));
     near.report(millis(3), &here(0, "a"), &seldom);
-    assert!(near.is_dated(millis(4), &service));
+    assert!(near.reports_too_sparse(millis(4), &service, &ANY_REGION));
     let mut far = fleet("c");
     far.set_all(millis(0), &[record(0, "a")]);
     far.report(millis(1), &here(0, "a"), &often);
-    assert!(!far.is_dated(millis(2), &service));
+    assert!(!far.reports_too_sparse(millis(2), &service, &ANY_REGION));
 }
 
 /// An engine has left, and another one has begun at its address while a stream still runs at the first. Each is
@@ -506,3 +500,76 @@
     assert_eq!(fleet.key_at(address(0)), Some(listed));
     assert!(fleet.record(former).is_none());
 }
+
+fn only(regions: &[&str]) -> AllowedRegions {
+    AllowedRegions::only(regions.iter().map(Name::new))
+}
+
+/// Guards against a near server that gets what may not be served in its region, however crowded the others are.
+#[test]
+fn a_restricted_request_goes_far_and_nowhere_else() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "b"), record(2, "c")]);
+    fleet.report(millis(1), &here(1, "b"), &report(33_000, 20));
+    let service = Name::new("llm");
+    let regions = only(&["region-b", "region-nowhere"]);
+    let need = Need {
+        regions: &regions,
+        ..need(&service, &[])
+    };
+    let key = fleet.choose(millis(2), &need, &spec()).unwrap();
+    assert_eq!(fleet.record(key).unwrap().id, Name::new("i-1"));
+    let left_out = fleet.left_out_near(millis(2), &need, &spec());
+    assert_eq!((left_out.region, left_out.evacuated), (1, 0));
+    let options = fleet.options(millis(2), &need, &spec());
+    assert_eq!(options.len(), 1, "nor is another one asked for its load");
+    let nowhere = only(&[]);
+    let need = Need {
+        regions: &nowhere,
+        ..need
+    };
+    let why = fleet.choose(millis(2), &need, &spec());
+    assert_eq!(why, Err(NoServer::Excluded(Exclusion::Region)));
+}
+
+/// Guards against work for a zone that is evacuated, and against one that stays unused after that is taken back.
+#[test]
+fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
+    let evacuated = |revision, zones: &[&str]| EvacuatedZones {
+        zones: zones.iter().map(Name::new).collect(),
+        revision: Revision(revision),
+    };
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "b")]);
+    assert_eq!(send(&mut fleet, millis(1)), Ok("i-0".into()));
+    let change = fleet.set_evacuated(millis(2), &evacuated(5, &["a"]));
+    assert_eq!(change.begun, [Name::new("a")]);
+    assert_eq!(send(&mut fleet, millis(3)), Ok("i-1".into()));
+    fleet.change(millis(4), &ServerChange::Put(record(2, "a")));
+    assert_eq!(
+        send(&mut fleet, millis(5)),
+        Ok("i-1".into()),
+        "a server that comes is no exception"
+    );
+    fleet.set_evacuated(millis(6), &evacuated(6, &["a", "b"]));
+    let none = Err(NoServer::Excluded(Exclusion::Evacuated));
+    assert_eq!(send(&mut fleet, millis(7)), none);
+    fleet.set_evacuated(millis(8), &evacuated(9, &["b"]));
+    assert_eq!(send(&mut fleet, millis(9)), Ok("i-2".into()));
+}
+
+/// Guards against a run that is moved, or goes back, to where new work may not go.
+#[test]
+fn a_moved_run_goes_where_new_work_may_go() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "b")]);
+    let key = |fleet: &Fleet, number| fleet.key_at(address(number)).unwrap();
+    let (one, two) = (key(&fleet, 0), key(&fleet, 1));
+    assert!(fleet.may_get(one, &only(&["region-a"])) && !fleet.may_get(two, &only(&["region-a"])));
+    let evacuated = EvacuatedZones {
+        zones: [Name::new("a")].into(),
+        revision: Revision(3),
+    };
+    fleet.set_evacuated(millis(1), &evacuated);
+    assert!(!fleet.may_get(one, &ANY_REGION) && fleet.may_get(two, &ANY_REGION));
+}
--- a/lib/tests/move_plan.rs
+++ b/lib/tests/move_plan.rs
@@ -36,6 +36,7 @@
         busy: 3,
         own: true,
         near: true,
+        cold: false,
     }
 }
 
--- a/lib/tests/placement.rs
+++ b/lib/tests/placement.rs
@@ -91,15 +91,15 @@
 fn near_engines_are_asked_first() {
     let mut rng = fastrand::Rng::with_seed(1);
     let all = options(20, 20, 80);
-    let first = placement::asked(Round::First, &all, &mut rng);
+    let first = placement::probe_targets(Round::First, &all, &mut rng);
     let near = [vec![Reach::Zone; 3], vec![Reach::Region; 2]].concat();
     assert_eq!(reaches(&all, &first), near);
-    let second = placement::asked(Round::Second, &all, &mut rng);
+    let second = placement::probe_targets(Round::Second, &all, &mut rng);
     assert!(reaches(&all, &second).contains(&Reach::Far));
     let far = options(0, 0, 80);
-    let only = placement::asked(Round::First, &far, &mut rng);
+    let only = placement::probe_targets(Round::First, &far, &mut rng);
     assert_eq!(reaches(&far, &only), vec![Reach::Far; 5]);
-    assert!(placement::asked(Round::First, &[], &mut rng).is_empty());
+    assert!(placement::probe_targets(Round::First, &[], &mut rng).is_empty());
 }
 
 /// No engine is drawn always, and none is asked twice for one request.
@@ -109,7 +109,7 @@
     let mut counts = std::collections::HashMap::new();
     for seed in 0..200 {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let mut asked = placement::asked(Round::First, &all, &mut rng);
+        let mut asked = placement::probe_targets(Round::First, &all, &mut rng);
         asked.sort();
         let count = asked.len();
         asked.dedup();
@@ -125,6 +125,6 @@
 /// Reports that come several times while a prompt is read are good enough.
 #[test]
 fn fresh_reports_are_not_dated() {
-    assert!(!placement::is_dated(Duration::from_millis(30)));
-    assert!(placement::is_dated(Duration::from_millis(700)));
+    assert!(!placement::reports_too_sparse(Duration::from_millis(30)));
+    assert!(placement::reports_too_sparse(Duration::from_millis(700)));
 }
--- /dev/null
+++ b/lib/tests/placement_rules.rs
@@ -0,0 +1,331 @@
+//! What must hold wherever a request is placed, over random orders of evacuations, configurations, outages of the
+//! directory, deaths of entries and cold returns.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cicada_lib::cold_start::ColdStart;
+use cicada_lib::fleet::Fleet;
+use cicada_lib::fleet::Need;
+use cicada_lib::fleet::Place;
+use cicada_lib::ids::Name;
+use cicada_lib::residency::AllowedRegions;
+use cicada_lib::site::Revision;
+use cicada_lib::site::ServerChange;
+use cicada_lib::site::ServerRecord;
+use cicada_lib::site::ServiceSpec;
+use cicada_lib::time::Time;
+use cicada_lib::zone_evacuation::EvacuatedZones;
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use testutils::site;
+
+const ENTRIES: usize = 12;
+const ZONES: usize = 4;
+const PER_ZONE: usize = 3;
+const SERVERS: usize = ZONES * PER_ZONE;
+
+/// Requests a second that a cold server tolerates, and what may arrive there.
+const RATE: f64 = 6.0;
+const BOUND: usize = 14;
+
+/// How long a server is cold.
+const COLD: Duration = Duration::from_secs(3);
+
+/// The time between two steps, and within which an entry in touch has heard of an evacuation.
+const STEP: u64 = 100;
+const GOSSIP_STEPS: u64 = 8;
+
+/// What happens in a step, beside requests.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// An operator evacuates a zone, or takes that back.
+    Evacuate(usize),
+    /// An operator allows a route these regions only, as bits.
+    Allow(u8),
+    /// The directory goes away, or comes back.
+    Outage,
+    /// An entry dies and starts again, knowing what the directory or its peers tell it.
+    Kill(usize),
+    /// A zone's servers return cold.
+    ColdReturn(usize),
+    Nothing,
+}
+
+impl Arbitrary for Event {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let number = usize::arbitrary(g);
+        match u8::arbitrary(g) % 16 {
+            0 => Event::Evacuate(number % ZONES),
+            1 => Event::Allow(number as u8),
+            2 => Event::Outage,
+            3 | 4 => Event::Kill(number % ENTRIES),
+            5 => Event::ColdReturn(number % ZONES),
+            _ => Event::Nothing,
+        }
+    }
+}
+
+struct Entry {
+    fleet: Fleet,
+    version: u64,
+    allowed: u8,
+}
+
+struct World {
+    now: u64,
+    rng: fastrand::Rng,
+    entries: Vec<Entry>,
+    // The directory's state.
+    away: bool,
+    revision: u64,
+    evacuated: BTreeSet<Name>,
+    version: u64,
+    allowed: u8,
+    records: Vec<ServerRecord>,
+    // Since when each zone is evacuated, and when the configuration last changed.
+    since: HashMap<Name, u64>,
+    configured: u64,
+    // When each server returned cold, and its arrivals since.
+    cold: HashMap<SocketAddr, u64>,
+    arrivals: HashMap<SocketAddr, Vec<u64>>,
+}
+
+fn zone(number: usize) -> Name {
+    Name::new(format!("z-{number}"))
+}
+
+/// Two zones to a region.
+fn region(number: usize) -> Name {
+    Name::new(format!("r-{}", number / 2))
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, number as u8], 8_701))
+}
+
+fn entry_address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 9, 0, number as u8], 7_200))
+}
+
+fn record(number: usize, cold: Duration) -> ServerRecord {
+    let zone = zone(number / PER_ZONE);
+    ServerRecord {
+        cold,
+        ..site::server(&format!("i-{number}"), address(number), zone.as_str(), 24)
+    }
+}
+
+fn regions(bits: u8) -> AllowedRegions {
+    match bits % 4 {
+        0 => AllowedRegions::Any,
+        bits => AllowedRegions::only((0..2).filter(|n| bits >> n & 1 == 1).map(|n| region(n * 2))),
+    }
+}
+
+fn spec() -> ServiceSpec {
+    ServiceSpec {
+        cold: ColdStart {
+            period: COLD,
+            rate: RATE,
+        },
+        ..site::engine_service(24, 1_000_000)
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = World {
+            now: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            entries: Vec::new(),
+            away: false,
+            revision: 1,
+            evacuated: BTreeSet::new(),
+            version: 1,
+            allowed: 0,
+            records: (0..SERVERS).map(|n| record(n, Duration::ZERO)).collect(),
+            since: HashMap::new(),
+            configured: 0,
+            cold: HashMap::new(),
+            arrivals: HashMap::new(),
+        };
+        world.entries = (0..ENTRIES).map(|n| world.start(n)).collect();
+        world
+    }
+
+    /// An entry that has read the directory.
+    fn start(&self, number: usize) -> Entry {
+        let zones = (0..ZONES).map(|n| (zone(n), region(n)));
+        let mut fleet = Fleet::new(Place {
+            zone: zone(number % ZONES),
+            regions: zones.collect(),
+        });
+        fleet.set_all(self.time(), &self.records);
+        fleet.set_evacuated(self.time(), &self.evacuated_now());
+        fleet.set_entries(entry_address(number), (0..ENTRIES).map(entry_address));
+        Entry {
+            fleet,
+            version: self.version,
+            allowed: self.allowed,
+        }
+    }
+
+    fn evacuated_now(&self) -> EvacuatedZones {
+        EvacuatedZones {
+            zones: self.evacuated.clone(),
+            revision: Revision(self.revision),
+        }
+    }
+
+    fn time(&self) -> Time {
+        Time::from_millis(self.now)
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Outage => self.away = !self.away,
+            // The operator is not answered either.
+            Event::Evacuate(_) | Event::Allow(_) if self.away => {}
+            Event::Evacuate(number) => {
+                self.revision += 1;
+                let zone = zone(number);
+                match self.evacuated.remove(&zone) {
+                    true => drop(self.since.remove(&zone)),
+                    false => {
+                        self.evacuated.insert(zone.clone());
+                        self.since.insert(zone, now);
+                    }
+                }
+                // One entry watches, and hears of it at once.
+                let evacuated = self.evacuated_now();
+                let watcher = self.rng.usize(..ENTRIES);
+                let at = self.time();
+                self.entries[watcher].fleet.set_evacuated(at, &evacuated);
+            }
+            Event::Allow(bits) => {
+                self.version += 1;
+                self.allowed = bits;
+                self.configured = now;
+                let watcher = self.rng.usize(..ENTRIES);
+                self.configure(watcher);
+            }
+            // One that starts while the directory is away knows nothing, and is told by its peers as all are.
+            Event::Kill(number) if !self.away => self.entries[number] = self.start(number),
+            Event::Kill(_) | Event::Nothing => {}
+            Event::ColdReturn(number) => self.return_cold(number),
+        }
+    }
+
+    fn return_cold(&mut self, zone: usize) {
+        let now = self.time();
+        for number in zone * PER_ZONE..(zone + 1) * PER_ZONE {
+            self.cold.insert(address(number), self.now);
+            self.records[number] = record(number, COLD);
+            let put = ServerChange::Put(record(number, COLD));
+            for entry in &mut self.entries {
+                entry.fleet.change(now, &put);
+            }
+        }
+    }
+
+    fn configure(&mut self, number: usize) {
+        let (version, allowed) = (self.version, self.allowed);
+        let entry = &mut self.entries[number];
+        (entry.version, entry.allowed) = (version, allowed);
+    }
+
+    /// Each entry tells two others what it knows; later words go before former ones.
+    fn gossip(&mut self) {
+        for from in 0..ENTRIES {
+            for _ in 0..2 {
+                let to = self.rng.usize(..ENTRIES);
+                let evacuated = self.entries[from].fleet.evacuated().clone();
+                let (version, allowed) = (self.entries[from].version, self.entries[from].allowed);
+                let now = self.time();
+                let other = &mut self.entries[to];
+                other.fleet.set_evacuated(now, &evacuated);
+                if version > other.version {
+                    (other.version, other.allowed) = (version, allowed);
+                }
+            }
+        }
+    }
+
+    /// A request at some entry; `Err` says which rule its place breaks.
+    fn request(&mut self) -> Result<(), String> {
+        let number = self.rng.usize(..ENTRIES);
+        let (now, at) = (self.now, self.time());
+        let entry = &mut self.entries[number];
+        let service = Name::new("llm");
+        let allowed = regions(entry.allowed);
+        let need = Need {
+            regions: &allowed,
+            ..Need::new(&service, 500, 800)
+        };
+        let Ok(key) = entry.fleet.choose(at, &need, &spec()) else {
+            return Ok(());
+        };
+        entry.fleet.started(at, key, &need);
+        let record = entry.fleet.record(key).expect("chosen").clone();
+        let told = |since: u64| now > since + GOSSIP_STEPS * STEP;
+        if let Some(since) = self.since.get(&record.zone)
+            && told(*since)
+        {
+            return Err(format!(
+                "{} was evacuated at {since}, used at {now}",
+                record.zone
+            ));
+        }
+        let zone = (0..ZONES)
+            .find(|n| zone(*n) == record.zone)
+            .expect("a zone");
+        if told(self.configured) && !regions(self.allowed).permits(&region(zone)) {
+            return Err(format!("{} is in no allowed region at {now}", record.zone));
+        }
+        let Some(since) = self.cold.get(&record.address) else {
+            return Ok(());
+        };
+        if now >= since + COLD.as_millis() as u64 {
+            return Ok(());
+        }
+        let arrivals = self.arrivals.entry(record.address).or_default();
+        arrivals.push(now);
+        let latest = arrivals.iter().filter(|at| now - **at < 1_000).count();
+        match latest > BOUND {
+            true => Err(format!("{} has got {latest} while cold", record.address)),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Plays the events, with a burst of requests in each step.
+fn play(events: &[Event], seed: u64) -> Result<(), String> {
+    let mut world = World::new(seed);
+    for event in events {
+        world.now += STEP;
+        world.happen(*event);
+        world.gossip();
+        for _ in 0..30 {
+            world.request()?;
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn regions_evacuations_and_cold_servers_are_heeded_in_any_order() {
+    fn holds(events: Vec<Event>, seed: u64) -> quickcheck::TestResult {
+        match play(&events, seed) {
+            Ok(()) => quickcheck::TestResult::passed(),
+            Err(broken) => quickcheck::TestResult::error(broken),
+        }
+    }
+    let generator = Gen::from_size_and_seed(150, 26);
+    let mut check = QuickCheck::new().rng(generator).tests(150);
+    check.quickcheck(holds as fn(Vec<Event>, u64) -> quickcheck::TestResult);
+}
--- a/lib/tests/relays/mod.rs
+++ b/lib/tests/relays/mod.rs
@@ -300,14 +300,7 @@
         let service = Name::new("llm");
         self.sent += 1;
         let id = Name::new(format!("r-{}", self.sent));
-        let need = Need {
-            service: &service,
-            prompt,
-            tokens: prompt + 300,
-            tried: &[],
-            zone: None,
-            among: None,
-        };
+        let need = Need::new(&service, prompt, prompt + 300);
         let now = self.time();
         let among = match self.choice {
             Choice::Reports => None,
@@ -351,11 +344,11 @@
     /// Asks the scouts that the relay draws; `None` where the reports are fresh enough.
     fn ask(&mut self, relay: usize, id: &Name, need: &Need<'_>) -> Option<Vec<ServerKey>> {
         let now = self.time();
-        if !self.relays[relay].is_dated(now, need.service) {
+        if !self.relays[relay].reports_too_sparse(now, need.service, need.regions) {
             return None;
         }
-        let options = self.relays[relay].options(need);
-        let asked = placement::asked(Round::First, &options, &mut self.rng);
+        let options = self.relays[relay].options(now, need, &spec());
+        let asked = placement::probe_targets(Round::First, &options, &mut self.rng);
         for key in &asked {
             let engine = self.relays[relay].record(*key).expect("asked").address;
             let load = self.load(number(engine), Some(id));
--- /dev/null
+++ b/lib/tests/residency.rs
@@ -0,0 +1,108 @@
+//! In which regions a request may be served.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cicada_lib::ids::Name;
+use cicada_lib::residency::AllowedRegions;
+use cicada_lib::route_table::Admitted;
+use cicada_lib::route_table::RouteTable;
+use cicada_lib::site::CallKind;
+use cicada_lib::site::Route;
+use cicada_lib::site::Share;
+use cicada_lib::site::SiteConfig;
+use cicada_lib::site::SiteWorkspace;
+use quickcheck::TestResult;
+use quickcheck::quickcheck;
+
+fn only(regions: &[&str]) -> AllowedRegions {
+    AllowedRegions::only(regions.iter().map(Name::new))
+}
+
+fn table(version: u64, route: AllowedRegions, workspace: AllowedRegions) -> RouteTable {
+    RouteTable::new(Arc::new(SiteConfig {
+        version,
+        routes: vec![Route {
+            name: Name::new("drafts"),
+            host: Name::new("rites.example"),
+            prefix: Name::new("/"),
+            kind: CallKind::Streaming,
+            timeout: Duration::from_secs(30),
+            objective: Duration::from_secs(2),
+            gap: Duration::ZERO,
+            priority: 0,
+            shares: vec![Share {
+                service: Name::new("llm"),
+                weight: 1,
+            }],
+            attempts: 1,
+            resumable: false,
+            anonymous: true,
+            regions: route,
+        }],
+        workspaces: vec![SiteWorkspace {
+            name: Name::new("chapel"),
+            keys: vec![Name::new("key")],
+            priority: None,
+            regions: workspace,
+        }],
+        ..SiteConfig::default()
+    }))
+}
+
+fn admitted(table: &RouteTable, key: Option<&str>) -> Admitted {
+    table.admit("rites.example", "/", key).expect("a route")
+}
+
+#[test]
+fn route_and_workspace_bind_at_once() {
+    let table = table(1, only(&["north", "south"]), only(&["south", "west"]));
+    assert_eq!(admitted(&table, Some("key")).regions, only(&["south"]));
+    assert_eq!(admitted(&table, None).regions, only(&["north", "south"]));
+}
+
+/// Guards against an empty intersection that is taken for no restriction.
+#[test]
+fn regions_that_exclude_each_other_leave_none() {
+    let table = table(1, only(&["north"]), only(&["south"]));
+    let regions = admitted(&table, Some("key")).regions;
+    for region in ["north", "south", "unknown"] {
+        assert!(!regions.permits(&Name::new(region)), "{region}");
+    }
+}
+
+/// Guards against a retry or a move by the restriction of the version that admitted the request.
+#[test]
+fn a_region_that_is_taken_away_binds_what_was_admitted_before() {
+    let before = table(1, AllowedRegions::Any, only(&["north", "south"]));
+    let admitted = admitted(&before, Some("key"));
+    assert_eq!(before.regions_now(&admitted), only(&["north", "south"]));
+    let after = table(2, only(&["north", "west"]), AllowedRegions::Any);
+    assert_eq!(after.regions_now(&admitted), only(&["north"]));
+}
+
+/// A route or a workspace that is gone restricts what it admitted no less than before.
+#[test]
+fn a_restriction_outlasts_its_route() {
+    let before = table(1, only(&["north"]), AllowedRegions::Any);
+    let admitted = admitted(&before, Some("key"));
+    let after = RouteTable::new(Arc::new(SiteConfig {
+        version: 2,
+        ..SiteConfig::default()
+    }));
+    assert_eq!(after.regions_now(&admitted), only(&["north"]));
+}
+
+quickcheck! {
+    fn both_permit_what_each_permits(one: Vec<u8>, two: Vec<u8>, any: (bool, bool)) -> TestResult {
+        let regions = |numbers: &[u8], any| match any {
+            true => AllowedRegions::Any,
+            false => AllowedRegions::only(numbers.iter().map(|n| Name::new(format!("r-{}", n % 6)))),
+        };
+        let (one, two) = (regions(&one, any.0), regions(&two, any.1));
+        let both = one.and(&two);
+        let names = (0..6).map(|n| Name::new(format!("r-{n}")));
+        let mut names = names.into_iter();
+        TestResult::from_bool(names.all(|n| both.permits(&n) == (one.permits(&n) && two.permits(&n))))
+    }
+}
--- a/lib/tests/route_table.rs
+++ b/lib/tests/route_table.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cicada_lib::ids::Name;
+use cicada_lib::residency::AllowedRegions;
 use cicada_lib::route_table::Denied;
 use cicada_lib::route_table::RouteTable;
 use cicada_lib::route_table::share_of;
@@ -28,6 +29,7 @@
         attempts: 1,
         resumable: false,
         anonymous,
+        regions: AllowedRegions::Any,
     }
 }
 
@@ -43,6 +45,7 @@
         name: Name::new(name),
         keys: vec![Name::new(key)],
         priority,
+        regions: AllowedRegions::Any,
     };
     RouteTable::new(Arc::new(SiteConfig {
         version: 7,
--- /dev/null
+++ b/lib/tests/zone_evacuation.rs
@@ -0,0 +1,53 @@
+//! Which availability zones are evacuated, by words that come in any order.
+
+use cicada_lib::ids::Name;
+use cicada_lib::site::Revision;
+use cicada_lib::zone_evacuation::EvacuatedZones;
+use cicada_lib::zone_evacuation::EvacuationChange;
+use quickcheck::quickcheck;
+
+fn zones(revision: u64, zones: &[&str]) -> EvacuatedZones {
+    EvacuatedZones {
+        zones: zones.iter().map(Name::new).collect(),
+        revision: Revision(revision),
+    }
+}
+
+#[test]
+fn evacuations_overlap_and_end_one_by_one() {
+    let mut known = EvacuatedZones::default();
+    assert!(!known.is_known());
+    let begun = known.update(&zones(3, &["a"]));
+    assert_eq!(begun.begun, [Name::new("a")]);
+    let both = known.update(&zones(5, &["a", "b"]));
+    assert_eq!(both.begun, [Name::new("b")]);
+    let ended = known.update(&zones(9, &["b"]));
+    assert_eq!(ended.ended, [Name::new("a")]);
+    assert!(known.contains(&Name::new("b")) && !known.contains(&Name::new("a")));
+}
+
+/// Guards against a zone that takes work again by the word of an entry that has not heard of its evacuation.
+#[test]
+fn a_former_word_changes_nothing() {
+    let mut known = zones(7, &["a"]);
+    for old in [zones(6, &[]), zones(7, &[]), EvacuatedZones::default()] {
+        assert_eq!(known.update(&old), EvacuationChange::default());
+    }
+    assert!(known.contains(&Name::new("a")));
+}
+
+quickcheck! {
+    /// In whatever order the words come, and however often, the latest one holds at the end.
+    fn the_latest_word_holds(order: Vec<u8>) -> bool {
+        let mut known = EvacuatedZones::default();
+        for number in &order {
+            let names: Vec<String> = (0..3).filter(|bit| number >> bit & 1 == 1).map(|n| format!("z-{n}")).collect();
+            let names: Vec<&str> = names.iter().map(String::as_str).collect();
+            known.update(&zones(u64::from(*number), &names));
+        }
+        let latest = order.iter().max().copied().unwrap_or_default();
+        let bits = (0..3).filter(|bit| latest >> bit & 1 == 1);
+        let expected = bits.map(|n| Name::new(format!("z-{n}"))).collect();
+        known.zones == expected && known.revision == Revision(u64::from(latest))
+    }
+}
--- a/lib/testutils/src/site.rs
+++ b/lib/testutils/src/site.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cicada_lib::cold_start::ColdStart;
 use cicada_lib::ids::Name;
 use cicada_lib::site::EngineSpec;
 use cicada_lib::site::ServerPhase;
@@ -23,6 +24,7 @@
             backups: true,
             stride: 4,
         }),
+        cold: ColdStart::default(),
     }
 }
 
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use cicada_lib::fleet::Exclusion;
 use cicada_lib::fleet::Need;
+use cicada_lib::fleet::NoServer;
 use cicada_lib::intake::Asking;
 use cicada_lib::intake::NoPlace;
 use cicada_lib::routing::ServerKey;
@@ -38,6 +40,8 @@
     sent: u32,
     ran: bool,
     refused: bool,
+    // Why the last choice found no server.
+    lacking: Option<NoServer>,
 }
 
 impl Attempts {
@@ -51,6 +55,7 @@
             sent: 0,
             ran: false,
             refused: false,
+            lacking: None,
         }
     }
 
@@ -64,6 +69,18 @@
         self.refused
     }
 
+    /// Why there was no server for the request, where none was found and none has turned it away.
+    pub(crate) fn lacking(&self) -> Option<NoServer> {
+        self.lacking.filter(|_| !self.refused)
+    }
+
+    /// Whether only an operator's change lets the request be served.
+    pub(crate) fn is_barred(&self) -> bool {
+        use Exclusion::Evacuated;
+        use Exclusion::Region;
+        matches!(self.lacking(), Some(NoServer::Excluded(Evacuated | Region)))
+    }
+
     /// Servers to which it was sent.
     pub(crate) fn sent(&self) -> u32 {
         self.sent
@@ -79,25 +96,28 @@
         asking: Option<&Asking>,
     ) -> Result<Placed, NoPlace> {
         if self.chosen >= MOST_SERVERS || call.left().is_zero() {
-            return Err(NoPlace::None);
+            return Err(NoPlace::NoServer(NoServer::None));
         }
         self.chosen += 1;
         let others: Vec<ServerKey> = self.tried.iter().chain(&self.failed).copied().collect();
+        let regions = relay.table().regions_now(&call.admitted);
+        let prompt = u64::from(call.head.prompt);
         let need = |tried| Need {
-            service: &call.service,
-            prompt: u64::from(call.head.prompt),
-            tokens,
             tried,
-            zone: None,
-            among: None,
+            regions: &regions,
+            ..Need::new(&call.service, prompt, tokens)
         };
         let id = call.head.id.as_ref();
         let placed = match choice::place(relay, id, &need(&others), &call.spec, asking).await {
-            Err(NoPlace::None) => {
-                choice::place(relay, id, &need(&self.tried), &call.spec, asking).await?
+            Err(NoPlace::NoServer(_)) => {
+                choice::place(relay, id, &need(&self.tried), &call.spec, asking).await
             }
-            placed => placed?,
+            placed => placed,
         };
+        if let Err(NoPlace::NoServer(why)) = &placed {
+            self.lacking = Some(*why);
+        }
+        let placed = placed?;
         if tokens > 0 {
             relay.tell_sent(&placed, id);
         }
--- a/relay/src/choice.rs
+++ b/relay/src/choice.rs
@@ -26,7 +26,7 @@
     spec: &ServiceSpec,
     asking: Option<&Asking>,
 ) -> Result<Placed, NoPlace> {
-    let Some(id) = id.filter(|_| asks_for(relay, need)) else {
+    let Some(id) = id.filter(|_| probes_for(relay, need)) else {
         return relay.place(need, spec, asking);
     };
     let mut tried = need.tried.to_vec();
@@ -36,7 +36,7 @@
             tried: &tried,
             ..need.clone()
         };
-        let asked = draw(relay, &next, round);
+        let asked = targets(relay, &next, spec, round);
         let answered = ask(relay, id, &next, &asked).await;
         let among = match answered.is_empty() {
             true => &asked,
@@ -52,28 +52,29 @@
             Err(NoPlace::Crowded(crowded)) => {
                 turned.get_or_insert(crowded);
             }
-            Err(NoPlace::None) => {}
+            Err(NoPlace::NoServer(_)) => {}
         }
         // A scout that has just begun has not looked at its engine yet, and answers the next time.
         tried.extend(answered);
     }
     match turned {
         Some(crowded) => Err(NoPlace::Crowded(crowded)),
-        // Those that were drawn have all left; the others are still there.
+        // Those that were sampled have all left; the others are still there.
         None => relay.place(need, spec, asking),
     }
 }
 
 /// Whether scouts are asked before a request is placed.
-fn asks_for(relay: &Relay, need: &Need<'_>) -> bool {
-    let asks = relay.policy().ask && need.prompt > 0;
-    asks && relay.fleet().is_dated(relay.now(), need.service)
+fn probes_for(relay: &Relay, need: &Need<'_>) -> bool {
+    let may = relay.policy().ask && need.prompt > 0;
+    let fleet = relay.fleet();
+    may && fleet.reports_too_sparse(relay.now(), need.service, need.regions)
 }
 
 /// The servers whose scouts are asked.
-fn draw(relay: &Relay, need: &Need<'_>, round: Round) -> Vec<ServerKey> {
-    let options = relay.fleet().options(need);
-    placement::asked(round, &options, &mut fastrand::Rng::new())
+fn targets(relay: &Relay, need: &Need<'_>, spec: &ServiceSpec, round: Round) -> Vec<ServerKey> {
+    let options = relay.fleet().options(relay.now(), need, spec);
+    placement::probe_targets(round, &options, &mut fastrand::Rng::new())
 }
 
 /// Asks the scouts of the servers what a request would meet; the servers whose scouts have answered.
--- a/relay/src/identity.rs
+++ b/relay/src/identity.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use cicada_lib::dialect::EngineCalls;
+use cicada_lib::dialect::EngineHealth;
 use cicada_lib::ids::Name;
 use cicada_lib::time::Time;
 use tokio::sync::mpsc;
@@ -30,8 +31,8 @@
     // `None` before the first look.
     looked: Option<Time>,
     asked: Option<Instant>,
-    answers: mpsc::Receiver<(u64, Name)>,
-    answers_in: mpsc::Sender<(u64, Name)>,
+    answers: mpsc::Receiver<(u64, EngineHealth)>,
+    answers_in: mpsc::Sender<(u64, EngineHealth)>,
 }
 
 impl Identity {
@@ -87,23 +88,23 @@
         self.asked = Some(Instant::now());
         let (engines, answers, life) = (engines.clone(), self.answers_in.clone(), self.life);
         tokio::spawn(async move {
-            match engines.identity(engine, &path).await {
-                Ok(id) => {
+            match engines.health(engine, &path).await {
+                Ok(health) => {
                     // A scout that is gone needs no answer.
-                    drop(answers.send((life, id)).await);
+                    drop(answers.send((life, health)).await);
                 }
                 Err(error) => tracing::debug!(%error, "scout: the engine does not name itself"),
             }
         });
     }
 
-    /// Waits for the engine's answer: its identifier, where that is news.
-    pub(crate) async fn answered(&mut self) -> Option<Name> {
-        let (life, id) = self.answers.recv().await?;
+    /// Waits for the engine's answer, where that is news.
+    pub(crate) async fn answered(&mut self) -> Option<EngineHealth> {
+        let (life, health) = self.answers.recv().await?;
         if life != self.life || self.id.is_some() {
             return None;
         }
-        self.id = Some(id.clone());
-        Some(id)
+        self.id = Some(health.id.clone());
+        Some(health)
     }
 }
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -10,6 +10,7 @@
 use cicada_lib::site::PeerRecord;
 use cicada_lib::site::Result;
 use cicada_lib::site::Revision;
+use cicada_lib::zone_evacuation::EvacuatedZones;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
@@ -23,6 +24,10 @@
 const CONFIG_WATCH: Duration = Duration::from_secs(10);
 const SERVER_WATCH: Duration = Duration::from_millis(2_500);
 
+/// How long a watch on evacuations waits. One whose connection fell silent is given up after this and the call's own
+/// time, together less than an evacuation may take to hold.
+const EVACUATION_WATCH: Duration = Duration::from_secs(3);
+
 /// The time from one watch on the backend servers to the next, for each relay that is known, and the longest. Each
 /// watch that returns costs a call, and changes grow with the fleet, while the platform's rates grow more
 /// slowly: in a large fleet several changes come with one call. Engines that leave are known by their scouts.
@@ -95,6 +100,7 @@
         tokio::join!(
             self.follow_config(),
             self.follow_servers(),
+            self.follow_evacuations(),
             self.follow_peers(),
             self.pull(),
         );
@@ -157,6 +163,39 @@
         }
     }
 
+    /// One relay of each region follows evacuations, and the others hear of them from any relay.
+    async fn follow_evacuations(&self) {
+        let mut tries = Tries::new();
+        let mut known: Option<EvacuatedZones> = None;
+        loop {
+            if self.relay.evacuated().is_known() && !self.relay.watches_region() {
+                known = None;
+                sleep(PULL).await;
+                continue;
+            }
+            let outcome = match &known {
+                None => self.directory.evacuations().await,
+                Some(known) => {
+                    self.directory
+                        .next_evacuations(known, EVACUATION_WATCH)
+                        .await
+                }
+            };
+            match outcome {
+                Ok(evacuated) => {
+                    tries.went_well();
+                    self.relay.take_evacuated(&evacuated);
+                    known = Some(evacuated);
+                }
+                Err(error) => {
+                    tracing::info!(%error, "directory: no news of evacuations");
+                    known = None;
+                    tries.failed(&self.relay).await;
+                }
+            }
+        }
+    }
+
     /// Whether another relay of the zone watches; waits a moment where one does.
     async fn is_told(&self) -> bool {
         if self.relay.watches() {
@@ -230,7 +269,11 @@
             let pause = match self.directory.peers().await {
                 Ok(peers) => {
                     let others = peers.into_iter().filter(|p| p.entry).map(|p| p.address);
-                    self.relay.peers().learn(own.address, others);
+                    let mut known = self.relay.peers();
+                    known.learn(own.address, others);
+                    known.set_listed();
+                    drop(known);
+                    self.relay.share_cold_starts();
                     PEERS
                 }
                 Err(error) => {
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cicada_lib::ids::Name;
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::Datagram;
 use cicada_lib::peer_words::LoadAsk;
@@ -17,10 +16,10 @@
 use tokio::time::interval;
 
 use crate::moved_runs::MoveAsk;
-use crate::relay::EngineGroup;
 use crate::relay::Pending;
 use crate::relay::Relay;
 use crate::relay::Sent;
+use crate::relay_view::EngineGroup;
 use crate::word_socket::WordSocket;
 
 /// How often subscriptions are renewed: a scout keeps one for four of them, so that lost datagrams cost
@@ -84,6 +83,7 @@
                 _ = renewals.tick() => self.subscribe().await,
                 () = self.relay.engines_joined() => self.subscribe_new().await,
                 _ = hellos.tick() => self.hello().await,
+                () = self.relay.evacuation_news() => self.hello().await,
                 _ = refusals.tick() => self.tell_refusals().await,
                 Some(news) = news.recv() => self.tell_news(news).await,
                 Some(asks) = load_asks.recv() => self.ask_load(asks).await,
@@ -118,7 +118,7 @@
                 true => group.engines.iter().copied().take(MOST_NAMED).collect(),
                 false => Vec::new(),
             };
-            self.subscribe_to(&engines, neighbours, &group.health).await;
+            self.subscribe_to(&group, &engines, neighbours).await;
         }
     }
 
@@ -150,19 +150,21 @@
         for group in groups {
             let engines = self.followed(&group, all).into_iter();
             let new: Vec<SocketAddr> = engines.filter(|e| joined.contains(e)).collect();
-            self.subscribe_to(&new, Vec::new(), &group.health).await;
+            self.subscribe_to(&group, &new, Vec::new()).await;
         }
     }
 
     async fn subscribe_to(
         &self,
+        group: &EngineGroup,
         engines: &[SocketAddr],
         neighbours: Vec<SocketAddr>,
-        health: &Name,
     ) {
         let word = Datagram::Subscribe(Subscription {
             neighbours,
-            health: Some(health.clone()),
+            health: Some(group.health.clone()),
+            cold: Some(group.cold.as_millis() as u32),
+            evacuated: self.relay.evacuated(),
         });
         let scouts = self.socket.on_hosts(engines);
         self.socket.send(&word, &scouts).await;
@@ -170,12 +172,14 @@
 
     async fn hello(&self) {
         self.relay.note_runs();
+        self.relay.share_cold_starts();
         let word = Datagram::Hello(RelayHello {
             zone: self.relay.settings().place.zone.clone(),
             fed: self.relay.is_fed(),
             version: self.relay.version(),
             revision: self.relay.revision().0,
             others: self.relay.peers().some(PASSED_ON),
+            evacuated: self.relay.evacuated(),
         });
         self.tell_zone(&word).await;
         self.tell_peers(&word).await;
@@ -261,6 +265,7 @@
                 peers.heard(from, &hello);
                 peers.learn(self.relay.settings().peer, hello.others);
                 drop(peers);
+                self.relay.set_evacuated(&hello.evacuated);
                 self.relay.note_told(hello.version, hello.revision);
             }
             Ok(_) => {}
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -47,13 +47,34 @@
     // Those that are written down somewhere, heard of or not.
     known: HashSet<SocketAddr>,
     words: HashMap<SocketAddr, Word>,
+    // Whether the directory's list has been learnt.
+    listed: bool,
+    // Whether `known` has grown, or become complete, since it was last taken.
+    changed: bool,
 }
 
 impl Peers {
     /// Learns of relays.
     pub(crate) fn learn(&mut self, own: SocketAddr, peers: impl IntoIterator<Item = SocketAddr>) {
+        let before = self.known.len();
         self.known
             .extend(peers.into_iter().filter(|peer| *peer != own));
+        self.changed |= self.known.len() > before;
+    }
+
+    /// The directory's list of relays has been learnt: who is not known now has come since.
+    pub(crate) fn set_listed(&mut self) {
+        self.changed |= !self.listed;
+        self.listed = true;
+    }
+
+    /// All relays that are known, alive or not, where there are more than when this was last asked; `None` also until
+    /// the directory's list has been learnt.
+    pub(crate) fn take_changed(&mut self) -> Option<Vec<SocketAddr>> {
+        if !self.listed || !std::mem::take(&mut self.changed) {
+            return None;
+        }
+        Some(self.known.iter().copied().collect())
     }
 
     /// Takes a relay's word.
@@ -65,7 +86,7 @@
             version: hello.version,
             revision: hello.revision,
         };
-        self.known.insert(from);
+        self.changed |= self.known.insert(from);
         self.words.insert(from, word);
     }
 
@@ -89,9 +110,9 @@
         fastrand::choose_multiple(own.map(|(peer, _)| *peer), ZONE_FANOUT)
     }
 
-    /// Whether the relay at `own` is the one of its zone that watches the directory.
-    pub(crate) fn watches(&self, own: SocketAddr, zone: &Name) -> bool {
-        let others = self.words.iter().filter(|(_, word)| word.zone == *zone);
+    /// Whether the relay at `own` is the one that watches the directory, of those in some availability zones.
+    pub(crate) fn watches(&self, own: SocketAddr, is_with: impl Fn(&Name) -> bool) -> bool {
+        let others = self.words.iter().filter(|(_, word)| is_with(&word.zone));
         let mut able = others.filter(|(_, word)| word.fed && word.at.elapsed() < SILENT);
         able.all(|(peer, _)| own < *peer)
     }
--- a/relay/src/placed.rs
+++ b/relay/src/placed.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cicada_lib::fleet::LeftOut;
 use cicada_lib::fleet::Need;
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::SentWord;
@@ -21,6 +22,8 @@
     pub(crate) age: Option<u64>,
     // How long the server was to read at the choice, this request's prompt among it.
     pub(crate) reading: Duration,
+    // Servers of this region that were left out, where the chosen one stands in another region.
+    pub(crate) left_out: Option<LeftOut>,
     // Scouts that were asked, and that answered.
     pub(crate) asked: usize,
     pub(crate) answered: usize,
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -9,6 +9,8 @@
 use bytes::BytesMut;
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::fleet::Fleet;
+use cicada_lib::return_time;
+use cicada_lib::return_time::TurnedAway;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
@@ -95,6 +97,7 @@
                     status = whole.status.as_u16(),
                     sends = attempts.sent() + 1,
                     waited = call.arrived.elapsed().as_millis() as u64,
+                    left_out = placed.basis.left_out.map(tracing::field::display),
                     "request: answered"
                 );
                 relay.figures().answer("whole");
@@ -115,7 +118,11 @@
         relay.figures().answer("failed_by_server");
         return whole.response();
     }
-    conclude(relay, call, attempts.ran(), come_back(call))
+    let pause = match attempts.is_barred() {
+        true => return_time::pause(TurnedAway::NotAllowed, call.left(), 0.0),
+        false => come_back(call),
+    };
+    conclude(relay, call, &attempts, pause)
 }
 
 /// When a caller that was turned away may come back: soon, since plain calls are short, and spread,
--- /dev/null
+++ b/relay/src/relay_places.rs
@@ -0,0 +1,172 @@
+//! Where an entry's requests are, and what others are told of them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use cicada_lib::fleet::Need;
+use cicada_lib::fleet::NoServer;
+use cicada_lib::ids::Name;
+use cicada_lib::intake;
+use cicada_lib::intake::Asking;
+use cicada_lib::intake::NoPlace;
+use cicada_lib::peer_words::EngineHere;
+use cicada_lib::peer_words::RunEnded;
+use cicada_lib::peer_words::SentWord;
+use cicada_lib::residency::ANY_REGION;
+use cicada_lib::retry_window::RetryWindow;
+use cicada_lib::returns::Returns;
+use cicada_lib::site::ServiceSpec;
+
+use crate::lock::lock;
+use crate::placed::Basis;
+use crate::placed::Placed;
+use crate::relay::Relay;
+use crate::relay::Sent;
+
+impl Relay {
+    /// Chooses a server and counts the request as sent there. Where it is `asking` whether it is taken in, it
+    /// goes only to an engine that is not too crowded.
+    pub(crate) fn place(
+        self: &Arc<Self>,
+        need: &Need<'_>,
+        spec: &ServiceSpec,
+        asking: Option<&Asking>,
+    ) -> Result<Placed, NoPlace> {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        let key = match asking {
+            Some(asking) => intake::place(&fleet, now, need, spec, asking)?,
+            None => fleet.choose(now, need, spec).map_err(NoPlace::NoServer)?,
+        };
+        let record = fleet.record(key).cloned();
+        let record = record.ok_or(NoPlace::NoServer(NoServer::None))?;
+        let (used, age) = fleet.load(now, key);
+        let basis = Basis {
+            used,
+            age: age.map(|age| age.as_millis() as u64),
+            left_out: (!fleet.is_near(key)).then(|| fleet.left_out_near(now, need, spec)),
+            ..Basis::default()
+        };
+        if let Some(asking) = asking {
+            lock(&self.comebacks).taken(now, need.service, asking.before);
+        }
+        fleet.started(now, key, need);
+        let basis = Basis {
+            reading: fleet.reading(now, key),
+            ..basis
+        };
+        drop(fleet);
+        Ok(Placed::new(self, key, record, need).with_basis(basis))
+    }
+
+    /// The requests that were turned away lately. Held for microseconds.
+    pub(crate) fn returns(&self) -> MutexGuard<'_, Returns> {
+        lock(&self.returns)
+    }
+
+    /// Whether the workspace has taken more than its share of the service lately.
+    pub(crate) fn is_over(&self, service: &Name, workspace: Option<&Name>) -> bool {
+        let (Some(workspace), true) = (workspace, self.policy().shares) else {
+            return false;
+        };
+        let now = self.now();
+        let mut used = lock(&self.used);
+        used.get_mut(service)
+            .is_some_and(|used| used.is_over(now, workspace))
+    }
+
+    /// A stream of the workspace was taken in, that is expected to hold so many tokens.
+    pub(crate) fn note_taken(&self, service: &Name, workspace: Option<&Name>, tokens: u64) {
+        let Some(workspace) = workspace else {
+            return;
+        };
+        let now = self.now();
+        let mut used = lock(&self.used);
+        let used = used.entry(service.clone()).or_default();
+        used.taken(now, workspace, tokens);
+    }
+
+    /// When a caller that was turned away is asked back.
+    pub(crate) fn comeback(&self, service: &Name, asking: &Asking, left: Duration) -> Duration {
+        let now = self.now();
+        let mut comebacks = lock(&self.comebacks);
+        comebacks.pause(now, service, asking, left, fastrand::f64())
+    }
+
+    /// Counts a request for a service.
+    pub(crate) fn count_request(&self, service: &Name) {
+        let now = self.now();
+        self.with_retries(service, |window| window.request(now));
+    }
+
+    /// Takes one further send for a service from the shared bound.
+    pub(crate) fn take_retry(&self, service: &Name, spare: f64) -> bool {
+        let now = self.now();
+        let entries = self.peers().count();
+        self.with_retries(service, |window| window.take(now, entries, spare))
+    }
+
+    fn with_retries<T>(&self, service: &Name, action: impl FnOnce(&mut RetryWindow) -> T) -> T {
+        let mut windows = lock(&self.retries);
+        let bound = self.changing().retries;
+        let window = windows
+            .entry(service.clone())
+            .or_insert_with(|| RetryWindow::new(bound));
+        action(window)
+    }
+
+    /// Counts a run at the engine to which its scout has moved it. `None` where the run may not go there.
+    pub(crate) fn place_moved(
+        self: &Arc<Self>,
+        engine: &EngineHere,
+        need: &Need<'_>,
+    ) -> Option<Placed> {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        let key = fleet.adopted(now, engine)?;
+        if !fleet.may_get(key, need.regions) {
+            return None;
+        }
+        let record = fleet.record(key).cloned()?;
+        fleet.started(now, key, need);
+        drop(fleet);
+        Some(Placed::new(self, key, record, need))
+    }
+
+    /// Tells other relays and the engine's scout of a request to an engine, before the engine's report can.
+    pub(crate) fn tell_sent(&self, placed: &Placed, id: Option<&Name>) {
+        let engine = placed.record.address;
+        let Some(word) = id.map(|id| placed.word(id)) else {
+            return;
+        };
+        // Where reports are too old to choose by, relays ask the scout, which knows.
+        let asks = self.policy().ask;
+        let service = &placed.record.service;
+        let fleet = self.fleet();
+        let sparse = asks && fleet.reports_too_sparse(self.now(), service, &ANY_REGION);
+        drop(fleet);
+        let sent = Sent {
+            word,
+            widely: !sparse,
+        };
+        if self.sent.try_send(sent).is_err() {
+            tracing::debug!(%engine, "peers: too many words wait, one is left out");
+        }
+    }
+
+    /// Tells the engine's scout how a request ended there.
+    pub(crate) fn tell_ended(&self, engine: SocketAddr, well: bool) {
+        if self.ended.try_send(RunEnded { engine, well }).is_err() {
+            tracing::debug!(%engine, "peers: too many words wait, one is left out");
+        }
+    }
+
+    /// Another relay has sent a request to an engine.
+    pub(crate) fn sent_elsewhere(&self, word: &SentWord) {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        fleet.started_elsewhere(now, word.engine, word.prompt, word.tokens);
+    }
+}
--- /dev/null
+++ b/relay/src/relay_view.rs
@@ -0,0 +1,267 @@
+//! What an entry knows of the deployment: the configuration, the backend servers, evacuated availability zones and
+//! the other entries.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::MutexGuard;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cicada_lib::ids::Name;
+use cicada_lib::peer_words::ServerNews;
+use cicada_lib::route_table::RouteTable;
+use cicada_lib::site::PeerRecord;
+use cicada_lib::site::Revision;
+use cicada_lib::site::ServerChange;
+use cicada_lib::site::ServerChanges;
+use cicada_lib::site::ServerListing;
+use cicada_lib::site::SiteConfig;
+use cicada_lib::zone_evacuation::EvacuatedZones;
+
+use crate::lock::lock;
+use crate::peers::Peers;
+use crate::relay::Relay;
+
+/// The engines of a service in a region.
+pub(crate) struct EngineGroup {
+    pub(crate) engines: Vec<SocketAddr>,
+    // Whether it is this relay's own region.
+    pub(crate) near: bool,
+    // The path at which they name themselves.
+    pub(crate) health: Name,
+    // How long they are cold after a start.
+    pub(crate) cold: Duration,
+}
+
+impl Relay {
+    /// The version of the configuration in force; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.table.load().config().version
+    }
+
+    /// Takes a configuration, if it is newer than the one in force.
+    pub fn set_config(&self, config: Arc<SiteConfig>) -> bool {
+        let known = self.table.load();
+        if config.version <= known.config().version {
+            return false;
+        }
+        tracing::info!(
+            version = config.version,
+            before = known.config().version,
+            routes = config.routes.len(),
+            workspaces = config.workspaces.len(),
+            "config: a version came into force"
+        );
+        self.table.store(Arc::new(RouteTable::new(config)));
+        true
+    }
+
+    /// Takes the whole list of backend servers.
+    pub fn set_servers(&self, listing: &ServerListing) {
+        self.fleet().set_all(self.now(), &listing.servers);
+        self.listed_at(listing.revision);
+    }
+
+    /// Takes a list in which servers may be missing that are still there.
+    pub fn add_servers(&self, listing: &ServerListing) {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        for server in &listing.servers {
+            fleet.change(now, &ServerChange::Put(server.clone()));
+        }
+        drop(fleet);
+        self.listed_at(listing.revision);
+    }
+
+    /// Takes changes of the list from the directory, and passes them on to the relays of the zone.
+    pub fn change_servers(&self, after: Revision, news: &ServerChanges) {
+        if !news.changes.is_empty() {
+            let word = ServerNews {
+                after: after.0,
+                changes: news.clone(),
+            };
+            if self.news.try_send(word).is_err() {
+                tracing::debug!("peers: too much news waits, others will ask for it");
+            }
+        }
+        self.take_changes(news);
+    }
+
+    /// Takes changes that another relay tells of, if they follow on what is known here.
+    pub(crate) fn news(&self, news: &ServerNews) {
+        if self.revision().0 >= news.after {
+            self.take_changes(&news.changes);
+        }
+    }
+
+    fn take_changes(&self, news: &ServerChanges) {
+        // Another relay may have told of them, and of later ones, before.
+        if news.revision < self.revision() {
+            return;
+        }
+        let now = self.now();
+        let mut fleet = self.fleet();
+        for change in &news.changes {
+            fleet.change(now, change);
+        }
+        drop(fleet);
+        self.listed_at(news.revision);
+    }
+
+    /// The revision up to which the backend servers are known.
+    pub fn revision(&self) -> Revision {
+        Revision(self.revision.load(Ordering::Relaxed))
+    }
+
+    /// The backend servers as they are known.
+    pub(crate) fn listing(&self) -> ServerListing {
+        let servers = self.fleet().servers().cloned().collect();
+        ServerListing {
+            servers,
+            revision: self.revision(),
+        }
+    }
+
+    fn listed_at(&self, revision: Revision) {
+        self.revision.fetch_max(revision.0, Ordering::Relaxed);
+        self.listed.store(true, Ordering::Relaxed);
+        self.note_leaving();
+        self.joined.notify_one();
+    }
+
+    /// Whether this relay is the one of its availability zone that watches the directory.
+    pub(crate) fn watches(&self) -> bool {
+        let place = &self.settings.place;
+        self.peers()
+            .watches(self.settings.peer, |zone| *zone == place.zone)
+    }
+
+    /// The other relays. Held for microseconds.
+    pub(crate) fn peers(&self) -> MutexGuard<'_, Peers> {
+        lock(&self.peers)
+    }
+
+    /// Relays of the own region that were heard lately, this one among them.
+    pub(crate) fn relays_in_region(&self) -> usize {
+        let place = &self.settings.place;
+        let own = place.region_of(&place.zone);
+        let peers = self.peers();
+        1 + peers.count_where(|zone| place.region_of(zone) == own)
+    }
+
+    /// Whether this relay is the one of its region that watches for evacuations.
+    pub(crate) fn watches_region(&self) -> bool {
+        let place = &self.settings.place;
+        let own = place.region_of(&place.zone);
+        self.peers()
+            .watches(self.settings.peer, |zone| place.region_of(zone) == own)
+    }
+
+    /// The evacuated availability zones.
+    pub fn evacuated(&self) -> EvacuatedZones {
+        self.fleet().evacuated().clone()
+    }
+
+    /// Takes over which availability zones are evacuated, from the directory or another relay, if that is news.
+    pub fn set_evacuated(&self, evacuated: &EvacuatedZones) -> bool {
+        let change = self.fleet().set_evacuated(self.now(), evacuated);
+        if change.is_empty() {
+            return false;
+        }
+        let place = &self.settings.place;
+        let unknown = change.begun.iter();
+        let unknown = unknown.filter(|zone| !place.regions.contains_key(*zone));
+        let unknown: Vec<&Name> = unknown.collect();
+        tracing::info!(
+            begun = ?change.begun,
+            ended = ?change.ended,
+            unknown = ?unknown,
+            revision = evacuated.revision.0,
+            "fleet: evacuated availability zones changed"
+        );
+        true
+    }
+
+    /// Takes over which relays share what cold servers tolerate, where that has changed.
+    pub(crate) fn share_cold_starts(&self) {
+        let others = self.peers().take_changed();
+        if let Some(others) = others {
+            self.fleet().set_entries(self.settings.peer, others);
+        }
+    }
+
+    /// How this relay is reached by the others.
+    pub(crate) fn peer_record(&self) -> PeerRecord {
+        PeerRecord {
+            name: self.settings.name.clone(),
+            address: self.settings.peer,
+            zone: self.settings.place.zone.clone(),
+            entry: true,
+        }
+    }
+
+    /// Whether the directory has failed for a moment.
+    pub(crate) fn is_out_of_reach(&self) -> bool {
+        self.out_of_reach.load(Ordering::Relaxed)
+    }
+
+    /// Whether this relay watches the directory and is answered.
+    pub(crate) fn is_fed(&self) -> bool {
+        self.fed.load(Ordering::Relaxed) && !self.is_out_of_reach()
+    }
+
+    /// Notes whether this relay watches the directory and was answered last.
+    pub(crate) fn set_fed(&self, fed: bool) {
+        self.fed.store(fed, Ordering::Relaxed);
+    }
+
+    /// Notes whether the directory fails.
+    pub(crate) fn set_out_of_reach(&self, out: bool) {
+        self.out_of_reach.store(out, Ordering::Relaxed);
+    }
+
+    /// The engines, those of a service and region together: runs can be moved between them. Each with
+    /// whether the group is of this relay's region.
+    pub(crate) fn engine_groups(&self) -> Vec<EngineGroup> {
+        let table = self.table();
+        let place = &self.settings.place;
+        let own = place.region_of(&place.zone);
+        let mut groups: HashMap<(Name, Name), EngineGroup> = HashMap::new();
+        for server in self.fleet().servers() {
+            let Some(spec) = table.service(&server.service) else {
+                continue;
+            };
+            if spec.engine.is_none() {
+                continue;
+            }
+            let region = place.region_of(&server.zone);
+            let key = (server.service.clone(), region.clone());
+            let group = groups.entry(key).or_insert_with(|| EngineGroup {
+                engines: Vec::new(),
+                near: region == own,
+                health: spec.health.clone(),
+                cold: spec.cold.period,
+            });
+            group.engines.push(server.address);
+        }
+        groups.into_values().collect()
+    }
+
+    /// Waits until the directory has told of a change of evacuations, which others are to hear of.
+    pub(crate) async fn evacuation_news(&self) {
+        self.evacuation_news.notified().await;
+    }
+
+    /// The directory tells of evacuations; others are told at once where that is news.
+    pub fn take_evacuated(&self, evacuated: &EvacuatedZones) {
+        if self.set_evacuated(evacuated) {
+            self.evacuation_news.notify_one();
+        }
+    }
+
+    /// Waits until engines have come.
+    pub(crate) async fn engines_joined(&self) {
+        self.joined.notified().await;
+    }
+}
--- a/relay/src/evacuation.rs
+++ b/relay/src/run_mover.rs
@@ -18,6 +18,7 @@
 use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::MovedRun;
 use cicada_lib::peer_words::ScoutReport;
+use cicada_lib::zone_evacuation::EvacuatedZones;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -33,7 +34,11 @@
 
 /// What is known of the engines to which runs can be moved.
 #[derive(Debug, Default)]
-pub(crate) struct Neighbours(Mutex<HashMap<SocketAddr, Neighbour>>);
+pub(crate) struct Neighbours {
+    engines: Mutex<HashMap<SocketAddr, Neighbour>>,
+    // As relays tell: no run goes there.
+    evacuated: Mutex<EvacuatedZones>,
+}
 
 #[derive(Debug)]
 struct Neighbour {
@@ -56,10 +61,20 @@
         self.lock().insert(report.here.address, neighbour);
     }
 
+    /// Takes over which availability zones are evacuated, if that is news.
+    pub(crate) fn set_evacuated(&self, evacuated: &EvacuatedZones) {
+        let change = lock(&self.evacuated).update(evacuated);
+        if !change.is_empty() {
+            tracing::info!(begun = ?change.begun, ended = ?change.ended, "move: evacuated availability zones changed");
+        }
+    }
+
     /// The engines that runs of `engine`, in availability zone `zone`, can be moved to.
     fn targets(&self, engine: SocketAddr, zone: &Name) -> Vec<Target> {
         let neighbours = self.lock();
         let fresh = neighbours.values().filter(|n| n.at.elapsed() < REPORT_AGE);
+        let evacuated = lock(&self.evacuated);
+        let fresh = fresh.filter(|n| !evacuated.contains(&n.report.here.zone));
         let (leaving, mut staying): (Vec<_>, Vec<_>) = fresh.partition(|n| n.report.load.leaving);
         let leaving: Vec<SocketAddr> = leaving.iter().map(|n| n.report.here.address).collect();
         staying.sort_by_key(|n| n.report.here.address);
@@ -69,6 +84,7 @@
             capacity: n.report.load.capacity,
             busy: n.report.load.running + n.report.load.queued + n.runs,
             near: n.report.here.zone == *zone,
+            cold: n.report.load.cold > 0,
             own: move_plan::falls_to(engine, &leaving, place),
         });
         targets.collect()
@@ -82,7 +98,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Neighbour>> {
-        lock(&self.0)
+        lock(&self.engines)
     }
 }
 
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cicada_lib::cold_start::ColdState;
 use cicada_lib::dialect::EngineCalls;
 use cicada_lib::dialect::EngineReport;
 use cicada_lib::engine_ledger::EngineLedger;
@@ -34,10 +35,10 @@
 use tokio::time::interval;
 use tokio::time::sleep;
 
-use crate::evacuation;
-use crate::evacuation::Neighbours;
-use crate::evacuation::RunNews;
 use crate::identity::Identity;
+use crate::run_mover;
+use crate::run_mover::Neighbours;
+use crate::run_mover::RunNews;
 use crate::word_socket::WordSocket;
 
 /// How often the engine is asked: an engine that leaves says so 1.5 s before, of which this takes a
@@ -70,6 +71,9 @@
 /// host has stood still.
 const SEEN_AGE: Duration = Duration::from_millis(250);
 
+/// An engine that was not seen for so long may have ended and started again.
+const UNWATCHED: Duration = Duration::from_millis(500);
+
 /// How long a listener gets reports after it asked for them.
 const SUBSCRIBED: Duration = Duration::from_secs(4);
 
@@ -112,6 +116,9 @@
     identity: Identity,
     ledger: EngineLedger,
     outcomes: Outcomes,
+    cold: ColdState,
+    // How long the engine is cold after a start, as relays tell.
+    cold_period: Duration,
     // When a relay last told of a request.
     heard: Instant,
     clock: Clock,
@@ -148,6 +155,8 @@
             identity: Identity::new(),
             ledger: EngineLedger::new(),
             outcomes: Outcomes::new(),
+            cold: ColdState::default(),
+            cold_period: Duration::ZERO,
             heard: now,
             clock: Clock::new(),
             moved: Vec::new(),
@@ -170,9 +179,10 @@
                         self.hear(&buffer[..length], from).await;
                     }
                 }
-                id = self.identity.answered() => {
-                    if let Some(id) = id {
-                        self.tell_identity(id).await;
+                health = self.identity.answered() => {
+                    if let Some(health) = health {
+                        self.cold.told(self.clock.now(), health.cold);
+                        self.tell_identity(health.id).await;
                     }
                 }
                 Some(news) = self.moves.recv() => match news {
@@ -235,6 +245,10 @@
         if let Some(path) = subscription.health {
             self.identity.set_path(path);
         }
+        if let Some(period) = subscription.cold {
+            self.cold_period = Duration::from_millis(u64::from(period));
+        }
+        self.neighbours.set_evacuated(&subscription.evacuated);
         if self.listeners.insert(from, now).is_some() {
             return;
         }
@@ -270,7 +284,12 @@
                 return;
             }
         };
-        self.ledger.look(self.clock.now(), report.clone());
+        let now = self.clock.now();
+        let watched = self.seen.as_ref();
+        if watched.is_none_or(|(at, _)| now.since(*at) >= UNWATCHED) {
+            self.cold.may_have_started(now);
+        }
+        self.ledger.look(now, report.clone());
         if !report.leaving {
             self.identity.ask(&self.engines, self.here.address);
         }
@@ -323,7 +342,7 @@
             );
             let (sender, runs) = watch::channel(report);
             self.evacuating = Some(sender);
-            tokio::spawn(evacuation::run(
+            tokio::spawn(run_mover::run(
                 self.engines.clone(),
                 self.here.clone(),
                 self.neighbours.clone(),
@@ -348,7 +367,13 @@
                 let due = self.heard + *after;
                 self.told < due && due <= Instant::now()
             });
-            !same || planned || failing || follows || last.unread.abs_diff(load.unread) > part
+            let cold = (last.cold == 0) != (load.cold == 0);
+            !same
+                || cold
+                || planned
+                || failing
+                || follows
+                || last.unread.abs_diff(load.unread) > part
         });
         let pause = if news { LOOK } else { TELL };
         pause.max(self.every())
@@ -358,7 +383,7 @@
     fn every(&self) -> Duration {
         let shared = self.listeners.len() as f64 / TELL_RATE;
         let every = LOOK.max(Duration::from_secs_f64(shared));
-        match placement::is_dated(every) {
+        match placement::reports_too_sparse(every) {
             true => every.max(TELL_ASKERS),
             false => every,
         }
@@ -403,6 +428,7 @@
                 failing: (self.outcomes.failing(now) * 100.0) as u8,
                 leaving: report.leaving,
                 leaves: report.leaves.map(|time| time.as_millis() as u32),
+                cold: self.cold.left(now, self.cold_period).as_millis() as u32,
                 every: self.every().as_millis() as u32,
             },
         }
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cicada_lib::dialect::Dispatch;
+use cicada_lib::fleet::NoServer;
 use cicada_lib::site::CallKind;
 use http::Response;
 use http::response::Parts;
@@ -13,6 +14,7 @@
 
 use crate::answer::AnswerBody;
 use crate::answer::OwnAnswer;
+use crate::attempts::Attempts;
 use crate::exchange::Call;
 use crate::placed::Placed;
 use crate::relay::Relay;
@@ -103,26 +105,38 @@
     })
 }
 
-/// The entry's own answer, where no server gave one: "not run" only where no server `ran` the request. A
+/// The entry's own answer, where no server gave one: "not run" only where no server has run the request. A
 /// caller that is told so may come back after the `pause`.
 pub(crate) fn conclude(
     relay: &Relay,
     call: &Call,
-    ran: bool,
+    attempts: &Attempts,
     pause: Duration,
 ) -> Response<AnswerBody> {
     let id = call.id();
     let waited = call.arrived.elapsed().as_millis() as u64;
-    let (outcome, own) = match (ran, call.left().is_zero()) {
+    let (outcome, own) = match (attempts.ran(), call.left().is_zero()) {
         (false, _) => ("not_run", OwnAnswer::NotRun(pause)),
         (true, true) => ("time_over", OwnAnswer::TimeOver),
         (true, false) => ("unknown", OwnAnswer::Failed),
     };
     relay.figures().answer(outcome);
+    let lacking = attempts.lacking().map(NoServer::word);
+    if let ("not_run", Some(why)) = (outcome, lacking) {
+        relay.figures().refusal(why);
+    }
     let kind = match call.admitted.route.kind {
         CallKind::Streaming => "stream",
         CallKind::Idempotent | CallKind::NonIdempotent => "request",
     };
-    tracing::info!(id, outcome, waited, service = %call.service, "{kind}: own answer");
+    tracing::info!(
+        id,
+        outcome,
+        lacking,
+        regions = ?call.admitted.regions,
+        waited,
+        service = %call.service,
+        "{kind}: own answer"
+    );
     own.response()
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -96,6 +96,7 @@
             reading = placed.basis.reading.as_millis() as u64,
             asked = placed.basis.asked,
             answered = placed.basis.answered,
+            left_out = placed.basis.left_out.map(tracing::field::display),
             "stream: placed"
         );
         let last = call.last_event();
@@ -125,12 +126,13 @@
         relay.figures().answer("failed_by_server");
         return response;
     }
-    let why = match attempts.refused() {
-        true => TurnedAway::Full,
-        false => TurnedAway::Unreached,
+    let why = match (attempts.refused(), attempts.is_barred()) {
+        (true, _) => TurnedAway::Full,
+        (false, true) => TurnedAway::NotAllowed,
+        (false, false) => TurnedAway::Unreached,
     };
     let pause = return_time::pause(why, call.left(), fastrand::f64());
-    conclude(relay, &call, attempts.ran(), pause)
+    conclude(relay, &call, &attempts, pause)
 }
 
 fn asking(relay: &Relay, call: &Call) -> Asking {
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -335,13 +335,12 @@
                 let zone = self.placed.record.zone.clone();
                 let tried: Vec<ServerKey> =
                     [self.placed.key].into_iter().chain(self.refusing).collect();
+                let regions = self.relay.table().regions_now(&self.call.admitted);
                 let need = Need {
-                    service: &self.call.service,
-                    prompt: 0,
-                    tokens: self.tokens,
                     tried: &tried,
                     zone: Some(&zone),
-                    among: None,
+                    regions: &regions,
+                    ..Need::new(&self.call.service, 0, self.tokens)
                 };
                 let Ok(target) = self.relay.place(&need, &self.call.spec, None) else {
                     return;
@@ -445,6 +444,15 @@
     async fn go_back(&mut self, handle: &Name) -> bool {
         let before = self.latest;
         let key = self.placed.key;
+        let regions = self.relay.table().regions_now(&self.call.admitted);
+        if !self.relay.fleet().may_get(key, &regions) {
+            tracing::info!(
+                id = self.call.id(),
+                ?key,
+                "move: the run may not go on in its zone or region"
+            );
+            return false;
+        }
         let from = self.placed.record.address;
         let begin = self.memory(from, handle);
         match send_on(&self.relay, &self.call, &self.placed, begin).await {
@@ -558,13 +566,10 @@
         };
         tracing::info!(id = self.call.id(), from = %engine, to = ?moved.target, "move: the run goes on elsewhere");
         let MovedRun { target, handle, .. } = moved;
+        let regions = self.relay.table().regions_now(&self.call.admitted);
         let need = Need {
-            service: &self.call.service,
-            prompt: 0,
-            tokens: self.tokens,
-            tried: &[],
-            zone: None,
-            among: None,
+            regions: &regions,
+            ..Need::new(&self.call.service, 0, self.tokens)
         };
         let target = target.and_then(|address| {
             let engine = EngineHere {
@@ -572,7 +577,12 @@
                 service: self.call.service.clone(),
                 zone: self.placed.record.zone.clone(),
             };
-            self.relay.place_moved(&engine, &need)
+            let placed = self.relay.place_moved(&engine, &need);
+            if placed.is_none() {
+                // The run may not go there: from where it goes back to, it is moved elsewhere.
+                self.refusing = self.relay.fleet().key_at(address);
+            }
+            placed
         });
         if let Some(target) = &target {
             self.relay.tell_sent(target, self.call.head.id.as_ref());
