relay: one relay of each region watches the store

Six zones' watchers each hear every change; while the store is down every relay asks three times in half a second.

Change: one relay of each region watches the servers, and the configuration and evacuations with them; it tells the relays of its region. It goes on while it is answered; another one takes over after a pause that is drawn, so that not all do at once. Only who watches says hello to the whole region. The backoff grows with the relays of a region.

--- a/daemon/tests/relay_places.rs
+++ b/daemon/tests/relay_places.rs
@@ -1,11 +1,13 @@
 //! Where requests go that may not go everywhere: allowed regions, evacuated availability zones, cold servers.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use cicada_standins::caller::Ask;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::deployment::RelayHost;
 use eyre::Result;
 use http::StatusCode;
 use serde_json::json;
@@ -216,3 +218,23 @@
     until_at(&deployment, 0, "warm", Some(cold)).await?;
     Ok(())
 }
+
+/// Guards against a watch by each relay or each zone: calls to the store would grow with the fleet.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_relay_of_a_region_watches_the_store() -> Result<()> {
+    let mut deployment = start(&["a", "a", "b", "b"]).await?;
+    // Until relays have heard of each other and one of them watches.
+    sleep(Duration::from_secs(3)).await;
+    let before = deployment.store.calls();
+    sleep(Duration::from_secs(6)).await;
+    let after = deployment.store.calls();
+    let watches = |door: &SocketAddr| after[door] > before.get(door).copied().unwrap_or_default();
+    let doors: Vec<SocketAddr> = after.keys().copied().filter(watches).collect();
+    assert_eq!(doors.len(), 1, "{before:?} {after:?}");
+    let own = |relay: &RelayHost| relay.callers.ip() == doors[0].ip();
+    let watcher = deployment.relays.iter().position(own).unwrap_or_default();
+    deployment.relays[watcher].process.signal(Signal::Kill)?;
+    let other = (watcher + 1) % 4;
+    deployment.evacuate("a");
+    until_at(&deployment, other, "taken-over", Some(REGION)).await
+}
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -34,10 +34,15 @@
 const WATCH_GAP: Duration = Duration::from_micros(2_500);
 const LONGEST_GAP: Duration = Duration::from_millis(300);
 
-/// Pauses after a call that failed, from the first to the longest. A store that refuses is asked often
-/// enough that its return is noticed within half a second, and by each process at another time.
-const FIRST_PAUSE: Duration = Duration::from_millis(40);
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Backoff after a failed call, doubled up to the maximum. The maximum holds for a few relays of a region and grows
+/// with more, so that together they notice a store's return as soon, at as many calls.
+const MIN_BACKOFF: Duration = Duration::from_millis(40);
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
+const BACKOFF_RELAYS: u32 = 3;
+
+/// The longest wait before a relay takes over from one that watched, drawn at random: all relays of the region
+/// notice at the same time that it is gone, and one is enough.
+const TAKE_OVER: Duration = Duration::from_millis(300);
 
 /// After an outage of this length servers may be missing in the list that are still there: their
 /// entries have lapsed, and come back within two seconds.
@@ -69,7 +74,7 @@
 impl Tries {
     fn new() -> Self {
         Tries {
-            pause: FIRST_PAUSE,
+            pause: MIN_BACKOFF,
             lost: None,
         }
     }
@@ -85,7 +90,7 @@
             relay.set_out_of_reach(true);
         }
         sleep(self.pause.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
-        self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+        self.pause = (self.pause * 2).min(max_backoff(relay));
     }
 }
 
@@ -140,17 +145,21 @@
 
     async fn follow_servers(&self) {
         let mut tries = Tries::new();
+        let mut watching = false;
         let mut view = ServerView::default();
         loop {
-            if self.relay.revision().0 > 0 && self.is_told().await {
-                self.relay.set_fed(false);
-                view.at = None;
-                continue;
+            if self.relay.revision().0 > 0 {
+                watching = self.is_watcher(watching).await;
+                // One whose last call failed says so, and the next one takes over.
+                self.relay.set_fed(watching && tries.lost.is_none());
+                if !watching {
+                    view.at = None;
+                    continue;
+                }
             }
             match self.next_servers(&mut view, &tries).await {
                 Ok(()) => {
                     tries.went_well();
-                    self.relay.set_fed(true);
                     self.relay.set_out_of_reach(false);
                 }
                 Err(error) => {
@@ -163,14 +172,12 @@
         }
     }
 
-    /// One relay of each region follows evacuations, and the others hear of them from any relay.
     async fn follow_evacuations(&self) {
         let mut tries = Tries::new();
         let mut known: Option<EvacuatedZones> = None;
         loop {
-            if self.relay.evacuated().is_known() && !self.relay.watches_region() {
+            if self.relay.evacuated().is_known() && self.is_told().await {
                 known = None;
-                sleep(PULL).await;
                 continue;
             }
             let outcome = match &known {
@@ -196,15 +203,31 @@
         }
     }
 
-    /// Whether another relay of the zone watches; waits a moment where one does.
+    /// Whether another relay of the region watches, or the directory is out of reach; waits a moment where that is so.
+    /// Whoever watches the servers watches all else.
     async fn is_told(&self) -> bool {
-        if self.relay.watches() {
+        if self.relay.is_fed() {
             return false;
         }
+        sleep(PULL).await;
+        true
+    }
+
+    /// Whether this relay is to watch the directory, where it does so already or not. Waits a moment where another
+    /// one does.
+    async fn is_watcher(&self, watching: bool) -> bool {
+        // Where nobody else was heard there is nobody to wait for.
+        let others = self.relay.relays_in_region() > 1;
+        if !watching && others && self.relay.may_watch(watching) {
+            sleep(TAKE_OVER.mul_f64(fastrand::f64())).await;
+        }
+        if self.relay.may_watch(watching) {
+            return true;
+        }
         // The one that watches has the directory's answers, and passes them on.
         self.relay.set_out_of_reach(false);
         sleep(PULL).await;
-        true
+        false
     }
 
     async fn next_servers(&self, view: &mut ServerView, tries: &Tries) -> Result<()> {
@@ -333,6 +356,14 @@
     }
 }
 
+/// The longest pause between two calls that fail. Short for one that knows nothing yet: it serves nobody.
+fn max_backoff(relay: &Relay) -> Duration {
+    match relay.is_ready() {
+        true => MAX_BACKOFF * (1 + relay.relays_in_region() as u32 / BACKOFF_RELAYS),
+        false => MAX_BACKOFF,
+    }
+}
+
 /// How far the backend servers are known from the directory.
 #[derive(Default)]
 struct ServerView {
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -83,7 +83,7 @@
                 _ = renewals.tick() => self.subscribe().await,
                 () = self.relay.engines_joined() => self.subscribe_new().await,
                 _ = hellos.tick() => self.hello().await,
-                () = self.relay.evacuation_news() => self.hello().await,
+                () = self.relay.hello_due() => self.hello().await,
                 _ = refusals.tick() => self.tell_refusals().await,
                 Some(news) = news.recv() => self.tell_news(news).await,
                 Some(asks) = load_asks.recv() => self.ask_load(asks).await,
@@ -181,7 +181,9 @@
             others: self.relay.peers().some(PASSED_ON),
             evacuated: self.relay.evacuated(),
         });
-        self.tell_zone(&word).await;
+        if self.relay.is_fed() {
+            self.tell_region(&word).await;
+        }
         self.tell_peers(&word).await;
     }
 
@@ -195,17 +197,22 @@
     }
 
     async fn tell_zone(&self, word: &Datagram) {
-        let zone = &self.relay.settings().place.zone;
-        let peers = self.relay.peers().of_zone(zone);
+        let own = &self.relay.settings().place.zone;
+        let peers = self.relay.peers().of_zones(|zone| zone == own);
+        self.socket.send(word, &peers).await;
+    }
+
+    async fn tell_region(&self, word: &Datagram) {
+        let peers = self.relay.peers().of_zones(|zone| self.relay.is_near(zone));
         self.socket.send(word, &peers).await;
     }
 
-    /// Tells the relays of the zone of changes of the list. Those that miss it ask, see `peer_pull`.
+    /// Tells the relays of the region of changes of the list. Those that miss it ask, see `peer_pull`.
     async fn tell_news(&self, news: ServerNews) {
         let word = Datagram::News(news);
         let fits = peer_words::encode(&word).is_ok_and(|b| b.len() <= peer_words::MAX_DATAGRAM);
         if fits {
-            self.tell_zone(&word).await;
+            self.tell_region(&word).await;
         }
         self.hello().await;
     }
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -1,8 +1,7 @@
 //! Which other relays there are, which of them knows more than this one, and who watches the directory.
 //!
-//! One relay of each availability zone watches, the first by address of those that the directory
-//! answers; the others hear from it. A watch by each of them would cost a call for each change and
-//! relay. When the one falls silent, or the directory turns it away, the next one watches.
+//! One relay of each region watches the directory, and the others hear from it. A watch by each of them would cost a
+//! call for each change and relay. When the one falls silent, or the directory turns it away, another one takes over.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -28,8 +27,8 @@
 /// A relay that was silent for longer does not count as one that watches: three words and a bit.
 const SILENT: Duration = Duration::from_millis(1_400);
 
-/// Relays of the own availability zone that are told each time. In a larger zone each is told in turn.
-const ZONE_FANOUT: usize = 40;
+/// Relays of the local region that are told each time by the one that watches. In a larger region they are sampled.
+const REGION_FANOUT: usize = 40;
 
 /// A relay's last word.
 #[derive(Clone, Debug)]
@@ -100,21 +99,30 @@
         fastrand::choose_multiple(self.known.iter().copied(), SENT_FANOUT)
     }
 
-    /// The relays of an availability zone that were heard lately.
-    pub(crate) fn of_zone(&self, zone: &Name) -> Vec<SocketAddr> {
+    /// The relays of some availability zones that were heard lately.
+    pub(crate) fn of_zones(&self, is: impl Fn(&Name) -> bool) -> Vec<SocketAddr> {
         let heard = self
             .words
             .iter()
             .filter(|(_, word)| word.at.elapsed() < COUNTED);
-        let own = heard.filter(|(_, word)| word.zone == *zone);
-        fastrand::choose_multiple(own.map(|(peer, _)| *peer), ZONE_FANOUT)
+        let these = heard.filter(|(_, word)| is(&word.zone));
+        fastrand::choose_multiple(these.map(|(peer, _)| *peer), REGION_FANOUT)
     }
 
-    /// Whether the relay at `own` is the one that watches the directory, of those in some availability zones.
-    pub(crate) fn watches(&self, own: SocketAddr, is_with: impl Fn(&Name) -> bool) -> bool {
-        let others = self.words.iter().filter(|(_, word)| is_with(&word.zone));
-        let mut able = others.filter(|(_, word)| word.fed && word.at.elapsed() < SILENT);
-        able.all(|(peer, _)| own < *peer)
+    /// Whether the relay at `own` may watch the directory for the availability zones that are near. One that is
+    /// `watching` goes on until another one with a lower address does so too.
+    pub(crate) fn may_watch(
+        &self,
+        own: SocketAddr,
+        watching: bool,
+        is_near: impl Fn(&Name) -> bool,
+    ) -> bool {
+        let near = self.words.iter().filter(|(_, word)| is_near(&word.zone));
+        let mut others = near.filter(|(_, word)| word.fed && word.at.elapsed() < SILENT);
+        match watching {
+            true => others.all(|(peer, _)| own < *peer),
+            false => others.next().is_none(),
+        }
     }
 
     /// Some relays that were heard lately, to pass on.
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -95,8 +95,8 @@
     pub(crate) asks: LoadAsks,
     // Told when the list has changed, and engines may have come.
     pub(crate) joined: Notify,
-    // Told when the directory says that other zones are evacuated.
-    pub(crate) evacuation_news: Notify,
+    // Told when other relays are to hear something at once.
+    pub(crate) hello_due: Notify,
     pub(crate) pending: Mutex<Option<Pending>>,
     pub(crate) revision: AtomicU64,
     // Raised when idle connections are to be closed.
@@ -130,7 +130,7 @@
             news,
             asks,
             joined: Notify::new(),
-            evacuation_news: Notify::new(),
+            hello_due: Notify::new(),
             pending: Mutex::new(Some(pending)),
             changing: ArcSwap::from_pointee(settings.changing),
             fleet: Mutex::new(Fleet::new(settings.place.clone())),
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -130,11 +130,17 @@
         self.joined.notify_one();
     }
 
-    /// Whether this relay is the one of its availability zone that watches the directory.
-    pub(crate) fn watches(&self) -> bool {
-        let place = &self.settings.place;
+    /// Whether this relay may watch the directory for its region, where it is `watching` already or not.
+    pub(crate) fn may_watch(&self, watching: bool) -> bool {
+        let own = self.settings.peer;
         self.peers()
-            .watches(self.settings.peer, |zone| *zone == place.zone)
+            .may_watch(own, watching, |zone| self.is_near(zone))
+    }
+
+    /// Whether the availability zone is in this relay's region.
+    pub(crate) fn is_near(&self, zone: &Name) -> bool {
+        let place = &self.settings.place;
+        place.region_of(zone) == place.region_of(&place.zone)
     }
 
     /// The other relays. Held for microseconds.
@@ -144,18 +150,8 @@
 
     /// Relays of the own region that were heard lately, this one among them.
     pub(crate) fn relays_in_region(&self) -> usize {
-        let place = &self.settings.place;
-        let own = place.region_of(&place.zone);
         let peers = self.peers();
-        1 + peers.count_where(|zone| place.region_of(zone) == own)
-    }
-
-    /// Whether this relay is the one of its region that watches for evacuations.
-    pub(crate) fn watches_region(&self) -> bool {
-        let place = &self.settings.place;
-        let own = place.region_of(&place.zone);
-        self.peers()
-            .watches(self.settings.peer, |zone| place.region_of(zone) == own)
+        1 + peers.count_where(|zone| self.is_near(zone))
     }
 
     /// The evacuated availability zones.
@@ -211,9 +207,12 @@
         self.fed.load(Ordering::Relaxed) && !self.is_out_of_reach()
     }
 
-    /// Notes whether this relay watches the directory and was answered last.
+    /// Notes whether this relay watches the directory and was answered last. Others are told at once that one does.
     pub(crate) fn set_fed(&self, fed: bool) {
-        self.fed.store(fed, Ordering::Relaxed);
+        let before = self.fed.swap(fed, Ordering::Relaxed);
+        if fed && !before {
+            self.hello_due.notify_one();
+        }
     }
 
     /// Notes whether the directory fails.
@@ -248,15 +247,15 @@
         groups.into_values().collect()
     }
 
-    /// Waits until the directory has told of a change of evacuations, which others are to hear of.
-    pub(crate) async fn evacuation_news(&self) {
-        self.evacuation_news.notified().await;
+    /// Waits until other relays are to be told something at once.
+    pub(crate) async fn hello_due(&self) {
+        self.hello_due.notified().await;
     }
 
     /// The directory tells of evacuations; others are told at once where that is news.
     pub fn take_evacuated(&self, evacuated: &EvacuatedZones) {
         if self.set_evacuated(evacuated) {
-            self.evacuation_news.notify_one();
+            self.hello_due.notify_one();
         }
     }
 
