relay: an engine that comes while the store is away is known to all relays

A scout announces its engine to three seeds until a relay listens, first a second after its start, and each seed passes that on once, to twelve.

Change: the first announcement goes out at once, and each relay to which it is news passes it on. A relay says that it watches the directory only once it was answered: one that took over and was turned away made others stand down for a moment, and these then took no announcement.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -567,3 +567,25 @@
     assert!(log.contains("stood still"), "{log}");
     Ok(())
 }
+
+/// Guards against an engine that comes while the store is away and is known to some of many relays only.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_relays_hear_of_an_engine_that_the_store_cannot_name() -> Result<()> {
+    const RELAYS: usize = 18;
+    let mut deployment = Deployment::start(daemon(), RELAYS, 0, 0).await?;
+    // Until relays know each other.
+    sleep(Duration::from_millis(1_500)).await;
+    deployment.store.set_busy(true);
+    let noticed = |relay: usize| {
+        let log = deployment.relays[relay].process.log();
+        log.contains("directory: no news of the backend servers")
+    };
+    until("all relays have noticed", || (0..RELAYS).all(noticed)).await?;
+    sleep(Duration::from_secs(1)).await;
+    deployment.add_engine()?;
+    let heard = |relay: usize| {
+        let log = deployment.relays[relay].process.log();
+        log.contains("fleet: a scout says that its engine is there")
+    };
+    until("all relays know the engine", || (0..RELAYS).all(heard)).await
+}
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -175,9 +175,9 @@
         Identity(EngineIdentity),
         /// A scout's report.
         Report(ScoutReport),
-        /// An engine is there. Passed on once by the relay that gets it first.
+        /// An engine is there. Passed on by the relay that gets it.
         Here(EngineHere),
-        /// A relay passes on that an engine is there.
+        /// A relay passes on that an engine is there. Passed on further by relays to which that is news.
         HerePassedOn(EngineHere),
         /// A run's memory is being copied, and it will stop soon; the handle is not known yet.
         Moving(MovedRun),
--- a/relay/src/engine_words.rs
+++ b/relay/src/engine_words.rs
@@ -51,15 +51,17 @@
         }
     }
 
-    /// A scout says that its engine is there. Heeded only while the directory is out of reach: otherwise
-    /// it tells of the engine, and of its identifier, itself.
-    pub(crate) fn engine_here(&self, here: &EngineHere) {
+    /// A scout says that its engine is there; whether that is news. Heeded only while the directory is out of
+    /// reach: otherwise it tells of the engine, and of its identifier, itself.
+    pub(crate) fn engine_here(&self, here: &EngineHere) -> bool {
         if !self.is_out_of_reach() || !self.table().services().contains_key(&here.service) {
-            return;
+            return false;
         }
         let now = self.now();
-        if self.fleet().announced(now, here) {
+        let news = self.fleet().announced(now, here);
+        if news {
             tracing::info!(engine = %here.address, service = %here.service, "fleet: a scout says that its engine is there");
         }
+        news
     }
 }
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -150,8 +150,8 @@
         loop {
             if self.relay.revision().0 > 0 {
                 watching = self.is_watcher(watching).await;
-                // One whose last call failed says so, and the next one takes over.
-                self.relay.set_fed(watching && tries.lost.is_none());
+                // Only once it was answered: others would stand down for one that is turned away.
+                self.relay.set_fed(watching && view.at.is_some());
                 if !watching {
                     view.at = None;
                     continue;
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -266,7 +266,10 @@
             Ok(Datagram::Identity(word)) if word.here.address.ip() == from.ip() => {
                 self.relay.engine_identity(&word);
             }
-            Ok(Datagram::HerePassedOn(here)) => self.relay.engine_here(&here),
+            // Passed on by each relay to which it is news, so that it reaches all of them.
+            Ok(Datagram::HerePassedOn(here)) if self.relay.engine_here(&here) => {
+                return Some(Datagram::HerePassedOn(here));
+            }
             Ok(Datagram::Hello(hello)) => {
                 let mut peers = self.relay.peers();
                 peers.heard(from, &hello);
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -108,7 +108,8 @@
     last: Option<ScoutReport>,
     // What the engine said when it was last looked at, and when; `None` where it did not answer.
     seen: Option<(Time, EngineReport)>,
-    renewed: Instant,
+    // When the neighbours were last asked, or the engine announced; `None` before the first time.
+    renewed: Option<Instant>,
     // Whether the last report said that the engine leaves.
     leaving: bool,
     // The latest runs of an engine that leaves, for the task that moves them.
@@ -149,7 +150,7 @@
             told: now,
             last: None,
             seen: None,
-            renewed: now,
+            renewed: None,
             leaving: false,
             evacuating: None,
             identity: Identity::new(),
@@ -314,10 +315,10 @@
     /// Says that the engine is there, if it is. Relays learn of it from the directory; while that is out
     /// of reach, replacements of engines that left would stand idle.
     async fn announce(&mut self) {
-        if self.renewed.elapsed() < RENEW {
+        if !self.is_renewal_due() {
             return;
         }
-        self.renewed = Instant::now();
+        self.renewed = Some(Instant::now());
         let report = self.engines.report(self.here.address).await;
         if !report.is_ok_and(|report| !report.leaving) {
             return;
@@ -393,17 +394,21 @@
     /// the time, each scout would tell as many neighbours as relays.
     async fn ask_neighbours(&mut self, turned: bool) {
         self.named.retain(|_, named| named.elapsed() < NEIGHBOUR);
-        let due = turned || self.renewed.elapsed() >= RENEW;
+        let due = turned || self.is_renewal_due();
         if !self.leaving || !due {
             return;
         }
-        self.renewed = Instant::now();
+        self.renewed = Some(Instant::now());
         let scouts = self.socket.on_hosts(self.named.keys());
         self.socket
             .send(&Datagram::Subscribe(Subscription::default()), &scouts)
             .await;
     }
 
+    fn is_renewal_due(&self) -> bool {
+        self.renewed.is_none_or(|at| at.elapsed() >= RENEW)
+    }
+
     /// Tells all listeners.
     async fn tell(&self, word: &Datagram) {
         let listeners: Vec<SocketAddr> = self.listeners.keys().copied().collect();
