fleet: distances and work times are measured

Cause: another region counted as 60 ms away and a place in a plain server's queue as 40 ms, whatever the deployment. On a scratch copy of the site with zones 10 ms and regions 110 ms apart, calls leave for regions whose way alone is half of their objective.

Change: relays probe one relay of each other zone a second (Ping, Pong), and the least of the latest eight counts (lib/round_trips); the time that a plain server works on a call is an EWMA of answers that nobody waited before (lib/work_time), of the server itself once it has answered, of its service before. The waits for scouts' answers, for a second connection, and the time for which a request does not show in reports follow from the round trip. Status pages show evacuated zones, restricted routes and cold servers.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -6,6 +6,7 @@
 
 use cicada_lib::daemon_settings::Settings;
 use cicada_lib::fleet::Place;
+use cicada_lib::ids::Name;
 use cicada_lib::retry_window::RetryBound;
 use cicada_platform::HttpEngines;
 use cicada_platform::PlatformDialect;
@@ -16,6 +17,7 @@
 use cicada_relay::Policy;
 use cicada_relay::Relay;
 use cicada_relay::RelaySettings;
+use cicada_relay::Restrictions;
 use eyre::Context;
 use eyre::OptionExt;
 use serde::Serialize;
@@ -165,6 +167,12 @@
     zone: &'a str,
     state: ProcessState,
     version: u64,
+    // Evacuated availability zones.
+    evacuated: Vec<Name>,
+    // Routes and workspaces with allowed regions.
+    restricted: usize,
+    // Cold servers of services that bound what these get.
+    cold: usize,
 }
 
 impl StatusSource for RelayStatus {
@@ -177,6 +185,11 @@
     }
 
     fn page(&self) -> Vec<u8> {
+        let Restrictions {
+            evacuated,
+            restricted,
+            cold,
+        } = self.relay.restrictions();
         let page = RelayPage {
             name: self.settings.text("process", "name"),
             role: self.settings.text("process", "role"),
@@ -184,6 +197,9 @@
             zone: self.settings.text("process", "zone"),
             state: self.state(),
             version: self.relay.version(),
+            evacuated,
+            restricted,
+            cold,
         };
         serde_json::to_vec(&page).unwrap_or_default()
     }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -9,6 +9,7 @@
 //! grown to the expected end of each. A request goes where the sum of way, expected wait and lack of
 //! room is least.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -19,17 +20,19 @@
 use crate::cold_start::ColdShares;
 use crate::fleet_server::Report;
 use crate::fleet_server::Server;
-use crate::fleet_server::UNSEEN_FAR;
-use crate::fleet_server::UNSEEN_NEAR;
+use crate::fleet_server::UNSEEN;
 use crate::ids::Name;
 use crate::peer_words::EngineHere;
 use crate::peer_words::EngineLoad;
+use crate::round_trips::RoundTrips;
 use crate::routing::ServerKey;
 use crate::server_lives::ServerLives;
 use crate::site::ServerChange;
 use crate::site::ServerPhase;
 use crate::site::ServerRecord;
+use crate::site::ServiceSpec;
 use crate::time::Time;
+use crate::work_time::WorkTime;
 use crate::zone_evacuation::EvacuatedZones;
 use crate::zone_evacuation::EvacuationChange;
 
@@ -86,6 +89,9 @@
     listed: bool,
     pub(crate) evacuated: EvacuatedZones,
     pub(crate) cold_shares: ColdShares,
+    pub(crate) trips: RoundTrips,
+    // By plain service.
+    pub(crate) work_times: HashMap<Name, WorkTime>,
 }
 
 impl Fleet {
@@ -101,6 +107,8 @@
             listed: false,
             evacuated: EvacuatedZones::default(),
             cold_shares: ColdShares::default(),
+            trips: RoundTrips::default(),
+            work_times: HashMap::new(),
         }
     }
 
@@ -157,6 +165,39 @@
         &self.evacuated
     }
 
+    /// A probe of an availability zone was answered after so long.
+    pub fn probed(&mut self, now: Time, zone: &Name, took: Duration) {
+        self.trips.answered(now, zone, took);
+    }
+
+    /// A plain server has answered a call so long after it was sent there. With a queue before it that says nothing of
+    /// the work.
+    pub fn worked(&mut self, now: Time, key: ServerKey, took: Duration) {
+        let Some(server) = self.servers.get(key) else {
+            return;
+        };
+        let trip = self.round_trip(now, &server.record.zone);
+        let took = took.saturating_sub(trip);
+        let service = server.record.service.clone();
+        let mean = self.work_times.entry(service).or_default();
+        mean.answered(took);
+        let mean = *mean;
+        let server = &mut self.servers[key];
+        server.work.get_or_insert(mean).answered(took);
+    }
+
+    /// Servers that are cold, of services whose cold servers take a bounded number of requests.
+    pub fn cold_count(&self, now: Time, services: &BTreeMap<Name, ServiceSpec>) -> usize {
+        let listed = self.servers.values().filter(|server| server.listed);
+        let cold = listed.filter(|server| {
+            let start = services.get(&server.record.service).map(|spec| &spec.cold);
+            start.is_some_and(|start| {
+                start.is_limited() && !server.cold.left(now, start.period).is_zero()
+            })
+        });
+        cold.count()
+    }
+
     /// Takes over which entries there are, this one at `own`: they share what cold servers tolerate.
     pub fn set_entries(&mut self, own: SocketAddr, others: impl IntoIterator<Item = SocketAddr>) {
         self.cold_shares.set_entries(own, others);
@@ -353,6 +394,7 @@
         let Some(key) = told.max_by_key(|key| self.servers[*key].listed) else {
             return false;
         };
+        let trip = self.round_trip(now, &self.servers[key].record.zone);
         let server = &mut self.servers[key];
         let turned = load.leaving && server.leaving.is_none();
         if turned {
@@ -369,8 +411,7 @@
         server
             .cold
             .told(now, Duration::from_millis(u64::from(load.cold)));
-        let far = server.record.zone != self.place.zone;
-        let unseen = if far { UNSEEN_FAR } else { UNSEEN_NEAR };
+        let unseen = UNSEEN + trip;
         server.unseen.retain(|sent| now.since(sent.at) < unseen);
         turned
     }
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -6,6 +6,7 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::time::Duration;
 
 use crate::cold_start::ColdStart;
 use crate::copy_type;
@@ -25,12 +26,6 @@
 use crate::site::ServiceSpec;
 use crate::time::Time;
 
-/// The time that a way to another region costs there and back, in milliseconds: 30 ms each way.
-const REGION_TRIP: f64 = 60.0;
-
-/// The same between availability zones of one region.
-const ZONE_TRIP: f64 = 3.0;
-
 /// What an engine of another availability zone of the region must be better by, in milliseconds of the first
 /// event: a stream's events would cross between zones, which is paid by volume. A prompt's reading is more.
 const ZONE_CROSSING: f64 = 120.0;
@@ -258,16 +253,24 @@
     fn score(&self, now: Time, server: &Server, need: &Need<'_>, spec: &ServiceSpec) -> f64 {
         let crosses = spec.engine.is_some() && self.reach(&server.record.zone) == Reach::Region;
         let crossing = if crosses { ZONE_CROSSING } else { 0.0 };
-        let way = self.trip(&server.record.zone) + crossing;
+        let trip = self.round_trip(now, &server.record.zone);
+        let way = trip.as_secs_f64() * 1_000.0 + crossing;
         let rest = server.rest.since(now).as_secs_f64() * 1_000.0;
         let cold = server.cold.left(now, spec.cold.period).as_secs_f64() * COLD_SECOND;
         let load = match &spec.engine {
             Some(engine) => server.engine_cost(now, need, engine),
-            None => server.queue_cost(),
+            None => server.queue_cost(self.work_time(need.service, server)),
         };
         way + 10.0 * rest + cold + load
     }
 
+    /// The time that a plain server works on a call: its own mean once it has one, else its service's.
+    fn work_time(&self, service: &Name, server: &Server) -> Duration {
+        let own = server.work.as_ref();
+        let work = own.or_else(|| self.work_times.get(service));
+        work.copied().unwrap_or_default().mean()
+    }
+
     /// The memory of a service's engines in each region.
     fn region_rooms(
         &self,
@@ -296,16 +299,12 @@
         rooms
     }
 
-    /// Milliseconds there and back.
-    fn trip(&self, zone: &Name) -> f64 {
-        match self.reach(zone) {
-            Reach::Zone => 0.0,
-            Reach::Region => ZONE_TRIP,
-            Reach::Far => REGION_TRIP,
-        }
+    /// The round trip to an availability zone.
+    pub fn round_trip(&self, now: Time, zone: &Name) -> Duration {
+        self.trips.estimate(now, zone, self.reach(zone))
     }
 
-    fn reach(&self, zone: &Name) -> Reach {
+    pub(crate) fn reach(&self, zone: &Name) -> Reach {
         let place = &self.place;
         match place.region_of(zone) == place.region_of(&place.zone) {
             true if *zone == place.zone => Reach::Zone,
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -14,6 +14,7 @@
 use crate::site::EngineSpec;
 use crate::site::ServerRecord;
 use crate::time::Time;
+use crate::work_time::WorkTime;
 
 /// Tokens of a prompt that an engine reads in a millisecond beside its running requests: a chunk of 112
 /// in a step of 16 ms.
@@ -48,10 +49,9 @@
 /// than the way to another region and a full memory together, and less than what does not fit elsewhere.
 const FAILING: f64 = 2_500.0;
 
-/// How long a request that was sent does not show in the reports that come back: the ways there and
-/// back, and the time between two reports.
-pub(crate) const UNSEEN_NEAR: Duration = Duration::from_millis(60);
-pub(crate) const UNSEEN_FAR: Duration = Duration::from_millis(130);
+/// How long a request that was sent does not show in the reports that come back, beside the round trip: the time
+/// between two reports, and for which a process waits for its turn.
+pub(crate) const UNSEEN: Duration = Duration::from_millis(60);
 
 /// The cost of a request whose region has no room for the runs of an engine that leaves, in
 /// milliseconds, where it is one request's size short. Another region's engine costs 60 and a connection.
@@ -64,9 +64,6 @@
 /// The part of an engine's memory that a usual long request fills: eight and more run at once.
 const USUAL_PART: f64 = 0.125;
 
-/// The cost of a place in a plain server's queue, in milliseconds: one call's usual time.
-const QUEUE_STEP: f64 = 40.0;
-
 /// A report older than this says nothing any more.
 const REPORT_AGE: Duration = Duration::from_secs(3);
 
@@ -152,6 +149,8 @@
     // Requests that a plain server said it has running and waiting, besides this entry's.
     pub(crate) others: f64,
     pub(crate) cold: ColdState,
+    // Of a plain server that has answered.
+    pub(crate) work: Option<WorkTime>,
 }
 
 /// An engine's last report.
@@ -214,6 +213,7 @@
             rest: Time::ZERO,
             others: 0.0,
             cold: ColdState::default(),
+            work: None,
         }
     }
 
@@ -289,10 +289,12 @@
         reading_time(self.unread(now))
     }
 
-    pub(crate) fn queue_cost(&self) -> f64 {
+    /// The cost of a plain server's queue, in milliseconds, where a call takes so long.
+    pub(crate) fn queue_cost(&self, work: Duration) -> f64 {
+        let step = work.as_secs_f64() * 1_000.0;
         let busy = f64::from(self.open) + self.others;
         let slots = f64::from(self.record.slots.max(1));
-        busy / slots * QUEUE_STEP / 2.0 + (busy + 1.0 - slots).max(0.0) * QUEUE_STEP
+        busy / slots * step / 2.0 + (busy + 1.0 - slots).max(0.0) * step
     }
 }
 
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -199,6 +199,10 @@
         Ask(LoadAsk),
         /// A scout's answer.
         Answer(LoadAnswer),
+        /// A relay probes the way to another process, with a number of its own.
+        Ping(u32),
+        /// The answer, with the probe's number.
+        Pong(u32),
     }
 
     /// A question over a connection.
--- a/relay/src/choice.rs
+++ b/relay/src/choice.rs
@@ -2,6 +2,7 @@
 //! a few scouts. Which ones is decided by `cicada_lib::placement`.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cicada_lib::fleet::Need;
 use cicada_lib::ids::Name;
@@ -79,27 +80,27 @@
 
 /// Asks the scouts of the servers what a request would meet; the servers whose scouts have answered.
 async fn ask(relay: &Relay, id: &Name, need: &Need<'_>, servers: &[ServerKey]) -> Vec<ServerKey> {
-    let (asks, far) = questions(relay, id, need, servers);
-    let answered = relay.asks().ask(asks, far).await;
+    let (asks, trip) = questions(relay, id, need, servers);
+    let answered = relay.asks().ask(asks, trip).await;
     relay.figures().asked(servers.len(), answered.len());
     let fleet = relay.fleet();
     let keys = answered.iter().filter_map(|engine| fleet.key_at(*engine));
     keys.collect()
 }
 
-/// The questions to the scouts of the servers, and whether one of them is in another region.
+/// The questions to the scouts of the servers, and the longest round trip to one of them.
 fn questions(
     relay: &Relay,
     id: &Name,
     need: &Need<'_>,
     servers: &[ServerKey],
-) -> (Vec<LoadAsk>, bool) {
-    let place = &relay.settings().place;
-    let own = place.region_of(&place.zone);
+) -> (Vec<LoadAsk>, Duration) {
+    let now = relay.now();
     let fleet = relay.fleet();
     let records = servers.iter().filter_map(|key| fleet.record(*key));
     let records: Vec<&ServerRecord> = records.collect();
-    let far = records.iter().any(|r| place.region_of(&r.zone) != own);
+    let trips = records.iter().map(|r| fleet.round_trip(now, &r.zone));
+    let trip = trips.max().unwrap_or_default();
     let asks = records.iter().map(|record| LoadAsk {
         id: id.clone(),
         engine: record.address,
@@ -107,5 +108,5 @@
         tokens: need.tokens,
         asked: records.len() as u32,
     });
-    (asks.collect(), far)
+    (asks.collect(), trip)
 }
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -36,11 +36,13 @@
 mod stream_run;
 mod upstream;
 mod word_socket;
+mod zone_probes;
 
 pub use drain::drain;
 pub use figures::Figures;
 pub use keeper::Keeper;
 pub use relay::Relay;
+pub use relay::Restrictions;
 pub use relay_settings::Changing;
 pub use relay_settings::Policy;
 pub use relay_settings::RelaySettings;
--- a/relay/src/load_asks.rs
+++ b/relay/src/load_asks.rs
@@ -14,13 +14,10 @@
 
 use crate::lock::lock;
 
-/// How long answers are awaited. Within a region they take a millisecond; a scout that shares a slow processor
-/// takes some more, and one whose host is gone would hold up every request that draws it.
+/// How long answers are awaited beyond one and a half round trips: a scout that shares a slow processor takes some
+/// more, and one whose host is gone would hold up every request that draws it.
 const WAIT: Duration = Duration::from_millis(12);
 
-/// The same where scouts of other regions are asked.
-const WAIT_FAR: Duration = Duration::from_millis(90);
-
 /// Questions that wait to be sent.
 const WAITING_ASKS: usize = 256;
 
@@ -41,8 +38,9 @@
         (LoadAsks { open, asks }, pending)
     }
 
-    /// Asks the scouts of the engines; the engines whose scouts have answered in time.
-    pub(crate) async fn ask(&self, asks: Vec<LoadAsk>, far: bool) -> Vec<SocketAddr> {
+    /// Asks the scouts of the engines, the farthest of which is a round trip away; the engines whose scouts have
+    /// answered in time.
+    pub(crate) async fn ask(&self, asks: Vec<LoadAsk>, trip: Duration) -> Vec<SocketAddr> {
         let Some(id) = asks.first().map(|ask| ask.id.clone()) else {
             return Vec::new();
         };
@@ -51,7 +49,7 @@
         let _open = OpenAsk::new(&self.open, id, answers_in);
         let mut answered = Vec::with_capacity(asked);
         if self.asks.try_send(asks).is_ok() {
-            let until = Instant::now() + if far { WAIT_FAR } else { WAIT };
+            let until = Instant::now() + WAIT + trip.mul_f64(1.5);
             while answered.len() < asked {
                 let Ok(Some(engine)) = timeout_at(until, answers.recv()).await else {
                     break;
--- a/relay/src/moved_runs.rs
+++ b/relay/src/moved_runs.rs
@@ -73,9 +73,9 @@
         }
     }
 
-    /// A run is about to go to another engine: opens a connection there, if its stream is here. To
-    /// another region that takes 60 ms, for which the caller would see nothing come.
-    pub(crate) fn prepare(&self, moving: &MovedRun) {
+    /// A run is about to go to another engine, a round trip away: opens a connection there, if its stream is here. The
+    /// caller would see nothing come meanwhile.
+    pub(crate) fn prepare(&self, moving: &MovedRun, trip: Duration) {
         let Some(target) = moving.target else {
             return;
         };
@@ -86,7 +86,7 @@
         let own = self.own.clone();
         let id = moving.id.clone();
         tokio::spawn(async move {
-            match upstream::open(target).await {
+            match upstream::open(target, trip).await {
                 Ok(opened) => {
                     if let Some(run) = lock(&own).get_mut(&id) {
                         run.prepared = Some(Prepared { target, opened });
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -21,6 +21,7 @@
 use crate::relay::Sent;
 use crate::relay_view::EngineGroup;
 use crate::word_socket::WordSocket;
+use crate::zone_probes::ZoneProbes;
 
 /// How often subscriptions are renewed: a scout keeps one for four of them, so that lost datagrams cost
 /// nothing.
@@ -30,6 +31,9 @@
 /// a second or two.
 const HELLO: Duration = Duration::from_millis(400);
 
+/// How often the ways to other availability zones are probed.
+const PROBE: Duration = Duration::from_secs(1);
+
 /// How often the zone is told of callers that were turned away: none of them is asked back sooner than
 /// 200 ms later.
 const TELL_REFUSALS: Duration = Duration::from_millis(100);
@@ -52,6 +56,7 @@
 pub(crate) struct PeerNet {
     relay: Arc<Relay>,
     socket: WordSocket,
+    probes: ZoneProbes,
 }
 
 impl PeerNet {
@@ -60,11 +65,12 @@
         Ok(PeerNet {
             relay,
             socket: WordSocket::bind(peer).await?,
+            probes: ZoneProbes::default(),
         })
     }
 
     /// Hears and tells until the process ends.
-    pub(crate) async fn run(self, mut asks: mpsc::Receiver<MoveAsk>, pending: Pending) {
+    pub(crate) async fn run(mut self, mut asks: mpsc::Receiver<MoveAsk>, pending: Pending) {
         let Pending {
             mut sent,
             mut ended,
@@ -75,6 +81,8 @@
         renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut hellos = interval(HELLO);
         hellos.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut probes = interval(PROBE);
+        probes.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut refusals = interval(TELL_REFUSALS);
         refusals.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = [0; peer_words::MAX_DATAGRAM];
@@ -85,6 +93,7 @@
                 _ = hellos.tick() => self.hello().await,
                 () = self.relay.hello_due() => self.hello().await,
                 _ = refusals.tick() => self.tell_refusals().await,
+                _ = probes.tick() => self.probe().await,
                 Some(news) = news.recv() => self.tell_news(news).await,
                 Some(asks) = load_asks.recv() => self.ask_load(asks).await,
                 Some(sent) = sent.recv() => self.tell_sent(sent).await,
@@ -97,10 +106,8 @@
                     self.socket.send(&Datagram::WasMoved(ask.id), &[scout]).await;
                 }
                 received = self.socket.receive(&mut buffer) => {
-                    let passed_on = received
-                        .and_then(|(length, from)| self.hear(&buffer[..length], from));
-                    if let Some(word) = passed_on {
-                        self.tell_peers(&word).await;
+                    if let Some((length, from)) = received {
+                        self.heard(&buffer[..length], from).await;
                     }
                 }
             }
@@ -238,6 +245,35 @@
         self.socket.send(word, &peers).await;
     }
 
+    /// Probes the way to each other availability zone.
+    async fn probe(&mut self) {
+        let own = &self.relay.settings().place.zone;
+        let peers = self.relay.peers().one_of_each_zone(own);
+        for (peer, zone) in peers {
+            let number = self.probes.send(self.relay.now(), peer, zone);
+            self.socket.send(&Datagram::Ping(number), &[peer]).await;
+        }
+    }
+
+    async fn heard(&mut self, bytes: &[u8], from: SocketAddr) {
+        match peer_words::decode(bytes) {
+            Ok(Datagram::Ping(number)) => {
+                self.socket.send(&Datagram::Pong(number), &[from]).await;
+            }
+            Ok(Datagram::Pong(number)) => {
+                let now = self.relay.now();
+                if let Some((zone, took)) = self.probes.answered(now, from, number) {
+                    self.relay.fleet().probed(now, &zone, took);
+                }
+            }
+            _ => {
+                if let Some(word) = self.hear(bytes, from) {
+                    self.tell_peers(&word).await;
+                }
+            }
+        }
+    }
+
     /// Takes a word in; the word to pass on, if there is one.
     fn hear(&self, bytes: &[u8], from: SocketAddr) -> Option<Datagram> {
         match peer_words::decode(bytes) {
@@ -248,7 +284,7 @@
                 self.relay.load_answer(&answer);
             }
             Ok(Datagram::Moving(moving)) if moving.source.ip() == from.ip() => {
-                self.relay.moved().prepare(&moving);
+                self.relay.prepare_move(&moving);
             }
             Ok(Datagram::Moved(moved)) if moved.source.ip() == from.ip() => {
                 self.relay.note_moved(moved);
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -24,6 +24,9 @@
 /// spends on.
 const COUNTED: Duration = Duration::from_secs(60);
 
+/// A relay that was silent for longer is not probed.
+const PROBED: Duration = Duration::from_secs(5);
+
 /// A relay that was silent for longer does not count as one that watches: three words and a bit.
 const SILENT: Duration = Duration::from_millis(1_400);
 
@@ -125,6 +128,21 @@
         }
     }
 
+    /// One relay of each availability zone but `own`, of those that were heard lately.
+    pub(crate) fn one_of_each_zone(&self, own: &Name) -> Vec<(SocketAddr, Name)> {
+        let mut zones: HashMap<&Name, Vec<SocketAddr>> = HashMap::new();
+        for (peer, word) in &self.words {
+            if word.zone != *own && word.at.elapsed() < PROBED {
+                zones.entry(&word.zone).or_default().push(*peer);
+            }
+        }
+        let one = zones.into_iter().filter_map(|(zone, peers)| {
+            let peer = fastrand::choice(peers)?;
+            Some((peer, zone.clone()))
+        });
+        one.collect()
+    }
+
     /// Some relays that were heard lately, to pass on.
     pub(crate) fn some(&self, most: usize) -> Vec<SocketAddr> {
         fastrand::choose_multiple(self.words.keys().copied(), most)
--- a/relay/src/placed.rs
+++ b/relay/src/placed.rs
@@ -136,6 +136,20 @@
         self.relay.fleet().is_other(now, self.key, other);
     }
 
+    /// The round trip to the server.
+    pub(crate) fn round_trip(&self) -> Duration {
+        let now = self.relay.now();
+        self.relay.fleet().round_trip(now, &self.record.zone)
+    }
+
+    /// A plain server has answered after so long, with so many calls waiting there.
+    pub(crate) fn worked(&self, took: Duration, waiting: u32) {
+        if waiting == 0 {
+            let now = self.relay.now();
+            self.relay.fleet().worked(now, self.key, took);
+        }
+    }
+
     pub(crate) fn told_load(&self, load: Option<(u32, u32)>) {
         if let Some((running, waiting)) = load {
             self.relay.fleet().told_load(self.key, running, waiting);
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -20,6 +20,7 @@
 use cicada_lib::peer_words::RunEnded;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::peer_words::ServerNews;
+use cicada_lib::residency::AllowedRegions;
 use cicada_lib::retry_window::RetryWindow;
 use cicada_lib::returns::Returns;
 use cicada_lib::route_table::RouteTable;
@@ -62,6 +63,17 @@
     pub(crate) widely: bool,
 }
 
+/// What keeps requests from some backend servers, for the status page.
+#[derive(Clone, Debug)]
+pub struct Restrictions {
+    /// Evacuated availability zones.
+    pub evacuated: Vec<Name>,
+    /// Routes and workspaces with allowed regions.
+    pub restricted: usize,
+    /// Cold servers of services that bound what these get.
+    pub cold: usize,
+}
+
 /// An entry.
 pub struct Relay {
     pub(crate) settings: RelaySettings,
@@ -181,6 +193,17 @@
         self.moved.note(moved);
     }
 
+    /// A scout is about to move a run.
+    pub(crate) fn prepare_move(&self, moving: &MovedRun) {
+        let now = self.now();
+        let fleet = self.fleet();
+        let key = moving.target.and_then(|target| fleet.key_at(target));
+        let record = key.and_then(|key| fleet.record(key));
+        let trip = record.map_or(Duration::ZERO, |r| fleet.round_trip(now, &r.zone));
+        drop(fleet);
+        self.moved.prepare(moving, trip);
+    }
+
     pub(crate) fn moved(&self) -> &MovedRuns {
         &self.moved
     }
@@ -207,6 +230,24 @@
         self.changing().grace
     }
 
+    /// What holds for where requests may go.
+    pub fn restrictions(&self) -> Restrictions {
+        let table = self.table();
+        let config = table.config();
+        let routes = config.routes.iter().map(|route| &route.regions);
+        let workspaces = config.workspaces.iter().map(|w| &w.regions);
+        let all = routes.chain(workspaces);
+        let restricted = all
+            .filter(|regions| **regions != AllowedRegions::Any)
+            .count();
+        let fleet = self.fleet();
+        Restrictions {
+            evacuated: fleet.evacuated().zones.iter().cloned().collect(),
+            restricted,
+            cold: fleet.cold_count(self.now(), table.services()),
+        }
+    }
+
     /// Whether new connections are welcome.
     pub fn is_ready(&self) -> bool {
         let knows = self.table.load().is_known() && self.listed.load(Ordering::Relaxed);
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -59,7 +59,12 @@
 ) -> Result<Answered, Unanswered> {
     let opened = match ahead {
         Some(opened) => opened,
-        None => match timeout_at(call.limit, upstream::open(placed.record.address)).await {
+        None => match timeout_at(
+            call.limit,
+            upstream::open(placed.record.address, placed.round_trip()),
+        )
+        .await
+        {
             Err(_) | Ok(Err(SendError::NotSent(_))) => return Err(Unanswered::Unreached),
             Ok(Err(SendError::Lost(_))) => return Err(Unanswered::Unknown),
             Ok(Ok(opened)) => opened,
@@ -75,6 +80,7 @@
         ..dispatch.clone()
     };
     let request = call.request(relay, &dispatch);
+    let sent = Instant::now();
     let until = patience.map_or(call.limit, |patience| patience.min(call.limit));
     let answer = match timeout_at(until, opened.send(request)).await {
         Err(_) if call.left().is_zero() => return Err(Unanswered::TimeOver),
@@ -85,6 +91,10 @@
     let (parts, body) = answer.response.into_parts();
     let head = relay.dialect().answer_head(parts.status, &parts.headers);
     placed.told_load(head.load);
+    let plain = call.spec.engine.is_none();
+    if let (true, true, Some((_, waiting))) = (plain, parts.status.is_success(), head.load) {
+        placed.worked(sent.elapsed(), waiting);
+    }
     if head.id.is_some() && head.id != call.head.id {
         return Err(Unanswered::Unknown);
     }
--- a/relay/src/upstream.rs
+++ b/relay/src/upstream.rs
@@ -21,8 +21,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-/// After this a second connection is tried beside the first: its opening packet may be lost, and the
-/// kernel sends it again only after a second. Three round trips between regions.
+/// After this, or three round trips, a second connection is tried beside the first: its opening packet may be lost,
+/// and the kernel sends it again only after a second.
 const SECOND_TRY: Duration = Duration::from_millis(180);
 
 /// The longest time to open a connection.
@@ -63,9 +63,9 @@
     connection: Connection,
 }
 
-/// Opens a connection.
-pub(crate) async fn open(server: SocketAddr) -> Result<Opened, SendError> {
-    let stream = match timeout(CONNECT_TIME, connect(server)).await {
+/// Opens a connection to a server that is a round trip away.
+pub(crate) async fn open(server: SocketAddr, trip: Duration) -> Result<Opened, SendError> {
+    let stream = match timeout(CONNECT_TIME + trip * 3, connect(server, trip)).await {
         Ok(Ok(stream)) => stream,
         Ok(Err(error)) => return Err(SendError::NotSent(error.to_string())),
         Err(_) => return Err(SendError::NotSent("no connection in time".into())),
@@ -94,12 +94,12 @@
     }
 }
 
-async fn connect(server: SocketAddr) -> std::io::Result<TcpStream> {
+async fn connect(server: SocketAddr, trip: Duration) -> std::io::Result<TcpStream> {
     let first = TcpStream::connect(server);
     tokio::pin!(first);
     tokio::select! {
         outcome = &mut first => return outcome,
-        () = sleep(SECOND_TRY) => {}
+        () = sleep(SECOND_TRY.max(trip * 3)) => {}
     }
     tokio::select! {
         outcome = &mut first => outcome,
