fleet: reading rates are measured, and missed changes are told alone

Cause: engines were taken to read 7 prompt tokens in a millisecond, whatever they are.

Change: the scout counts the tokens of prompts whose runs have begun over the time for which its engine read (lib/reading_rate; prior 7, bounded, half-life 10 s), and its reports carry the rate. Relays keep the latest changes (lib/change_log) and tell those.

--- a/daemon/tests/relay_places.rs
+++ b/daemon/tests/relay_places.rs
@@ -82,6 +82,19 @@
     }
 }
 
+/// Waits until the relay has logged the words: lines are written by a thread of their own.
+async fn until_logged(deployment: &Deployment, relay: usize, words: &str) {
+    let begun = Instant::now();
+    loop {
+        let log = deployment.relays[relay].process.log();
+        if log.contains(words) {
+            return;
+        }
+        assert!(begun.elapsed() < PATIENCE, "no line has {words}\n{log}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against a request that runs in a region its route or its workspace does not allow.
 #[tokio::test(flavor = "multi_thread")]
 async fn allowed_regions_bind_route_and_workspace() -> Result<()> {
@@ -106,8 +119,7 @@
     let heard = ask.send(deployment.relays[0].callers).await?;
     assert_eq!(heard.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(heard.headers.contains_key("retry-after"));
-    let log = deployment.relays[0].process.log();
-    assert!(log.contains("region_not_allowed"), "{log}");
+    until_logged(&deployment, 0, "region_not_allowed").await;
     Ok(())
 }
 
@@ -157,8 +169,7 @@
     deployment.evacuate("c");
     deployment.evacuate("a");
     until_at(&deployment, 1, "all", None).await?;
-    let log = deployment.relays[1].process.log();
-    assert!(log.contains("zone_evacuated"), "{log}");
+    until_logged(&deployment, 1, "zone_evacuated").await;
     Ok(())
 }
 
@@ -208,8 +219,7 @@
         number > 100 && times.len() >= RATE,
         "{number} asked, {times:?}"
     );
-    let log = deployment.relays[0].process.log();
-    assert!(log.contains("cold_servers"), "the others were refused");
+    until_logged(&deployment, 0, "cold_servers").await;
     for (index, from) in times.iter().enumerate() {
         let second = times[index..].iter();
         let second = second.take_while(|at| **at - *from < Duration::from_secs(1));
--- a/lib/src/engine_ledger.rs
+++ b/lib/src/engine_ledger.rs
@@ -25,6 +25,7 @@
 use crate::move_plan;
 use crate::peer_words::LoadAsk;
 use crate::peer_words::SentWord;
+use crate::reading_rate::ReadingRate;
 use crate::time::Time;
 
 /// Tokens by which a long run is expected to grow whose relay has said nothing: half of what one writes.
@@ -102,6 +103,7 @@
     // What the engine said last, and when.
     report: EngineReport,
     looked: Time,
+    reading: ReadingRate,
 }
 
 impl EngineLedger {
@@ -126,7 +128,8 @@
 
     /// Takes in what the engine says of itself.
     pub fn look(&mut self, now: Time, report: EngineReport) {
-        self.settle(now, &report);
+        let begun = self.settle(now, &report);
+        self.reading.looked(now, report.reading > 0, begun);
         self.report = report;
         self.looked = now;
     }
@@ -167,6 +170,11 @@
         (unseen, rest)
     }
 
+    /// Tokens of prompts that the engine reads in a millisecond.
+    pub fn reading_rate(&self) -> f64 {
+        self.reading.per_ms()
+    }
+
     /// Requests that are known.
     pub fn len(&self) -> usize {
         self.sent.len()
@@ -177,12 +185,17 @@
         self.sent.is_empty()
     }
 
-    /// Notes which requests have begun, and forgets those that have ended.
-    fn settle(&mut self, now: Time, report: &EngineReport) {
+    /// Notes which requests have begun, and forgets those that have ended. Returns the tokens of the prompts of those
+    /// that have begun since the last look.
+    fn settle(&mut self, now: Time, report: &EngineReport) -> u64 {
+        let mut begun = 0;
         let runs: HashSet<&Name> = report.runs.iter().map(|run| &run.id).collect();
         let idle = report.reading == 0;
         self.sent.retain(|id, sent| {
             if runs.contains(id) {
+                if sent.stage == Stage::Sent {
+                    begun += sent.prompt;
+                }
                 sent.stage = Stage::Begun;
                 return true;
             }
@@ -190,6 +203,7 @@
             let lost = idle && age >= UNDER_WAY;
             sent.waits(now) && !lost && age < FORGOTTEN
         });
+        begun
     }
 
     fn footprint(&self, run: &EngineRun) -> Footprint {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -24,6 +24,7 @@
 use crate::ids::Name;
 use crate::peer_words::EngineHere;
 use crate::peer_words::EngineLoad;
+use crate::reading_rate;
 use crate::round_trips::RoundTrips;
 use crate::routing::ServerKey;
 use crate::server_lives::ServerLives;
@@ -404,6 +405,10 @@
             at: now,
             planned: load.planned.max(load.used),
             unread: load.unread,
+            reads: match load.reads {
+                0 => reading_rate::PRIOR,
+                reads => f64::from(reads) / 10.0,
+            },
             running: load.running + load.queued,
             failing: f64::from(load.failing) / 100.0,
             every: Duration::from_millis(u64::from(load.every)),
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -13,7 +13,6 @@
 use crate::fleet::Fleet;
 use crate::fleet::Need;
 use crate::fleet::Outlook;
-use crate::fleet_server;
 use crate::fleet_server::RegionRoom;
 use crate::fleet_server::Server;
 use crate::ids::Name;
@@ -125,7 +124,7 @@
         Outlook {
             memory: server.fill(now, need.tokens, engine),
             before: server.reading(now),
-            own: fleet_server::reading_time(need.prompt as f64),
+            own: server.reading_time(now, need.prompt as f64),
             running: server.running(now),
             slots: engine.slots,
         }
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -8,6 +8,7 @@
 
 use crate::cold_start::ColdState;
 use crate::ids::Name;
+use crate::reading_rate;
 use crate::residency::ANY_REGION;
 use crate::residency::AllowedRegions;
 use crate::routing::ServerKey;
@@ -16,10 +17,6 @@
 use crate::time::Time;
 use crate::work_time::WorkTime;
 
-/// Tokens of a prompt that an engine reads in a millisecond beside its running requests: a chunk of 112
-/// in a step of 16 ms.
-const READ_RATE: f64 = 7.0;
-
 /// The weight of a millisecond of reading before the first event. One that is soon over hurts nobody,
 /// and counts as much as balance asks for.
 const READ_WEIGHT: f64 = 0.6;
@@ -159,8 +156,9 @@
     pub(crate) at: Time,
     // Tokens at the highest point of what runs, and of what is under way.
     pub(crate) planned: u64,
-    // Tokens of prompts that are still to be read.
+    // Tokens of prompts that are still to be read, and that are read in a millisecond.
     pub(crate) unread: u64,
+    pub(crate) reads: f64,
     // Requests that run or wait.
     pub(crate) running: u32,
     // The part of its requests that it has failed lately, 0 to 1.
@@ -271,7 +269,7 @@
         let full = (running + 1.0 - f64::from(engine.slots)).max(0.0);
         let room = engine.capacity as f64 * MEMORY_PART;
         let lack = (used - room).max(0.0) / (need.tokens.max(1) as f64);
-        let wait = read_cost(reading / READ_RATE);
+        let wait = read_cost(reading / self.reads(now));
         let failing = self.fresh_report(now).map_or(0.0, |report| report.failing);
         let crowd = running * CROWDING + fill_cost(used / room) + (lack + full) * LACK;
         wait + crowd + failing * FAILING
@@ -286,7 +284,18 @@
 
     /// How long the engine takes to read the prompts that it has.
     pub(crate) fn reading(&self, now: Time) -> Duration {
-        reading_time(self.unread(now))
+        self.reading_time(now, self.unread(now))
+    }
+
+    /// How long the engine takes to read the tokens of prompts.
+    pub(crate) fn reading_time(&self, now: Time, tokens: f64) -> Duration {
+        Duration::from_secs_f64(tokens / self.reads(now) / 1_000.0)
+    }
+
+    /// Tokens of prompts that the engine reads in a millisecond.
+    fn reads(&self, now: Time) -> f64 {
+        let report = self.fresh_report(now);
+        report.map_or(reading_rate::PRIOR, |report| report.reads)
     }
 
     /// The cost of a plain server's queue, in milliseconds, where a call takes so long.
@@ -307,8 +316,3 @@
 fn fill_cost(fill: f64) -> f64 {
     fill * FILL + (fill - FILL_HIGH).max(0.0) * FILL_STEEP
 }
-
-/// How long an engine reads the tokens of prompts.
-pub(crate) fn reading_time(tokens: f64) -> Duration {
-    Duration::from_secs_f64(tokens / READ_RATE / 1_000.0)
-}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -24,6 +24,7 @@
 
 pub mod admission;
 pub mod backend;
+pub mod change_log;
 pub mod claim_intent;
 pub mod claim_log;
 pub mod claim_shard;
@@ -74,6 +75,7 @@
 pub mod query_eval;
 pub mod query_parse;
 pub mod query_rows;
+pub mod reading_rate;
 pub mod residency;
 pub mod retry_budget;
 pub mod retry_window;
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -36,6 +36,8 @@
         pub planned: u64,
         /// Tokens of prompts that it has still to read.
         pub unread: u64,
+        /// Tokens of prompts that it reads in ten milliseconds; zero where that is not known.
+        pub reads: u32,
         /// Tokens of memory in all.
         pub capacity: u64,
         /// The part of its requests that it has failed lately, in hundredths.
@@ -209,7 +211,7 @@
     pub enum PeerQuestion {
         /// The configuration, if it is newer than the version.
         Config(u64),
-        /// The backend servers, if they are known up to a later revision.
+        /// What has changed of the backend servers after the revision, or all of them.
         Servers(u64),
     }
 }
@@ -223,6 +225,8 @@
     Config(Arc<SiteConfig>),
     /// The backend servers.
     Servers(ServerListing),
+    /// What has changed of the backend servers.
+    Changes(ServerChanges),
 }
 
 /// Bytes that hold none of these words.
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -341,6 +341,7 @@
     }
 
     async fn pull_from(&self, peer: SocketAddr, question: &PeerQuestion) {
+        let before = self.relay.revision();
         match peer_pull::ask(peer, question).await {
             Ok(PeerAnswer::Nothing) => {}
             Ok(PeerAnswer::Config(config)) => {
@@ -351,6 +352,11 @@
                 tracing::info!(%peer, revision = listing.revision.0, "peers: servers came from a relay");
                 self.relay.set_servers(&listing);
             }
+            Ok(PeerAnswer::Changes(changes)) => {
+                let count = changes.changes.len();
+                tracing::debug!(%peer, count, revision = changes.revision.0, "peers: changes of servers came from a relay");
+                self.relay.take_changes(before, &changes);
+            }
             Err(error) => tracing::debug!(%peer, %error, "peers: a relay gave no answer"),
         }
     }
--- a/relay/src/peer_pull.rs
+++ b/relay/src/peer_pull.rs
@@ -10,6 +10,7 @@
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::PeerAnswer;
 use cicada_lib::peer_words::PeerQuestion;
+use cicada_lib::site::Revision;
 use eyre::Context;
 use eyre::bail;
 use tokio::io::AsyncReadExt;
@@ -71,7 +72,8 @@
             PeerAnswer::Config(relay.table().config().clone())
         }
         PeerQuestion::Servers(revision) if relay.revision().0 > revision => {
-            PeerAnswer::Servers(relay.listing())
+            let missed = relay.changes_since(Revision(revision));
+            missed.map_or_else(|| PeerAnswer::Servers(relay.listing()), PeerAnswer::Changes)
         }
         PeerQuestion::Config(_) | PeerQuestion::Servers(_) => PeerAnswer::Nothing,
     };
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use cicada_lib::change_log::ChangeLog;
 use cicada_lib::dialect::Dialect;
 use cicada_lib::dialect::EngineCalls;
 use cicada_lib::fleet::Fleet;
@@ -111,6 +112,8 @@
     pub(crate) hello_due: Notify,
     pub(crate) pending: Mutex<Option<Pending>>,
     pub(crate) revision: AtomicU64,
+    // For relays that have missed some.
+    pub(crate) changes: Mutex<ChangeLog>,
     // Raised when idle connections are to be closed.
     pub(crate) ending: watch::Sender<bool>,
     // Raised when no connection is taken any more.
@@ -165,6 +168,7 @@
             moved: MovedRuns::new(),
             peers: Mutex::default(),
             revision: AtomicU64::new(0),
+            changes: Mutex::default(),
             ending: watch::Sender::new(false),
             closing: watch::Sender::new(false),
         })
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -60,6 +60,7 @@
     /// Takes the whole list of backend servers.
     pub fn set_servers(&self, listing: &ServerListing) {
         self.fleet().set_all(self.now(), &listing.servers);
+        lock(&self.changes).clear();
         self.listed_at(listing.revision);
     }
 
@@ -71,6 +72,7 @@
             fleet.change(now, &ServerChange::Put(server.clone()));
         }
         drop(fleet);
+        lock(&self.changes).clear();
         self.listed_at(listing.revision);
     }
 
@@ -85,17 +87,22 @@
                 tracing::debug!("peers: too much news waits, others will ask for it");
             }
         }
-        self.take_changes(news);
+        self.take_changes(after, news);
     }
 
     /// Takes changes that another relay tells of, if they follow on what is known here.
     pub(crate) fn news(&self, news: &ServerNews) {
         if self.revision().0 >= news.after {
-            self.take_changes(&news.changes);
+            self.take_changes(Revision(news.after), &news.changes);
         }
     }
 
-    fn take_changes(&self, news: &ServerChanges) {
+    /// What has changed of the list after the revision, where that is kept.
+    pub(crate) fn changes_since(&self, revision: Revision) -> Option<ServerChanges> {
+        lock(&self.changes).since(revision)
+    }
+
+    pub(crate) fn take_changes(&self, after: Revision, news: &ServerChanges) {
         // Another relay may have told of them, and of later ones, before.
         if news.revision < self.revision() {
             return;
@@ -106,6 +113,7 @@
             fleet.change(now, change);
         }
         drop(fleet);
+        lock(&self.changes).push(after, news);
         self.listed_at(news.revision);
     }
 
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -429,6 +429,7 @@
                 used: report.used,
                 planned: plan.tokens,
                 unread: plan.unread,
+                reads: (self.ledger.reading_rate() * 10.0) as u32,
                 capacity: report.capacity,
                 failing: (self.outcomes.failing(now) * 100.0) as u8,
                 leaving: report.leaving,
