--- a/lib/src/reading_rate.rs
+++ b/lib/src/reading_rate.rs
@@ -5,15 +5,15 @@
 //! are, and requests queue where they begin late.
 //!
 //! Counted are the tokens of prompts whose runs have begun, over the time for which the engine had a prompt to read: what
-//! running requests take of it is in there. The prior weighs as much as some seconds of reading, and old evidence fades.
+//! running requests take of it is in there. The prior weighs as much as a few prompts, and old evidence fades.
 
 use std::time::Duration;
 
 use crate::time::Time;
 
-/// Tokens a millisecond before anything was read, and the tokens that this weighs.
+/// Tokens a millisecond before anything was read, and the milliseconds of reading that this weighs.
 pub const PRIOR: f64 = 7.0;
-const PRIOR_TOKENS: f64 = 20_000.0;
+const PRIOR_MS: f64 = 500.0;
 
 /// Half of the evidence is forgotten in this time: engines slow down for seconds.
 const HALF_LIFE: f64 = 10.0;
@@ -53,7 +53,7 @@
 
     /// Tokens that the engine reads in a millisecond.
     pub fn per_ms(&self) -> f64 {
-        let rate = (PRIOR_TOKENS + self.tokens) / (PRIOR_TOKENS / PRIOR + self.busy_ms);
+        let rate = (PRIOR * PRIOR_MS + self.tokens) / (PRIOR_MS + self.busy_ms);
         rate.clamp(PRIOR * LEAST, PRIOR * MOST)
     }
 }
