--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -18,13 +18,8 @@
 use slotmap::SlotMap;
 
 use crate::cold_start::ColdShares;
-use crate::fleet_server::Report;
 use crate::fleet_server::Server;
-use crate::fleet_server::UNSEEN;
 use crate::ids::Name;
-use crate::peer_words::EngineHere;
-use crate::peer_words::EngineLoad;
-use crate::reading_rate;
 use crate::round_trips::RoundTrips;
 use crate::routing::ServerKey;
 use crate::server_lives::ServerLives;
@@ -52,11 +47,11 @@
 /// by itself, three in a row one in three hundred.
 const FAILURES: u32 = 3;
 
-/// The beginning of identifiers under which engines stand that are known by their scouts' word only.
-const UNLISTED: &str = "unlisted ";
+/// Load reports older than this are ignored: several intervals of a scout's reports.
+pub(crate) const SCOUT_AGE: Duration = Duration::from_millis(1_200);
 
-/// A scout that was silent for longer than this does not count on: it tells five times a second.
-const SCOUT_AGE: Duration = Duration::from_millis(1_200);
+/// The beginning of identifiers under which engines stand that are known by their scouts' word only.
+pub(crate) const UNLISTED: &str = "unlisted ";
 
 /// Where this entry stands.
 #[derive(Clone, Debug)]
@@ -80,10 +75,10 @@
     pub(crate) place: Place,
     pub(crate) servers: SlotMap<ServerKey, Server>,
     // Listed servers only.
-    ids: HashMap<Name, ServerKey>,
+    pub(crate) ids: HashMap<Name, ServerKey>,
     // All servers, listed or not. An address may be a former life's as well.
-    addresses: HashMap<SocketAddr, Vec<ServerKey>>,
-    lives: ServerLives,
+    pub(crate) addresses: HashMap<SocketAddr, Vec<ServerKey>>,
+    pub(crate) lives: ServerLives,
     // Engines that have come since they were last asked for.
     joined: Vec<SocketAddr>,
     // Whether the whole list was taken in once: what comes later may have started just now.
@@ -138,17 +133,6 @@
         }
     }
 
-    /// A scout says that its engine is there; whether that is news. Counts until the list has it, under
-    /// no identifier: the engine's own is in the list only.
-    pub fn announced(&mut self, now: Time, here: &EngineHere) -> bool {
-        if self.key_at(here.address).is_some() {
-            return false;
-        }
-        let id = Name::new(format!("{UNLISTED}{}", here.address));
-        self.put(now, &unlisted(id, here));
-        true
-    }
-
     /// Takes over which availability zones are evacuated, if that is news. The servers of a zone that takes work again
     /// may have started while it took none.
     pub fn set_evacuated(&mut self, now: Time, evacuated: &EvacuatedZones) -> EvacuationChange {
@@ -220,52 +204,6 @@
         std::mem::take(&mut self.joined)
     }
 
-    /// A scout says under which identifier its engine lives; whether that is news. The list may name a
-    /// former life at the address: that one has ended. Where the list has nothing there, the engine
-    /// counts by the list's word only, since it may be one that leaves without saying so.
-    pub fn identified(&mut self, now: Time, here: &EngineHere, id: &Name) -> bool {
-        let Some(key) = self.key_at(here.address) else {
-            return false;
-        };
-        let record = &self.servers[key].record;
-        if record.id == *id || record.service != here.service {
-            return false;
-        }
-        self.lives.found(now, here.address, id);
-        self.replace(now, key, id);
-        true
-    }
-
-    /// A place at the engine at the address, for a run that a scout has moved there. Scouts know engines
-    /// that this entry has not heard of; the run alone may go there, and nothing else until the list has
-    /// it. `None` where a server at the address has left: it may be the one.
-    pub fn adopted(&mut self, now: Time, engine: &EngineHere) -> Option<ServerKey> {
-        if let Some(key) = self.key_at(engine.address) {
-            return Some(key);
-        }
-        if self.lives.has_left(now, engine.address) {
-            return None;
-        }
-        let id = Name::new(format!("{UNLISTED}{}", engine.address));
-        Some(self.insert(Server::new(unlisted(id, engine))))
-    }
-
-    /// Forgets engines that only their scouts told of, and whose scouts are silent now.
-    pub fn trim_announced(&mut self, now: Time) {
-        let announced = self
-            .ids
-            .iter()
-            .filter(|(id, _)| id.as_str().starts_with(UNLISTED));
-        let silent = announced.filter(|(_, key)| {
-            let server = &self.servers[**key];
-            server.report.is_some_and(|r| now.since(r.at) >= SCOUT_AGE)
-        });
-        let silent: Vec<Name> = silent.map(|(id, _)| id.clone()).collect();
-        for id in silent {
-            self.gone(now, &id);
-        }
-    }
-
     /// The record of a server, while it is listed or something of this entry is there.
     pub fn record(&self, key: ServerKey) -> Option<&ServerRecord> {
         self.servers.get(key).map(|s| &s.record)
@@ -378,120 +316,6 @@
         }
     }
 
-    /// A report of an engine came; whether it is news that the engine leaves.
-    pub fn report(&mut self, now: Time, engine: &EngineHere, load: &EngineLoad) -> bool {
-        let address = engine.address;
-        if self.key_at(address).is_none() {
-            self.take_found(now, engine);
-        }
-        // One that has left the list may still run what it was sent, and its scout tells of it.
-        let there = self.addresses.get(&address).into_iter().flatten();
-        let told = there.copied().filter(|key| {
-            let record = &self.servers[*key].record;
-            let known = record.born;
-            let same_life = load.born.is_none_or(|born| born == known || known == 0);
-            record.service == engine.service && same_life
-        });
-        let Some(key) = told.max_by_key(|key| self.servers[*key].listed) else {
-            return false;
-        };
-        let trip = self.round_trip(now, &self.servers[key].record.zone);
-        let server = &mut self.servers[key];
-        let turned = load.leaving && server.leaving.is_none();
-        if turned {
-            server.leaving = Some(now);
-        }
-        server.report = Some(Report {
-            at: now,
-            planned: load.planned.max(load.used),
-            unread: load.unread,
-            reads: match load.reads {
-                0 => reading_rate::PRIOR,
-                reads => f64::from(reads) / 10.0,
-            },
-            running: load.running + load.queued,
-            failing: f64::from(load.failing) / 100.0,
-            every: Duration::from_millis(u64::from(load.every)),
-        });
-        server
-            .cold
-            .told(now, Duration::from_millis(u64::from(load.cold)));
-        let unseen = UNSEEN + trip;
-        server.unseen.retain(|sent| now.since(sent.at) < unseen);
-        turned
-    }
-
-    /// A scout has answered with its engine's load; whether it is news that the engine leaves. The answer counts
-    /// all that was sent to the engine, this entry's requests among it.
-    pub fn answered(&mut self, now: Time, engine: &EngineHere, load: &EngineLoad) -> bool {
-        let turned = self.report(now, engine, load);
-        if let Some(key) = self.key_at(engine.address) {
-            self.servers[key].unseen.clear();
-        }
-        turned
-    }
-
-    /// A request found another server at the address than the expected one: that one has ended. The other
-    /// one takes its place at once where a scout has said what stands there; without such a word the
-    /// address may be another service's by now.
-    pub fn is_other(&mut self, now: Time, key: ServerKey, other: &Name) {
-        let Some(server) = self.servers.get(key) else {
-            return;
-        };
-        let (id, address) = (server.record.id.clone(), server.record.address);
-        self.lives.found(now, address, other);
-        if self.ids.get(&id) != Some(&key) {
-            return;
-        }
-        if self.has_scout(now, key) {
-            self.replace(now, key, other);
-        } else {
-            self.end(now, &id);
-        }
-    }
-
-    /// The life at `key` has ended, and `id` is the one that stands there now. What its scout has said
-    /// of it still holds.
-    fn replace(&mut self, now: Time, key: ServerKey, id: &Name) {
-        let server = &self.servers[key];
-        let report = server.report;
-        let former = server.record.clone();
-        self.end(now, &former.id);
-        let record = ServerRecord {
-            id: id.clone(),
-            phase: ServerPhase::Ready,
-            cold: Duration::ZERO,
-            born: 0,
-            ..former
-        };
-        self.put(now, &record);
-        if let Some(key) = self.ids.get(id) {
-            let server = &mut self.servers[*key];
-            server.found = Some(now);
-            server.report = report;
-        }
-    }
-
-    /// The life under the identifier has ended, whatever the list says.
-    fn end(&mut self, now: Time, id: &Name) {
-        if let Some(key) = self.ids.get(id) {
-            self.lives.ended(now, &self.servers[*key].record);
-        }
-        self.gone(now, id);
-    }
-
-    /// Takes in an engine that a request has found at an address and whose scout says what it is, before
-    /// the list has it.
-    fn take_found(&mut self, now: Time, engine: &EngineHere) {
-        let Some(id) = self.lives.found_at(now, engine.address) else {
-            return;
-        };
-        self.put(now, &unlisted(id.clone(), engine));
-        if let Some(key) = self.ids.get(&id) {
-            self.servers[*key].found = Some(now);
-        }
-    }
-
     /// A plain server said what runs and waits there.
     pub fn told_load(&mut self, key: ServerKey, running: u32, waiting: u32) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -500,7 +324,7 @@
         }
     }
 
-    fn put(&mut self, now: Time, record: &ServerRecord) {
+    pub(crate) fn put(&mut self, now: Time, record: &ServerRecord) {
         if self.lives.has_ended(now, record) {
             return;
         }
@@ -552,7 +376,7 @@
         true
     }
 
-    fn gone(&mut self, now: Time, id: &Name) {
+    pub(crate) fn gone(&mut self, now: Time, id: &Name) {
         let Some(key) = self.ids.remove(id) else {
             return;
         };
@@ -565,7 +389,7 @@
         }
     }
 
-    fn insert(&mut self, server: Server) -> ServerKey {
+    pub(crate) fn insert(&mut self, server: Server) -> ServerKey {
         let address = server.record.address;
         let key = self.servers.insert(server);
         self.addresses.entry(address).or_default().push(key);
@@ -585,17 +409,3 @@
         }
     }
 }
-
-/// The record of an engine that the list does not have.
-fn unlisted(id: Name, engine: &EngineHere) -> ServerRecord {
-    ServerRecord {
-        id,
-        service: engine.service.clone(),
-        address: engine.address,
-        zone: engine.zone.clone(),
-        slots: 0,
-        phase: ServerPhase::Ready,
-        cold: Duration::ZERO,
-        born: 0,
-    }
-}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod engine_ledger;
 pub mod fleet;
 mod fleet_choice;
+mod fleet_news;
 mod fleet_server;
 pub mod gossip;
 pub mod gossip_net;
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -19,13 +19,11 @@
 use cicada_lib::peer_words::Datagram;
 use cicada_lib::peer_words::EngineHere;
 use cicada_lib::peer_words::EngineIdentity;
-use cicada_lib::peer_words::EngineLoad;
 use cicada_lib::peer_words::LoadAnswer;
 use cicada_lib::peer_words::LoadAsk;
 use cicada_lib::peer_words::MovedRun;
 use cicada_lib::peer_words::ScoutReport;
 use cicada_lib::peer_words::Subscription;
-use cicada_lib::placement;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
 use tokio::sync::mpsc;
@@ -43,29 +41,7 @@
 
 /// How often the engine is asked: an engine that leaves says so 1.5 s before, of which this takes a
 /// fiftieth at most, and relays that choose engines at the same time see each other's requests.
-const LOOK: Duration = Duration::from_millis(30);
-
-/// How often a report goes to each listener while nothing has changed.
-const TELL: Duration = Duration::from_millis(400);
-
-/// A change of this part of the memory is told at once, as are requests that came or ended.
-const NEWS_PART: u64 = 32;
-
-/// So is a change of the failing part by more hundredths than this: two more failures among some.
-const NEWS_FAILING: u8 = 10;
-
-/// After a relay's word of a request a report goes out once more at these times, though nothing has changed.
-/// Relays of the zone, and of other regions, count a request beside the reports until one comes that is as
-/// much later; without it they would count it twice for up to 0.4 s, and take the engine for crowded.
-const FOLLOW_UPS: [Duration; 2] = [Duration::from_millis(65), Duration::from_millis(135)];
-
-/// Datagrams of reports in a second, to all listeners together: at 45 bytes under 7 KB. Beyond five
-/// listeners each gets its reports less often.
-const TELL_RATE: f64 = 150.0;
-
-/// The time between two reports to relays that ask before they choose. They take from them only that the scout
-/// lives and how full the region is.
-const TELL_ASKERS: Duration = Duration::from_millis(500);
+pub(crate) const LOOK: Duration = Duration::from_millis(30);
 
 /// A look at the engine that is older than this answers no question: the engine does not answer itself, or this
 /// host has stood still.
@@ -93,39 +69,39 @@
 
 /// A scout.
 pub struct Scout {
-    engines: Arc<dyn EngineCalls>,
+    pub(crate) engines: Arc<dyn EngineCalls>,
     // The engine that it stands beside.
-    here: EngineHere,
-    seeds: Vec<SocketAddr>,
-    socket: Arc<WordSocket>,
+    pub(crate) here: EngineHere,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) socket: Arc<WordSocket>,
     // Relays and neighbours' scouts that asked for reports.
-    listeners: HashMap<SocketAddr, Instant>,
+    pub(crate) listeners: HashMap<SocketAddr, Instant>,
     // When each engine of the service and availability zone was last named.
-    named: HashMap<SocketAddr, Instant>,
-    neighbours: Arc<Neighbours>,
-    told: Instant,
+    pub(crate) named: HashMap<SocketAddr, Instant>,
+    pub(crate) neighbours: Arc<Neighbours>,
+    pub(crate) told: Instant,
     // What was told then.
-    last: Option<ScoutReport>,
+    pub(crate) last: Option<ScoutReport>,
     // What the engine said when it was last looked at, and when; `None` where it did not answer.
-    seen: Option<(Time, EngineReport)>,
+    pub(crate) seen: Option<(Time, EngineReport)>,
     // When the neighbours were last asked, or the engine announced; `None` before the first time.
-    renewed: Option<Instant>,
+    pub(crate) renewed: Option<Instant>,
     // Whether the last report said that the engine leaves.
-    leaving: bool,
+    pub(crate) leaving: bool,
     // The latest runs of an engine that leaves, for the task that moves them.
-    evacuating: Option<watch::Sender<EngineReport>>,
-    identity: Identity,
-    ledger: EngineLedger,
-    outcomes: Outcomes,
-    cold: ColdState,
+    pub(crate) evacuating: Option<watch::Sender<EngineReport>>,
+    pub(crate) identity: Identity,
+    pub(crate) ledger: EngineLedger,
+    pub(crate) outcomes: Outcomes,
+    pub(crate) cold: ColdState,
     // How long the engine is cold after a start, as relays tell.
-    cold_period: Duration,
+    pub(crate) cold_period: Duration,
     // When a relay last told of a request.
-    heard: Instant,
-    clock: Clock,
-    moved: Vec<MovedRun>,
-    moves: mpsc::Receiver<RunNews>,
-    moves_in: mpsc::Sender<RunNews>,
+    pub(crate) heard: Instant,
+    pub(crate) clock: Clock,
+    pub(crate) moved: Vec<MovedRun>,
+    pub(crate) moves: mpsc::Receiver<RunNews>,
+    pub(crate) moves_in: mpsc::Sender<RunNews>,
 }
 
 impl Scout {
@@ -355,41 +331,6 @@
         }
     }
 
-    /// How long after a report the next one goes out.
-    fn pause(&self, word: &ScoutReport) -> Duration {
-        let load = &word.load;
-        let news = self.last.as_ref().is_none_or(|last| {
-            let last = &last.load;
-            let same = (last.reading, last.running) == (load.reading, load.running);
-            let part = load.capacity / NEWS_PART;
-            let planned = last.planned.abs_diff(load.planned) > part;
-            let failing = last.failing.abs_diff(load.failing) > NEWS_FAILING;
-            let follows = FOLLOW_UPS.iter().any(|after| {
-                let due = self.heard + *after;
-                self.told < due && due <= Instant::now()
-            });
-            let cold = (last.cold == 0) != (load.cold == 0);
-            !same
-                || cold
-                || planned
-                || failing
-                || follows
-                || last.unread.abs_diff(load.unread) > part
-        });
-        let pause = if news { LOOK } else { TELL };
-        pause.max(self.every())
-    }
-
-    /// The time between two reports while there is news.
-    fn every(&self) -> Duration {
-        let shared = self.listeners.len() as f64 / TELL_RATE;
-        let every = LOOK.max(Duration::from_secs_f64(shared));
-        match placement::reports_too_sparse(every) {
-            true => every.max(TELL_ASKERS),
-            false => every,
-        }
-    }
-
     /// Asks for the reports of the engines to which runs can be moved, while there are runs to move: asked for all
     /// the time, each scout would tell as many neighbours as relays.
     async fn ask_neighbours(&mut self, turned: bool) {
@@ -415,31 +356,6 @@
         self.socket.send(word, &listeners).await;
     }
 
-    /// What is told of the engine, but for the request `without`.
-    fn word(&mut self, report: &EngineReport, without: Option<&Name>) -> ScoutReport {
-        let now = self.clock.now();
-        let plan = self.ledger.plan(now, without);
-        ScoutReport {
-            here: self.here.clone(),
-            load: EngineLoad {
-                born: report.born,
-                queued: report.queued,
-                running: report.running,
-                reading: report.reading,
-                used: report.used,
-                planned: plan.tokens,
-                unread: plan.unread,
-                reads: (self.ledger.reading_rate() * 10.0) as u32,
-                capacity: report.capacity,
-                failing: (self.outcomes.failing(now) * 100.0) as u8,
-                leaving: report.leaving,
-                leaves: report.leaves.map(|time| time.as_millis() as u32),
-                cold: self.cold.left(now, self.cold_period).as_millis() as u32,
-                every: self.every().as_millis() as u32,
-            },
-        }
-    }
-
     async fn tell_moved(&mut self, moved: MovedRun) {
         if self.moved.len() >= REMEMBERED {
             self.moved.remove(0);
