relay: all watches begin anew when one finds the store gone

The watch on the servers gave up after 4 s and listed anew; the one on the configuration went on waiting on a connection that had fallen silent, for up to 11.5 s, and a version acknowledged at 28.70 s was not in force at 32.45 s.

Change: when the watch on the servers fails, the watches on the configuration and on evacuations begin anew as well. It waits 1.5 s for 2.5, and a watch may take 0.8 s beyond its wait for 1.5: a silent connection is noticed within 2.3 s. Ruled out: a message that was lost between relays (the logs show no relay with the version). Test: all_watches_begin_anew_after_an_outage, red before, green after.

Left: a configuration's watch alone on a silent connection still waits for 10.8 s.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -589,3 +589,24 @@
     };
     until("all relays know the engine", || (0..RELAYS).all(heard)).await
 }
+
+/// Guards against a configuration that is not heard of, since its watch waits on behind an outage that the watch on the
+/// servers has noticed. Ten seconds are the longest that it waits.
+#[tokio::test(flavor = "multi_thread")]
+async fn all_watches_begin_anew_after_an_outage() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 0, 1).await?;
+    sleep(Duration::from_millis(500)).await;
+    deployment.store.set_busy(true);
+    sleep(Duration::from_millis(2_500)).await;
+    deployment.configure(2, &["another-key"]);
+    deployment.store.set_busy(false);
+    let begun = Instant::now();
+    let ask = Ask::new("GET", "/slots/1", "read", "another-key");
+    while begun.elapsed() < Duration::from_secs(6) {
+        if ask.send(deployment.relays[0].callers).await?.status == StatusCode::OK {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    bail!("{}", deployment.relays[0].process.log())
+}
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -19,10 +19,10 @@
 use crate::relay::Relay;
 
 /// How long a watch on the configuration waits, and one on the backend servers. Each costs a call. A
-/// directory that turns new calls away while a watch waits is noticed only at the watch's end, and until
-/// then no engine is taken on its scout's word.
+/// directory that turns new calls away while a watch waits is noticed only at the watch's end, and so is a connection
+/// that fell silent: until then no engine is taken on its scout's word, and nobody hears of a configuration.
 const CONFIG_WATCH: Duration = Duration::from_secs(10);
-const SERVER_WATCH: Duration = Duration::from_millis(2_500);
+const SERVER_WATCH: Duration = Duration::from_millis(1_500);
 
 /// How long a watch on evacuations waits. One whose connection fell silent is given up after this and the call's own
 /// time, together less than an evacuation may take to hold.
@@ -124,7 +124,14 @@
             }
             let outcome = match at {
                 None => self.directory.config().await,
-                Some(after) => self.directory.next_config(after, CONFIG_WATCH).await,
+                Some(after) => tokio::select! {
+                    outcome = self.directory.next_config(after, CONFIG_WATCH) => outcome,
+                    // What the watch on the servers met, this one has met too and does not know yet.
+                    () = self.until_unfed(), if self.relay.version() > 0 => {
+                        at = None;
+                        continue;
+                    }
+                },
             };
             match outcome {
                 Ok((config, revision)) => {
@@ -182,11 +189,13 @@
             }
             let outcome = match &known {
                 None => self.directory.evacuations().await,
-                Some(known) => {
-                    self.directory
-                        .next_evacuations(known, EVACUATION_WATCH)
-                        .await
-                }
+                Some(before) => tokio::select! {
+                    outcome = self.directory.next_evacuations(before, EVACUATION_WATCH) => outcome,
+                    () = self.until_unfed(), if self.relay.evacuated().is_known() => {
+                        known = None;
+                        continue;
+                    }
+                },
             };
             match outcome {
                 Ok(evacuated) => {
@@ -213,6 +222,13 @@
         true
     }
 
+    /// Waits until this relay watches no more, or was not answered.
+    async fn until_unfed(&self) {
+        while self.relay.is_fed() {
+            sleep(PULL).await;
+        }
+    }
+
     /// Whether this relay is to watch the directory, where it does so already or not. Waits a moment where another
     /// one does.
     async fn is_watcher(&self, watching: bool) -> bool {
