relay: limits that backend servers name are read and logged

Callers saw nothing. Whether a relay that sends too much to a server in need knows of the limit could not be told from its logs or metrics, so that "not read" and "read and passed over" could not be told apart.

The adapter reads the header into AnswerHead::limit; a line when a server's limit changes, the limit known at the choice beside each answered request and placed stream, and the gauge relay_limited_servers. No choice is made by it.

Answers overtake each other: one without a limit lifts it only where its request was sent after the limit had become known (lib/tests/server_limit.rs).

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -13,6 +13,7 @@
 
 use crate::copy_type;
 use crate::ids::Name;
+use crate::server_limit::RequestRate;
 use crate::value_type;
 
 value_type! {
@@ -86,6 +87,8 @@
         pub signed: bool,
         /// Requests that run and that wait there.
         pub load: Option<(u32, u32)>,
+        /// The limit that the server names, if it names one.
+        pub limit: Option<RequestRate>,
     }
 
     /// A run at an engine, as the engine reports it.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -22,6 +22,8 @@
 use crate::ids::Name;
 use crate::round_trips::RoundTrips;
 use crate::routing::ServerKey;
+use crate::server_limit::LimitChange;
+use crate::server_limit::RequestRate;
 use crate::server_lives::ServerLives;
 use crate::site::ServerChange;
 use crate::site::ServerPhase;
@@ -324,6 +326,30 @@
         }
     }
 
+    /// An answer to a request that was sent at `sent` names the server's limit, or none.
+    pub fn told_limit(
+        &mut self,
+        now: Time,
+        key: ServerKey,
+        sent: Time,
+        limit: Option<RequestRate>,
+    ) -> Option<LimitChange> {
+        self.servers.get_mut(key)?.limit.answered(now, sent, limit)
+    }
+
+    /// The limit that the server names.
+    pub fn limit(&self, key: ServerKey) -> Option<RequestRate> {
+        self.servers.get(key)?.limit.rate()
+    }
+
+    /// Listed servers that name a limit.
+    pub fn limited_count(&self) -> usize {
+        let listed = self.servers.values().filter(|server| server.listed);
+        listed
+            .filter(|server| server.limit.rate().is_some())
+            .count()
+    }
+
     pub(crate) fn put(&mut self, now: Time, record: &ServerRecord) {
         if self.lives.has_ended(now, record) {
             return;
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -12,6 +12,7 @@
 use crate::residency::ANY_REGION;
 use crate::residency::AllowedRegions;
 use crate::routing::ServerKey;
+use crate::server_limit::LimitState;
 use crate::site::EngineSpec;
 use crate::site::ServerRecord;
 use crate::time::Time;
@@ -146,6 +147,7 @@
     // Requests that a plain server said it has running and waiting, besides this entry's.
     pub(crate) others: f64,
     pub(crate) cold: ColdState,
+    pub(crate) limit: LimitState,
     // Of a plain server that has answered.
     pub(crate) work: Option<WorkTime>,
 }
@@ -211,6 +213,7 @@
             rest: Time::ZERO,
             others: 0.0,
             cold: ColdState::default(),
+            limit: LimitState::default(),
             work: None,
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -90,6 +90,7 @@
 pub mod rumours;
 pub mod scheduler;
 pub mod secrets;
+pub mod server_limit;
 mod server_lives;
 pub mod service_http;
 pub mod settings;
--- a/relay/src/figures.rs
+++ b/relay/src/figures.rs
@@ -20,6 +20,7 @@
     asks: IntCounterVec,
     starts: IntCounterVec,
     open: IntGauge,
+    limited: IntGauge,
     first: Histogram,
     gap: Histogram,
 }
@@ -56,6 +57,10 @@
                 "came",
             )?,
             open: IntGauge::new("relay_open_requests", "Requests that are open")?,
+            limited: IntGauge::new(
+                "relay_limited_servers",
+                "Backend servers that name a limit in their answers",
+            )?,
             first: histogram(
                 "relay_first_seconds",
                 "Time to the first event or the answer",
@@ -70,6 +75,7 @@
         registry.register(Box::new(figures.asks.clone()))?;
         registry.register(Box::new(figures.starts.clone()))?;
         registry.register(Box::new(figures.open.clone()))?;
+        registry.register(Box::new(figures.limited.clone()))?;
         registry.register(Box::new(figures.first.clone()))?;
         registry.register(Box::new(figures.gap.clone()))?;
         Ok(figures)
@@ -122,6 +128,11 @@
         self.gap.observe(time.as_secs_f64());
     }
 
+    /// So many backend servers name a limit.
+    pub(crate) fn limited(&self, servers: usize) {
+        self.limited.set(servers as i64);
+    }
+
     /// Requests that are open.
     pub fn open(&self) -> &IntGauge {
         &self.open
--- a/relay/src/placed.rs
+++ b/relay/src/placed.rs
@@ -8,6 +8,8 @@
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::routing::ServerKey;
+use cicada_lib::server_limit::LimitChange;
+use cicada_lib::server_limit::RequestRate;
 use cicada_lib::site::ServerRecord;
 use cicada_lib::time::Time;
 
@@ -24,6 +26,8 @@
     pub(crate) reading: Duration,
     // Servers of this region that were left out, where the chosen one stands in another region.
     pub(crate) left_out: Option<LeftOut>,
+    // The limit that the chosen server names, in requests a second.
+    pub(crate) limit: Option<f64>,
     // Scouts that were asked, and that answered.
     pub(crate) asked: usize,
     pub(crate) answered: usize,
@@ -150,6 +154,28 @@
         }
     }
 
+    /// An answer to a request that was sent at `sent` names the server's limit, or none.
+    pub(crate) fn told_limit(&self, sent: Time, limit: Option<RequestRate>) {
+        let now = self.relay.now();
+        let mut fleet = self.relay.fleet();
+        let change = fleet.told_limit(now, self.key, sent, limit);
+        let limited = fleet.limited_count();
+        drop(fleet);
+        let Some(change) = change else {
+            return;
+        };
+        self.relay.figures().limited(limited);
+        let (server, address) = (&self.record.id, self.record.address);
+        match change {
+            LimitChange::Named(rate) => {
+                tracing::info!(%server, %address, limit = rate.per_second(), "fleet: a server names a limit");
+            }
+            LimitChange::Lifted => {
+                tracing::info!(%server, %address, "fleet: a server names no limit any more");
+            }
+        }
+    }
+
     pub(crate) fn told_load(&self, load: Option<(u32, u32)>) {
         if let Some((running, waiting)) = load {
             self.relay.fleet().told_load(self.key, running, waiting);
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -97,6 +97,7 @@
                     status = whole.status.as_u16(),
                     sends = attempts.sent() + 1,
                     waited = call.arrived.elapsed().as_millis() as u64,
+                    limit = placed.basis.limit,
                     left_out = placed.basis.left_out.map(tracing::field::display),
                     "request: answered"
                 );
--- a/relay/src/relay_places.rs
+++ b/relay/src/relay_places.rs
@@ -17,6 +17,7 @@
 use cicada_lib::residency::ANY_REGION;
 use cicada_lib::retry_window::RetryWindow;
 use cicada_lib::returns::Returns;
+use cicada_lib::server_limit::RequestRate;
 use cicada_lib::site::ServiceSpec;
 
 use crate::lock::lock;
@@ -46,6 +47,7 @@
         let basis = Basis {
             used,
             age: age.map(|age| age.as_millis() as u64),
+            limit: fleet.limit(key).map(RequestRate::per_second),
             left_out: (!fleet.is_near(key)).then(|| fleet.left_out_near(now, need, spec)),
             ..Basis::default()
         };
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -80,7 +80,7 @@
         ..dispatch.clone()
     };
     let request = call.request(relay, &dispatch);
-    let sent = Instant::now();
+    let (sent, sent_at) = (Instant::now(), relay.now());
     let until = patience.map_or(call.limit, |patience| patience.min(call.limit));
     let answer = match timeout_at(until, opened.send(request)).await {
         Err(_) if call.left().is_zero() => return Err(Unanswered::TimeOver),
@@ -102,6 +102,9 @@
         placed.is_other(other);
         return Err(Unanswered::Elsewhere);
     }
+    if head.limit.is_some() || head.signed {
+        placed.told_limit(sent_at, head.limit);
+    }
     if head.refused {
         return Err(Unanswered::Refused);
     }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -96,6 +96,7 @@
             reading = placed.basis.reading.as_millis() as u64,
             asked = placed.basis.asked,
             answered = placed.basis.answered,
+            limit = placed.basis.limit,
             left_out = placed.basis.left_out.map(tracing::field::display),
             "stream: placed"
         );
