lib, relay: a server's own limit is shared by all relays

What callers saw: nothing; a server that had asked for relief got the requests that it got before.

Cause: nothing read the limit; and the only rule that bounded what all relays send to one server, cold-start admission, was written for that case alone.

The share of an entry now stands by itself (entry_shares) and serves both. A limit is dealt to as many entries as it allows requests a second and two more, each with a token bucket of one request; the others ask now and then. Relays tell each other of limits with their age, and the latest word holds. Servers at their limit are left out of the choice (limited_servers); Retry-After is the time until the next share.

Why it holds: shares add up to 1.125 times the limit, and what all may have saved up to the limit and two, together 5.5 times and two in 4 s where 6 times and five are tolerated, whether relays hear each other or not.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -173,6 +173,8 @@
     restricted: usize,
     // Cold servers of services that bound what these get.
     cold: usize,
+    // Servers that name a limit.
+    limited: usize,
 }
 
 impl StatusSource for RelayStatus {
@@ -189,6 +191,7 @@
             evacuated,
             restricted,
             cold,
+            limited,
         } = self.relay.restrictions();
         let page = RelayPage {
             name: self.settings.text("process", "name"),
@@ -200,6 +203,7 @@
             evacuated,
             restricted,
             cold,
+            limited,
         };
         serde_json::to_vec(&page).unwrap_or_default()
     }
--- a/lib/src/cold_start.rs
+++ b/lib/src/cold_start.rs
@@ -2,21 +2,17 @@
 //!
 //! Load pattern: the servers of a zone come back together, cold and emptier than all others, into a burst. Every
 //! entry prefers them at once, and a cold server crashes when more requests arrive in a second than it tolerates.
-//! Entries may not hear each other, or may have lost their peers a moment ago, so that none can count what the
-//! others send.
 //!
-//! So each entry keeps to a fixed share of the tolerated rate: an equal part for each entry that it has ever heard
-//! of, dead ones included. Where the rate is below one request a second for each entry, only some of them send to
-//! the server, drawn by rendezvous hashing, so that all agree without a message. An entry that does not know yet
-//! how many there are sends none.
+//! So each entry keeps to a fixed share of the tolerated rate, see `entry_shares`. Where the rate is below one request
+//! a second for each entry, only the entries that are drawn for the server send there. An entry that does not know
+//! the others yet sends none.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::entry_shares::EntryShares;
 use crate::figure_type;
-use crate::rendezvous::hash_address;
-use crate::rendezvous::mix;
 use crate::time::Time;
 
 /// The time in which sends are counted: a second, and the time by which one may arrive sooner than another after it
@@ -39,6 +35,19 @@
     pub fn is_limited(&self) -> bool {
         self.rate > 0.0
     }
+
+    /// Requests that this entry may send to the cold server within a second.
+    pub fn share(&self, entries: &EntryShares, server: SocketAddr) -> usize {
+        let Some(all) = entries.count() else {
+            return 0;
+        };
+        let equal = (self.rate / all as f64) as usize;
+        if equal > 0 {
+            return equal;
+        }
+        let places = (self.rate as usize).max(1);
+        usize::from(entries.is_drawn(server, places))
+    }
 }
 
 /// Until when a server is cold, and what this entry has sent there.
@@ -82,45 +91,3 @@
         recent.count()
     }
 }
-
-/// This entry's share of the requests to cold servers.
-#[derive(Clone, Debug, Default)]
-pub struct ColdShares {
-    // Hashes of this entry's address and of all others' that are known; `None` until the others are known.
-    entries: Option<Entries>,
-}
-
-#[derive(Clone, Debug)]
-struct Entries {
-    own: u64,
-    others: Vec<u64>,
-}
-
-impl ColdShares {
-    /// All entries that are known, whether they are alive or not.
-    pub fn set_entries(&mut self, own: SocketAddr, others: impl IntoIterator<Item = SocketAddr>) {
-        let others = others.into_iter().filter(|other| *other != own);
-        self.entries = Some(Entries {
-            own: hash_address(own),
-            others: others.map(hash_address).collect(),
-        });
-    }
-
-    /// Requests that this entry may send to the cold server within a second.
-    pub fn share(&self, server: SocketAddr, start: &ColdStart) -> usize {
-        let Some(entries) = &self.entries else {
-            return 0;
-        };
-        let all = entries.others.len() + 1;
-        let equal = (start.rate / all as f64) as usize;
-        if equal > 0 {
-            return equal;
-        }
-        let places = (start.rate as usize).max(1);
-        let server = hash_address(server);
-        let own = mix(entries.own ^ server);
-        let before = entries.others.iter();
-        let before = before.filter(|other| mix(**other ^ server) > own).count();
-        usize::from(before < places)
-    }
-}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -17,13 +17,11 @@
 
 use slotmap::SlotMap;
 
-use crate::cold_start::ColdShares;
+use crate::entry_shares::EntryShares;
 use crate::fleet_server::Server;
 use crate::ids::Name;
 use crate::round_trips::RoundTrips;
 use crate::routing::ServerKey;
-use crate::server_limit::LimitChange;
-use crate::server_limit::RequestRate;
 use crate::server_lives::ServerLives;
 use crate::site::ServerChange;
 use crate::site::ServerPhase;
@@ -86,7 +84,7 @@
     // Whether the whole list was taken in once: what comes later may have started just now.
     listed: bool,
     pub(crate) evacuated: EvacuatedZones,
-    pub(crate) cold_shares: ColdShares,
+    pub(crate) entries: EntryShares,
     pub(crate) trips: RoundTrips,
     // By plain service.
     pub(crate) work_times: HashMap<Name, WorkTime>,
@@ -104,7 +102,7 @@
             joined: Vec::new(),
             listed: false,
             evacuated: EvacuatedZones::default(),
-            cold_shares: ColdShares::default(),
+            entries: EntryShares::default(),
             trips: RoundTrips::default(),
             work_times: HashMap::new(),
         }
@@ -185,9 +183,9 @@
         cold.count()
     }
 
-    /// Takes over which entries there are, this one at `own`: they share what cold servers tolerate.
+    /// Takes over which entries there are, this one at `own`: they share what servers take from all of them.
     pub fn set_entries(&mut self, own: SocketAddr, others: impl IntoIterator<Item = SocketAddr>) {
-        self.cold_shares.set_entries(own, others);
+        self.entries.set_entries(own, others);
     }
 
     /// The listed servers.
@@ -269,6 +267,8 @@
             server.unread += need.prompt;
             server.sent(now, need.prompt, need.tokens);
             server.cold.sent(now);
+            let address = server.record.address;
+            server.limit.sent(now, address, &self.entries);
         }
     }
 
@@ -326,30 +326,6 @@
         }
     }
 
-    /// An answer to a request that was sent at `sent` names the server's limit, or none.
-    pub fn told_limit(
-        &mut self,
-        now: Time,
-        key: ServerKey,
-        sent: Time,
-        limit: Option<RequestRate>,
-    ) -> Option<LimitChange> {
-        self.servers.get_mut(key)?.limit.answered(now, sent, limit)
-    }
-
-    /// The limit that the server names.
-    pub fn limit(&self, key: ServerKey) -> Option<RequestRate> {
-        self.servers.get(key)?.limit.rate()
-    }
-
-    /// Listed servers that name a limit.
-    pub fn limited_count(&self) -> usize {
-        let listed = self.servers.values().filter(|server| server.listed);
-        listed
-            .filter(|server| server.limit.rate().is_some())
-            .count()
-    }
-
     pub(crate) fn put(&mut self, now: Time, record: &ServerRecord) {
         if self.lives.has_ended(now, record) {
             return;
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -1,8 +1,8 @@
 //! The choice of a backend server for a request.
 //!
 //! A request goes where the sum of distance, expected wait and lack of room is least, among the servers that it may
-//! go to: in a region that is allowed, in no evacuated availability zone, and at no cold server beyond what that
-//! tolerates. See `fleet` for the load patterns.
+//! go to: in a region that is allowed, in no evacuated availability zone, and at no server beyond what that tolerates while
+//! it is cold or takes while it names a limit. See `fleet` for the load patterns.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -41,6 +41,8 @@
         Evacuated,
         /// It is cold, and this entry has sent what it may.
         Cold,
+        /// It names a limit, and this entry has sent its share.
+        Limited,
     }
 
     /// Why no server was chosen.
@@ -60,6 +62,7 @@
             NoServer::Excluded(Exclusion::Region) => "region_not_allowed",
             NoServer::Excluded(Exclusion::Evacuated) => "zone_evacuated",
             NoServer::Excluded(Exclusion::Cold) => "cold_servers",
+            NoServer::Excluded(Exclusion::Limited) => "limited_servers",
         }
     }
 }
@@ -73,6 +76,8 @@
     pub evacuated: u32,
     /// See [`Exclusion::Cold`].
     pub cold: u32,
+    /// See [`Exclusion::Limited`].
+    pub limited: u32,
 }
 
 impl LeftOut {
@@ -81,12 +86,14 @@
             Exclusion::Region => self.region += 1,
             Exclusion::Evacuated => self.evacuated += 1,
             Exclusion::Cold => self.cold += 1,
+            Exclusion::Limited => self.limited += 1,
         }
     }
 
     /// The reason that will pass first.
     fn reason(&self) -> NoServer {
         match self {
+            LeftOut { limited: 1.., .. } => NoServer::Excluded(Exclusion::Limited),
             LeftOut { cold: 1.., .. } => NoServer::Excluded(Exclusion::Cold),
             LeftOut { evacuated: 1.., .. } => NoServer::Excluded(Exclusion::Evacuated),
             LeftOut { region: 1.., .. } => NoServer::Excluded(Exclusion::Region),
@@ -101,10 +108,11 @@
             region,
             evacuated,
             cold,
+            limited,
         } = self;
         write!(
             f,
-            "region_not_allowed {region}, zone_evacuated {evacuated}, cold {cold}"
+            "region_not_allowed {region}, zone_evacuated {evacuated}, cold {cold}, limited {limited}"
         )
     }
 }
@@ -192,7 +200,7 @@
         left_out
     }
 
-    fn exclusion(
+    pub(crate) fn exclusion(
         &self,
         now: Time,
         server: &Server,
@@ -206,8 +214,10 @@
         if self.evacuated.contains(zone) {
             return Some(Exclusion::Evacuated);
         }
-        self.is_beyond_share(now, server, &spec.cold)
-            .then_some(Exclusion::Cold)
+        if self.is_beyond_share(now, server, &spec.cold) {
+            return Some(Exclusion::Cold);
+        }
+        self.is_at_limit(now, server).then_some(Exclusion::Limited)
     }
 
     /// Whether a cold server has got all that this entry may send there.
@@ -215,7 +225,7 @@
         if !start.is_limited() || server.cold.left(now, start.period).is_zero() {
             return false;
         }
-        let share = self.cold_shares.share(server.record.address, start);
+        let share = start.share(&self.entries, server.record.address);
         server.cold.sends(now) >= share
     }
 
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::Name;
 use crate::returns::Return;
+use crate::server_limit::LimitWord;
 use crate::site::ServerChanges;
 use crate::site::ServerListing;
 use crate::site::SiteConfig;
@@ -130,6 +131,8 @@
         pub others: Vec<SocketAddr>,
         /// The evacuated availability zones, as it knows them.
         pub evacuated: EvacuatedZones,
+        /// The limits that backend servers name, some of the latest.
+        pub limits: Vec<LimitWord>,
     }
 
     /// How a request ended at an engine.
--- a/lib/src/return_time.rs
+++ b/lib/src/return_time.rs
@@ -19,6 +19,10 @@
 /// be in time.
 const UNREACHED: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(1_400));
 
+/// Beside the time until the entry may send to a server again that names a limit: callers that were turned away
+/// together are spread over it, and over as long as they wait.
+const LIMITED: Duration = Duration::from_millis(200);
+
 /// A caller heeds a time of up to a third of what it has left.
 const PART: u32 = 3;
 
@@ -29,6 +33,8 @@
         Full,
         /// No engine could be reached.
         Unreached,
+        /// The servers name limits, and this entry has sent its share; the next one may be sent after so long.
+        Limited(Duration),
         /// No server may have the request until an operator changes that.
         NotAllowed,
     }
@@ -40,6 +46,7 @@
     let (least, most) = match why {
         TurnedAway::Full => FULL,
         TurnedAway::Unreached => UNREACHED,
+        TurnedAway::Limited(wait) => (wait, wait * 2 + LIMITED),
         TurnedAway::NotAllowed => return left / PART,
     };
     let pause = least + (most - least).mul_f64(spread.clamp(0.0, 1.0));
--- a/lib/tests/cold_start.rs
+++ b/lib/tests/cold_start.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cicada_lib::cold_start::ColdShares;
 use cicada_lib::cold_start::ColdStart;
+use cicada_lib::entry_shares::EntryShares;
 use cicada_lib::fleet::Exclusion;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::fleet::Need;
@@ -201,7 +201,7 @@
         period: Duration::from_secs(1),
         rate: 31.0,
     };
-    assert_eq!(ColdShares::default().share(engine(0), &start), 0);
+    assert_eq!(start.share(&EntryShares::default(), engine(0)), 0);
     let mut fleet = Fleet::new(Place {
         zone: Name::new("a"),
         regions: HashMap::new(),
@@ -270,9 +270,9 @@
         let (entries, rate) = (usize::from(entries % 400) + 1, f64::from(rate % 60) + 1.0);
         let start = ColdStart { period: Duration::from_secs(1), rate };
         let shares = (0..entries).map(|own| {
-            let mut shares = ColdShares::default();
+            let mut shares = EntryShares::default();
             shares.set_entries(entry(own), (0..entries).map(entry));
-            shares.share(engine(server % 200), &start)
+            start.share(&shares, engine(server % 200))
         });
         let all: usize = shares.sum();
         TestResult::from_bool(all > 0 && all as f64 <= rate)
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -1,12 +1,14 @@
 //! Where one request has been sent, and whether it may be sent once more.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cicada_lib::fleet::Exclusion;
 use cicada_lib::fleet::Need;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::intake::Asking;
 use cicada_lib::intake::NoPlace;
+use cicada_lib::return_time::TurnedAway;
 use cicada_lib::routing::ServerKey;
 
 use crate::choice;
@@ -42,6 +44,8 @@
     refused: bool,
     // Why the last choice found no server.
     lacking: Option<NoServer>,
+    // When one may be sent to a server that only its limit kept from the last choice.
+    unlimited: Option<Duration>,
 }
 
 impl Attempts {
@@ -56,6 +60,7 @@
             ran: false,
             refused: false,
             lacking: None,
+            unlimited: None,
         }
     }
 
@@ -74,11 +79,16 @@
         self.lacking.filter(|_| !self.refused)
     }
 
-    /// Whether only an operator's change lets the request be served.
-    pub(crate) fn is_barred(&self) -> bool {
-        use Exclusion::Evacuated;
-        use Exclusion::Region;
-        matches!(self.lacking(), Some(NoServer::Excluded(Evacuated | Region)))
+    /// Why the caller is turned away, where servers are there that may not have the request.
+    pub(crate) fn turned_away(&self) -> Option<TurnedAway> {
+        let NoServer::Excluded(why) = self.lacking()? else {
+            return None;
+        };
+        match why {
+            Exclusion::Evacuated | Exclusion::Region => Some(TurnedAway::NotAllowed),
+            Exclusion::Limited => self.unlimited.map(TurnedAway::Limited),
+            Exclusion::Cold => None,
+        }
     }
 
     /// Servers to which it was sent.
@@ -116,6 +126,7 @@
         };
         if let Err(NoPlace::NoServer(why)) = &placed {
             self.lacking = Some(*why);
+            self.unlimited = relay.until_unlimited(&need(&self.tried), &call.spec);
         }
         let placed = placed?;
         if tokens > 0 {
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -312,7 +312,7 @@
                     known.learn(own.address, others);
                     known.set_listed();
                     drop(known);
-                    self.relay.share_cold_starts();
+                    self.relay.share_among_entries();
                     PEERS
                 }
                 Err(error) => {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -26,6 +26,7 @@
 mod placed;
 mod plain;
 mod relay;
+mod relay_limits;
 mod relay_places;
 mod relay_settings;
 mod relay_view;
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -179,7 +179,7 @@
 
     async fn hello(&self) {
         self.relay.note_runs();
-        self.relay.share_cold_starts();
+        self.relay.share_among_entries();
         let word = Datagram::Hello(RelayHello {
             zone: self.relay.settings().place.zone.clone(),
             fed: self.relay.is_fed(),
@@ -187,6 +187,7 @@
             revision: self.relay.revision().0,
             others: self.relay.peers().some(PASSED_ON),
             evacuated: self.relay.evacuated(),
+            limits: self.relay.limit_words(),
         });
         if self.relay.is_fed() {
             self.tell_region(&word).await;
@@ -312,6 +313,7 @@
                 peers.learn(self.relay.settings().peer, hello.others);
                 drop(peers);
                 self.relay.set_evacuated(&hello.evacuated);
+                self.relay.hear_limits(from, &hello.limits);
                 self.relay.note_told(hello.version, hello.revision);
             }
             Ok(_) => {}
--- a/relay/src/placed.rs
+++ b/relay/src/placed.rs
@@ -8,7 +8,6 @@
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::SentWord;
 use cicada_lib::routing::ServerKey;
-use cicada_lib::server_limit::LimitChange;
 use cicada_lib::server_limit::RequestRate;
 use cicada_lib::site::ServerRecord;
 use cicada_lib::time::Time;
@@ -156,24 +155,8 @@
 
     /// An answer to a request that was sent at `sent` names the server's limit, or none.
     pub(crate) fn told_limit(&self, sent: Time, limit: Option<RequestRate>) {
-        let now = self.relay.now();
-        let mut fleet = self.relay.fleet();
-        let change = fleet.told_limit(now, self.key, sent, limit);
-        let limited = fleet.limited_count();
-        drop(fleet);
-        let Some(change) = change else {
-            return;
-        };
-        self.relay.figures().limited(limited);
-        let (server, address) = (&self.record.id, self.record.address);
-        match change {
-            LimitChange::Named(rate) => {
-                tracing::info!(%server, %address, limit = rate.per_second(), "fleet: a server names a limit");
-            }
-            LimitChange::Lifted => {
-                tracing::info!(%server, %address, "fleet: a server names no limit any more");
-            }
-        }
+        let server = (self.key, &self.record.id);
+        self.relay.told_limit(server, sent, limit);
     }
 
     pub(crate) fn told_load(&self, load: Option<(u32, u32)>) {
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -10,7 +10,6 @@
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::return_time;
-use cicada_lib::return_time::TurnedAway;
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
@@ -119,9 +118,9 @@
         relay.figures().answer("failed_by_server");
         return whole.response();
     }
-    let pause = match attempts.is_barred() {
-        true => return_time::pause(TurnedAway::NotAllowed, call.left(), 0.0),
-        false => come_back(call),
+    let pause = match attempts.turned_away() {
+        Some(why) => return_time::pause(why, call.left(), fastrand::f64()),
+        None => come_back(call),
     };
     conclude(relay, call, &attempts, pause)
 }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -73,6 +73,8 @@
     pub restricted: usize,
     /// Cold servers of services that bound what these get.
     pub cold: usize,
+    /// Servers that name a limit.
+    pub limited: usize,
 }
 
 /// An entry.
@@ -249,6 +251,7 @@
             evacuated: fleet.evacuated().zones.iter().cloned().collect(),
             restricted,
             cold: fleet.cold_count(self.now(), table.services()),
+            limited: fleet.limited_count(),
         }
     }
 
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -187,8 +187,8 @@
         true
     }
 
-    /// Takes over which relays share what cold servers tolerate, where that has changed.
-    pub(crate) fn share_cold_starts(&self) {
+    /// Takes over which relays share what backend servers take from all of them, where that has changed.
+    pub(crate) fn share_among_entries(&self) {
         let others = self.peers().take_changed();
         if let Some(others) = others {
             self.fleet().set_entries(self.settings.peer, others);
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -127,10 +127,10 @@
         relay.figures().answer("failed_by_server");
         return response;
     }
-    let why = match (attempts.refused(), attempts.is_barred()) {
+    let why = match (attempts.refused(), attempts.turned_away()) {
         (true, _) => TurnedAway::Full,
-        (false, true) => TurnedAway::NotAllowed,
-        (false, false) => TurnedAway::Unreached,
+        (false, Some(why)) => why,
+        (false, None) => TurnedAway::Unreached,
     };
     let pause = return_time::pause(why, call.left(), fastrand::f64());
     conclude(relay, &call, &attempts, pause)
