relay: the shared bound on retries is dealt among all relays that are known

What callers saw: nothing yet. Found while looking for the cause of requests beyond a server's own limit elsewhere: all hosts together against one service.

Cause: a relay's part of the slack was one for each relay that it had heard within a minute, itself among them. After a start of all, or where relays do not hear each other, each takes the whole slack.

Cost: dead relays keep their part while a relay runs.

--- a/daemon/tests/relay_limits.rs
+++ b/daemon/tests/relay_limits.rs
@@ -7,8 +7,10 @@
 use cicada_standins::caller::Ask;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::service::Mode;
 use eyre::Result;
 use http::StatusCode;
+use testutils::cluster::Signal;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -160,3 +162,35 @@
         assert!(begun.elapsed() < PATIENCE, "the limit is not lifted");
     }
 }
+
+/// Guards against a relay that takes the retries of relays which it does not hear.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_hears_no_other_takes_its_share_of_retries() -> Result<()> {
+    /// Further sends that the relays' settings allow beyond a fifth of the requests.
+    const SLACK: usize = 32;
+    const REQUESTS: usize = 30;
+    let mut deployment = start(2, &["a", "b"]).await?;
+    for relay in [1, 0] {
+        deployment.relays[relay].process.signal(Signal::Kill)?;
+    }
+    deployment.restart_relay(0)?;
+    deployment.wait_ready(0).await?;
+    // Until it has read which relays there are.
+    sleep(Duration::from_secs(2)).await;
+    for (service, _) in &deployment.services {
+        service.set_mode(Mode::Failing);
+    }
+    for number in 0..REQUESTS {
+        let ask = Ask::new("GET", "/slots/7", &format!("retry-{number}"), KEY);
+        ask.send(deployment.relays[0].callers).await?;
+    }
+    let services = deployment.services.iter();
+    let arrived: usize = services.map(|(service, _)| service.arrivals().len()).sum();
+    let further = arrived - REQUESTS;
+    assert!(
+        further <= REQUESTS / 5 + SLACK / 2,
+        "{further} further sends"
+    );
+    assert!(further > 0, "no request was sent once more");
+    Ok(())
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -188,6 +188,11 @@
         self.entries.set_entries(own, others);
     }
 
+    /// The entries that share what servers take from all of them, as far as they are known.
+    pub fn entries(&self) -> &EntryShares {
+        &self.entries
+    }
+
     /// The listed servers.
     pub fn servers(&self) -> impl Iterator<Item = &ServerRecord> {
         self.ids.values().map(|key| &self.servers[*key].record)
--- a/lib/src/retry_window.rs
+++ b/lib/src/retry_window.rs
@@ -4,8 +4,8 @@
 //! Without a shared bound, every entry spends a whole one, and the sum multiplies the overload.
 //!
 //! The bound is a share of a service's requests in a sliding window, plus a fixed slack. An entry takes
-//! the share of its own requests, and its part of the slack by the number of entries, so that no
-//! message is needed for the sum to hold.
+//! the share of its own requests, and its part of the slack by the number of entries that it has ever heard of, so
+//! that no message is needed for the sum to hold.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -52,11 +52,11 @@
         self.firsts.push_back(now);
     }
 
-    /// Takes one send beyond the first, if the bound has one left for one of `entries`. `spare` of
-    /// the bound is left for others, from 0 to 1.
-    pub fn take(&mut self, now: Time, entries: usize, spare: f64) -> bool {
+    /// Takes one send beyond the first, if the bound has one left for one of `entries`; an entry that does not know how
+    /// many there are has no part of the slack. `spare` of the bound is left for others, from 0 to 1.
+    pub fn take(&mut self, now: Time, entries: Option<usize>, spare: f64) -> bool {
         self.trim(now);
-        let part = self.bound.slack / entries.max(1) as f64;
+        let part = entries.map_or(0.0, |entries| self.bound.slack / entries.max(1) as f64);
         let most = (self.bound.ratio * self.firsts.len() as f64 + part) * USED_PART;
         if self.repeats.len() as f64 + 1.0 > most * (1.0 - spare) {
             return false;
--- a/lib/tests/retry_window.rs
+++ b/lib/tests/retry_window.rs
@@ -23,7 +23,7 @@
         let window = &mut windows[number % entries];
         window.request(now);
         firsts.push(now);
-        if window.take(now, entries, 0.0) {
+        if window.take(now, Some(entries), 0.0) {
             repeats.push(now);
         }
     }
@@ -67,7 +67,17 @@
 fn a_spare_part_is_left_for_others() {
     let mut window = RetryWindow::new(BOUND);
     let now = Time::from_millis(0);
-    let careful = (0..100).filter(|_| window.take(now, 1, 0.5)).count();
-    let rest = (0..100).filter(|_| window.take(now, 1, 0.0)).count();
+    let careful = (0..100).filter(|_| window.take(now, Some(1), 0.5)).count();
+    let rest = (0..100).filter(|_| window.take(now, Some(1), 0.0)).count();
     assert!(careful > 0 && rest >= careful - 1, "{careful} and {rest}");
 }
+
+/// Guards against an entry that takes the slack of all for its own before it knows the others.
+#[test]
+fn an_entry_that_knows_no_others_has_no_part_of_the_slack() {
+    let mut window = RetryWindow::new(BOUND);
+    let now = Time::from_millis(1);
+    (0..10).for_each(|_| window.request(now));
+    let taken = (0..50).filter(|_| window.take(now, None, 0.0)).count();
+    assert_eq!(taken, 1);
+}
--- a/relay/src/relay_places.rs
+++ b/relay/src/relay_places.rs
@@ -106,7 +106,7 @@
     /// Takes one further send for a service from the shared bound.
     pub(crate) fn take_retry(&self, service: &Name, spare: f64) -> bool {
         let now = self.now();
-        let entries = self.peers().count();
+        let entries = self.fleet().entries().count();
         self.with_retries(service, |window| window.take(now, entries, spare))
     }
 
