relay: runs are moved to engines at a limit last

What callers saw: nothing yet. Found while looking for the cause of requests beyond a server's own limit elsewhere: a run that goes on at another engine is a request there, and the scout that moves it does not ask the relays' choice.

Relays name the engines at a limit in their subscriptions; a scout takes them as targets only where no other has room, as it does with cold ones.

--- a/lib/src/fleet_limits.rs
+++ b/lib/src/fleet_limits.rs
@@ -1,5 +1,6 @@
 //! The limits that backend servers name, as one entry knows them.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::fleet::Exclusion;
@@ -42,6 +43,15 @@
             .count()
     }
 
+    /// The addresses of listed servers of the service that name a limit.
+    pub fn limited_at<'a>(&'a self, service: &'a Name) -> impl Iterator<Item = SocketAddr> + 'a {
+        let limited = self.servers.values().filter(move |server| {
+            let named = server.limit.rate().is_some();
+            named && server.listed && server.record.service == *service
+        });
+        limited.map(|server| server.record.address)
+    }
+
     /// Another entry tells of servers' limits. The servers whose limits have changed by that.
     pub fn hear_limits(&mut self, now: Time, words: &[LimitWord]) -> Vec<(Name, LimitChange)> {
         let mut changes = Vec::new();
--- a/lib/src/move_plan.rs
+++ b/lib/src/move_plan.rs
@@ -40,6 +40,8 @@
     pub near: bool,
     /// Whether it has started lately: a cold engine tolerates few arrivals, and others send there too.
     pub cold: bool,
+    /// Whether it names a limit of requests: a run that goes on there is one of them.
+    pub limited: bool,
     /// Whether it falls to this engine among those that leave together. See [`falls_to`].
     pub own: bool,
 }
@@ -73,8 +75,8 @@
     worth.min_by_key(|run| (run.tokens, run.id.clone()))
 }
 
-/// The target with the most room for a run, among those not in `refused`; warm targets first, own ones among
-/// them, and near ones among these.
+/// The target with the most room for a run, among those not in `refused`; first those that are neither cold nor at a
+/// limit, own ones among them, and near ones among these.
 pub fn target_for<'a>(
     tokens: u64,
     targets: &'a [Target],
@@ -88,7 +90,7 @@
     fits.max_by_key(|target| {
         let room = target.capacity - target.used;
         (
-            !target.cold,
+            !target.cold && !target.limited,
             target.own,
             target.near,
             room,
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -162,6 +162,8 @@
         pub cold: Option<u32>,
         /// The evacuated availability zones: no run is moved there.
         pub evacuated: EvacuatedZones,
+        /// Engines that name a limit of requests: runs are moved there last.
+        pub limited: Vec<SocketAddr>,
     }
 
     /// Under which identifier an engine lives: the directory may still name a former life.
--- a/lib/tests/move_plan.rs
+++ b/lib/tests/move_plan.rs
@@ -37,6 +37,7 @@
         own: true,
         near: true,
         cold: false,
+        limited: false,
     }
 }
 
@@ -148,3 +149,22 @@
     targets[1].used = 32_000;
     assert_eq!(target_for(4_000, &targets, &[]).unwrap().address.port(), 1);
 }
+
+/// Guards against runs that are moved to an engine in need while another one has room.
+#[test]
+fn cold_and_limited_engines_are_the_last_targets() {
+    let limited = Target {
+        limited: true,
+        ..target(1, 1_000)
+    };
+    let cold = Target {
+        cold: true,
+        ..target(2, 1_000)
+    };
+    let usual = target(3, 20_000);
+    let all = [limited.clone(), cold, usual];
+    let chosen = target_for(3_000, &all, &[]).map(|target| target.address.port());
+    assert_eq!(chosen, Some(3));
+    let alone = target_for(3_000, std::slice::from_ref(&limited), &[]);
+    assert_eq!(alone.map(|target| target.address.port()), Some(1));
+}
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -172,6 +172,7 @@
             health: Some(group.health.clone()),
             cold: Some(group.cold.as_millis() as u32),
             evacuated: self.relay.evacuated(),
+            limited: group.limited.clone(),
         });
         let scouts = self.socket.on_hosts(engines);
         self.socket.send(&word, &scouts).await;
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -23,6 +23,9 @@
 use crate::peers::Peers;
 use crate::relay::Relay;
 
+/// Engines that name a limit, in what is told of a group: they fit into a datagram beside the rest.
+const MOST_LIMITED: usize = 32;
+
 /// The engines of a service in a region.
 pub(crate) struct EngineGroup {
     pub(crate) engines: Vec<SocketAddr>,
@@ -32,6 +35,8 @@
     pub(crate) health: Name,
     // How long they are cold after a start.
     pub(crate) cold: Duration,
+    // Those of the service, in any region, that name a limit.
+    pub(crate) limited: Vec<SocketAddr>,
 }
 
 impl Relay {
@@ -235,7 +240,8 @@
         let place = &self.settings.place;
         let own = place.region_of(&place.zone);
         let mut groups: HashMap<(Name, Name), EngineGroup> = HashMap::new();
-        for server in self.fleet().servers() {
+        let fleet = self.fleet();
+        for server in fleet.servers() {
             let Some(spec) = table.service(&server.service) else {
                 continue;
             };
@@ -249,6 +255,10 @@
                 near: region == own,
                 health: spec.health.clone(),
                 cold: spec.cold.period,
+                limited: fleet
+                    .limited_at(&server.service)
+                    .take(MOST_LIMITED)
+                    .collect(),
             });
             group.engines.push(server.address);
         }
--- a/relay/src/run_mover.rs
+++ b/relay/src/run_mover.rs
@@ -29,6 +29,9 @@
 /// A neighbour that was silent for longer is not a target: its engine may be gone.
 const REPORT_AGE: Duration = Duration::from_millis(1_500);
 
+/// Word that an engine names a limit counts for this long: relays renew it several times meanwhile.
+const LIMITED_AGE: Duration = Duration::from_secs(3);
+
 /// How long to wait for a run or a target to come up before looking again.
 const LOOK: Duration = Duration::from_millis(60);
 
@@ -38,6 +41,8 @@
     engines: Mutex<HashMap<SocketAddr, Neighbour>>,
     // As relays tell: no run goes there.
     evacuated: Mutex<EvacuatedZones>,
+    // When relays last told that an engine names a limit.
+    limited: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 #[derive(Debug)]
@@ -69,6 +74,14 @@
         }
     }
 
+    /// A relay tells which engines name a limit.
+    pub(crate) fn set_limited(&self, engines: &[SocketAddr]) {
+        let now = Instant::now();
+        let mut limited = lock(&self.limited);
+        limited.retain(|_, told| told.elapsed() < LIMITED_AGE);
+        limited.extend(engines.iter().map(|engine| (*engine, now)));
+    }
+
     /// The engines that runs of `engine`, in availability zone `zone`, can be moved to.
     fn targets(&self, engine: SocketAddr, zone: &Name) -> Vec<Target> {
         let neighbours = self.lock();
@@ -78,6 +91,7 @@
         let (leaving, mut staying): (Vec<_>, Vec<_>) = fresh.partition(|n| n.report.load.leaving);
         let leaving: Vec<SocketAddr> = leaving.iter().map(|n| n.report.here.address).collect();
         staying.sort_by_key(|n| n.report.here.address);
+        let limited = lock(&self.limited);
         let targets = staying.iter().enumerate().map(|(place, n)| Target {
             address: n.report.here.address,
             used: n.report.load.used + n.sent,
@@ -85,6 +99,9 @@
             busy: n.report.load.running + n.report.load.queued + n.runs,
             near: n.report.here.zone == *zone,
             cold: n.report.load.cold > 0,
+            limited: limited
+                .get(&n.report.here.address)
+                .is_some_and(|told| told.elapsed() < LIMITED_AGE),
             own: move_plan::falls_to(engine, &leaving, place),
         });
         targets.collect()
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -226,6 +226,7 @@
             self.cold_period = Duration::from_millis(u64::from(period));
         }
         self.neighbours.set_evacuated(&subscription.evacuated);
+        self.neighbours.set_limited(&subscription.limited);
         if self.listeners.insert(from, now).is_some() {
             return;
         }
