--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -109,7 +109,15 @@
 
     pub(crate) fn take_changes(&self, after: Revision, news: &ServerChanges) {
         // Another relay may have told of them, and of later ones, before.
-        if news.revision < self.revision() {
+        let known = self.revision();
+        if news.revision < known {
+            let (changes, revision) = (news.changes.len(), news.revision.0);
+            tracing::info!(
+                changes,
+                revision,
+                known = known.0,
+                "directory: changes of servers passed over"
+            );
             return;
         }
         let now = self.now();
