tests: a store that comes back from a copy some seconds old, red

The stand-in of the store comes back from a copy: what was written since is gone, its revisions are given out again, a watch from one that it does not have gets 410, and Store-Era rises in all answers.

Three tests fail: a plain server that leaves goes on getting requests (20 s and more, with a line "directory: changes of servers passed over"); changes of the evacuated zones are passed over as well; servers that the copy lacks are dropped at once, and relays stay off the list that they had written themselves into.

--- /dev/null
+++ b/daemon/tests/relay_store_era.rs
@@ -0,0 +1,212 @@
+//! Relays as processes before a store that comes back from a copy some seconds old.
+
+use std::path::Path;
+use std::time::Duration;
+
+use cicada_standins::caller::Ask;
+use cicada_standins::deployment::Deployment;
+use cicada_standins::deployment::KEY;
+use eyre::Result;
+use http::StatusCode;
+use serde_json::json;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// The longest wait for something that takes a moment. It judges no speed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Versions of the configuration that the store loses.
+const LOST: usize = 12;
+
+/// How long the store is away while it comes back.
+const AWAY: Duration = Duration::from_millis(300);
+
+/// Places in the deployment: the service in the relays' zone, and one in the zone beside it.
+const NEAR: usize = 0;
+const BESIDE: usize = 1;
+
+/// The relays of the deployment: one of them watches the store, the other is told.
+const RELAYS: usize = 2;
+
+async fn start() -> Result<Deployment> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let mut deployment = Deployment::start(daemon, 0, 0, 0).await?;
+    for zone in ["a", "b"] {
+        deployment.add_service_in(zone, Duration::ZERO)?;
+    }
+    for _ in 0..RELAYS {
+        deployment.add_relay()?;
+    }
+    for relay in 0..RELAYS {
+        deployment.wait_ready(relay).await?;
+    }
+    // Until relays know each other, and one of them watches.
+    sleep(Duration::from_millis(1_500)).await;
+    Ok(deployment)
+}
+
+/// Writes versions of the configuration, each a revision of the store, and waits until the relays have them.
+async fn write_versions(deployment: &Deployment) -> Result<()> {
+    for number in 0..LOST {
+        let path = format!("/added-{number}/");
+        deployment.reconfigure(|config| {
+            let mut route = config["routes"][3].clone();
+            route["name"] = json!(format!("added-{number}"));
+            route["pathPrefix"] = json!(path);
+            if let Some(routes) = config["routes"].as_array_mut() {
+                routes.push(route);
+            }
+        });
+    }
+    let last = format!("/added-{}/", LOST - 1);
+    for relay in 0..RELAYS {
+        until_status(deployment, relay, &last, StatusCode::OK).await?;
+    }
+    // Until a watch has told of the revision as well.
+    sleep(Duration::from_secs(2)).await;
+    Ok(())
+}
+
+/// The store is away, and comes back from the copy; the operator writes the configuration again.
+async fn bring_back(deployment: &Deployment, copy: &cicada_standins::store::Copy) {
+    let config = deployment.store.content("config", "main");
+    deployment.store.set_busy(true);
+    sleep(AWAY).await;
+    deployment.store.restore(copy);
+    deployment.store.set_busy(false);
+    if let Some(config) = config {
+        deployment.store.put("config", "main", config);
+    }
+}
+
+async fn until_status(
+    deployment: &Deployment,
+    relay: usize,
+    path: &str,
+    status: StatusCode,
+) -> Result<()> {
+    let begun = Instant::now();
+    let mut number = 0;
+    loop {
+        number += 1;
+        let id = format!("{}-{relay}-{number}", path.replace('/', ""));
+        let heard = Ask::new("GET", path, &id, KEY)
+            .send(deployment.relays[relay].callers)
+            .await?;
+        if heard.status == status {
+            return Ok(());
+        }
+        assert!(begun.elapsed() < PATIENCE, "{path} is {}", heard.status);
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Asks once; the service that ran the request, if one did.
+async fn ask(deployment: &Deployment, relay: usize, id: &str) -> Result<Option<usize>> {
+    let ask = Ask::new("GET", "/slots/7", id, KEY);
+    ask.send(deployment.relays[relay].callers).await?;
+    let mut services = deployment.services.iter();
+    Ok(services.position(|(service, _)| service.ran().iter().any(|(ran, _)| ran == id)))
+}
+
+/// Asks all relays until their requests run at the service.
+async fn until_at(deployment: &Deployment, id: &str, place: usize) -> Result<()> {
+    let begun = Instant::now();
+    for relay in 0..RELAYS {
+        let mut number = 0;
+        loop {
+            number += 1;
+            let at = ask(deployment, relay, &format!("{id}-{relay}-{number}")).await?;
+            if at == Some(place) {
+                break;
+            }
+            let log = deployment.relays[relay].process.log();
+            assert!(begun.elapsed() < PATIENCE, "{id} runs at {at:?}\n{log}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Asks all relays for so long; every request must run at the service.
+async fn stays_at(deployment: &Deployment, id: &str, place: usize, time: Duration) -> Result<()> {
+    let until = Instant::now() + time;
+    let mut number = 0;
+    while Instant::now() < until {
+        for relay in 0..RELAYS {
+            number += 1;
+            let at = ask(deployment, relay, &format!("{id}-{number}")).await?;
+            let log = deployment.relays[relay].process.log();
+            assert_eq!(at, Some(place), "{id}\n{log}");
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+    Ok(())
+}
+
+/// Guards against changes of the list that are taken for old, since the store gives their revisions out again.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_leaves_after_the_store_went_back_gets_nothing_new() -> Result<()> {
+    let deployment = start().await?;
+    until_at(&deployment, "before", NEAR).await?;
+    let copy = deployment.store.copy();
+    write_versions(&deployment).await?;
+    bring_back(&deployment, &copy).await;
+    sleep(Duration::from_secs(3)).await;
+    until_at(&deployment, "back", NEAR).await?;
+    deployment.service_leaves(NEAR);
+    until_at(&deployment, "left", BESIDE).await?;
+    stays_at(&deployment, "stays", BESIDE, Duration::from_secs(1)).await
+}
+
+/// Guards against an evacuation that is passed over after the store went back, or ends since the store has lost it.
+#[tokio::test(flavor = "multi_thread")]
+async fn evacuations_hold_when_the_store_went_back() -> Result<()> {
+    let deployment = start().await?;
+    let copy = deployment.store.copy();
+    write_versions(&deployment).await?;
+    deployment.evacuate("a");
+    until_at(&deployment, "evacuated", BESIDE).await?;
+    bring_back(&deployment, &copy).await;
+    stays_at(&deployment, "lost", BESIDE, Duration::from_millis(1_200)).await?;
+    deployment.evacuate("a");
+    stays_at(&deployment, "written", BESIDE, Duration::from_secs(4)).await?;
+    deployment.take_back("a");
+    until_at(&deployment, "taken-back", NEAR).await?;
+    deployment.evacuate("a");
+    until_at(&deployment, "again", BESIDE).await
+}
+
+/// Guards against a server that is dropped, and a relay that nobody finds, since the store has lost what it had taken.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_the_store_lost_is_used_until_it_is_written_again() -> Result<()> {
+    let mut deployment = start().await?;
+    let listed = |deployment: &Deployment| {
+        let names = deployment.relays.iter();
+        let names = names.map(|relay| format!("relay-{}", relay.callers.ip()));
+        let there = names.filter(|name| deployment.store.content("cicada-peers", name).is_some());
+        there.count()
+    };
+    assert_eq!(listed(&deployment), RELAYS);
+    let empty = cicada_standins::store::Store::new().copy();
+    until_at(&deployment, "before", NEAR).await?;
+    bring_back(&deployment, &empty).await;
+    let place = deployment.services.len();
+    stays_at(&deployment, "lost", NEAR, Duration::from_millis(1_200)).await?;
+    for service in [NEAR, BESIDE] {
+        deployment.service_writes(service);
+    }
+    stays_at(&deployment, "written", NEAR, Duration::from_secs(3)).await?;
+    deployment.add_service_in("a", Duration::ZERO)?;
+    deployment.service_leaves(NEAR);
+    until_at(&deployment, "came", place).await?;
+    let begun = Instant::now();
+    while listed(&deployment) < RELAYS {
+        assert!(
+            begun.elapsed() < PATIENCE,
+            "relays are not written down again"
+        );
+        sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
