lib, relay: revisions of the store count within its era

What callers saw: a plain server that was leaving went on getting requests, the last ones found nobody there.

Cause: the store had come back from a copy, its revision went from 28 to 25, and relays took every change up to 28 for one that they had taken in already (directory: changes of servers passed over, changes=1 revision=7 known=17 in the test). The same held for evacuations, for the words of other relays, and for what relays had written themselves because the store had once taken it.

A Revision is now the era, the number, and whether the list is complete; it is the only order among what comes from the store. A watch whose answer is of another era begins anew, and with it all watches of the relay. For 2.3 s after a return lists are incomplete: nothing is dropped that only they lack, an evacuation holds, a server that had left is not taken back, one that leaves stays so; relays write themselves down again.

--- a/lib/src/change_log.rs
+++ b/lib/src/change_log.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use crate::site::Revision;
+use crate::revision::Revision;
 use crate::site::ServerChange;
 use crate::site::ServerChanges;
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -119,16 +119,31 @@
                 self.gone(now, &id);
             }
         }
+        self.add_all(now, records);
+    }
+
+    /// Takes in a list in which servers may be missing that are still there.
+    pub fn add_all(&mut self, now: Time, records: &[ServerRecord]) {
         for record in records {
-            self.put(now, record);
+            if !self.lives.is_barred(now, record) {
+                self.put(now, record);
+            }
         }
         self.listed = true;
     }
 
+    /// The directory has gone back to a copy of itself: what it lists may be of before.
+    pub fn directory_returned(&mut self, now: Time) {
+        self.lives.directory_returned(now);
+    }
+
     /// Takes in one change.
     pub fn change(&mut self, now: Time, change: &ServerChange) {
         match change {
-            ServerChange::Put(record) => self.put(now, record),
+            ServerChange::Put(record) => {
+                self.lives.wrote(now, &record.id);
+                self.put(now, record);
+            }
             ServerChange::Gone(id) => self.gone(now, id),
         }
     }
@@ -343,7 +358,12 @@
                     server.leaving.get_or_insert(now);
                 }
                 server.cold.told(now, record.cold);
+                let draining = server.record.phase == ServerPhase::Draining;
                 server.record = record.clone();
+                if draining {
+                    // No life takes work again; others are told by this record.
+                    server.record.phase = ServerPhase::Draining;
+                }
                 server.found = None;
                 return;
             }
@@ -390,7 +410,7 @@
         let server = &mut self.servers[key];
         server.listed = false;
         server.leaving.get_or_insert(now);
-        self.lives.left(now, server.record.address);
+        self.lives.left(now, &server.record);
         if server.open == 0 {
             self.remove(key);
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod retry_window;
 pub mod return_time;
 pub mod returns;
+pub mod revision;
 pub mod roster;
 pub mod round_trips;
 pub mod route_table;
--- a/lib/src/peer_words.rs
+++ b/lib/src/peer_words.rs
@@ -9,6 +9,7 @@
 
 use crate::ids::Name;
 use crate::returns::Return;
+use crate::revision::Revision;
 use crate::server_limit::LimitWord;
 use crate::site::ServerChanges;
 use crate::site::ServerListing;
@@ -126,7 +127,7 @@
         /// The version of the configuration in force there.
         pub version: u64,
         /// The store's revision up to which it knows the backend servers.
-        pub revision: u64,
+        pub revision: Revision,
         /// Other relays that it has heard lately, a few of them.
         pub others: Vec<SocketAddr>,
         /// The evacuated availability zones, as it knows them.
@@ -146,7 +147,7 @@
     /// Changes of the list of backend servers, for relays that do not watch it themselves.
     pub struct ServerNews {
         /// The revision that they follow on.
-        pub after: u64,
+        pub after: Revision,
         /// The changes, and the revision that they lead to.
         pub changes: ServerChanges,
     }
@@ -217,7 +218,7 @@
         /// The configuration, if it is newer than the version.
         Config(u64),
         /// What has changed of the backend servers after the revision, or all of them.
-        Servers(u64),
+        Servers(Revision),
     }
 }
 
--- a/lib/src/server_lives.rs
+++ b/lib/src/server_lives.rs
@@ -29,6 +29,10 @@
 /// for many.
 const LEFT: Duration = Duration::from_secs(30);
 
+/// How long a life that has left counts as gone where the directory has gone back to a copy that still lists it: until
+/// its entry has lapsed there.
+const BARRED: Duration = Duration::from_secs(8);
+
 /// Ends and beginnings that were seen lately.
 #[derive(Debug, Default)]
 pub(crate) struct ServerLives {
@@ -36,6 +40,10 @@
     ended: HashMap<Name, (Time, u64)>,
     // When a server at the address left the list.
     left: HashMap<SocketAddr, Time>,
+    // When each life left the list, with its start.
+    departed: HashMap<Name, (Time, u64)>,
+    // Lives that had left before the directory went back, with their starts, and when that was noticed.
+    barred: HashMap<Name, (Time, u64)>,
     // Identifiers that were found at addresses in place of the expected ones.
     found: HashMap<SocketAddr, (Time, Name)>,
 }
@@ -54,10 +62,31 @@
             .is_some_and(|(at, born)| now.since(*at) < ENDED && *born == record.born)
     }
 
-    /// The server at the address has left the list.
-    pub(crate) fn left(&mut self, now: Time, address: SocketAddr) {
+    /// The server has left the list.
+    pub(crate) fn left(&mut self, now: Time, record: &ServerRecord) {
         self.left.retain(|_, at| now.since(*at) < LEFT);
-        self.left.insert(address, now);
+        self.left.insert(record.address, now);
+        self.departed.retain(|_, (at, _)| now.since(*at) < LEFT);
+        self.departed.insert(record.id.clone(), (now, record.born));
+    }
+
+    /// The directory has gone back to a copy, which may list lives that have left.
+    pub(crate) fn directory_returned(&mut self, now: Time) {
+        let departed = std::mem::take(&mut self.departed).into_iter();
+        let barred = departed.map(|(id, (_, born))| (id, (now, born)));
+        self.barred.extend(barred);
+    }
+
+    /// Whether a list names the record's life though it had left before the directory went back.
+    pub(crate) fn is_barred(&self, now: Time, record: &ServerRecord) -> bool {
+        let barred = self.barred.get(&record.id);
+        barred.is_some_and(|(at, born)| now.since(*at) < BARRED && *born == record.born)
+    }
+
+    /// The server has written its entry, whatever was known of it before.
+    pub(crate) fn wrote(&mut self, now: Time, id: &Name) {
+        self.barred.retain(|_, (at, _)| now.since(*at) < BARRED);
+        self.barred.remove(id);
     }
 
     /// Whether a server at the address left the list lately, and may still be there.
--- a/lib/src/site.rs
+++ b/lib/src/site.rs
@@ -15,6 +15,7 @@
 use crate::figure_type;
 use crate::ids::Name;
 use crate::residency::AllowedRegions;
+use crate::revision::Revision;
 use crate::value_type;
 use crate::zone_evacuation::EvacuatedZones;
 
@@ -30,10 +31,6 @@
         Streaming,
     }
 
-    /// The revision of the store that a listing or change belongs to.
-    #[derive(Default)]
-    pub struct Revision(pub u64);
-
     /// What a backend server says of itself.
     pub enum ServerPhase {
         /// Takes work.
@@ -228,7 +225,7 @@
 /// What can go wrong with a question to the directory.
 #[derive(Clone, Debug, Error, Eq, PartialEq)]
 pub enum DirectoryError {
-    /// The history from the given revision on is gone.
+    /// The history from the given revision on is gone, or the store has gone back to an older copy of itself.
     #[error("the history is gone; list again")]
     HistoryGone,
     /// The directory did not take the call.
--- a/lib/src/zone_evacuation.rs
+++ b/lib/src/zone_evacuation.rs
@@ -2,12 +2,13 @@
 //!
 //! An operator evacuates a zone and takes that back, and each change must hold everywhere within seconds, also at
 //! entries that cannot read the directory and after the one that read it has died. So the whole set travels with the
-//! revision of the directory at which it held, and the latest revision wins wherever it comes from.
+//! revision of the directory at which it held, and the latest revision wins wherever it comes from. A directory that has
+//! gone back to an older copy of itself may have lost an evacuation: it holds until it can have been written again.
 
 use std::collections::BTreeSet;
 
 use crate::ids::Name;
-use crate::site::Revision;
+use crate::revision::Revision;
 use crate::value_type;
 
 value_type! {
@@ -40,7 +41,7 @@
 impl EvacuatedZones {
     /// Whether anything is known.
     pub fn is_known(&self) -> bool {
-        self.revision > Revision::default()
+        self.revision.is_known()
     }
 
     /// Whether the zone is evacuated.
@@ -48,6 +49,13 @@
         self.zones.contains(zone)
     }
 
+    /// The same set, of a directory that may have lost what `before` knows and may be told again.
+    pub fn keeping(mut self, before: &EvacuatedZones) -> Self {
+        self.zones.extend(before.zones.iter().cloned());
+        self.revision = self.revision.with_whole(false);
+        self
+    }
+
     /// Takes a set over, if it is of a later revision.
     pub fn update(&mut self, other: &EvacuatedZones) -> EvacuationChange {
         if other.revision <= self.revision {
--- a/lib/tests/change_log.rs
+++ b/lib/tests/change_log.rs
@@ -2,7 +2,7 @@
 
 use cicada_lib::change_log::ChangeLog;
 use cicada_lib::ids::Name;
-use cicada_lib::site::Revision;
+use cicada_lib::revision::Revision;
 use cicada_lib::site::ServerChange;
 use cicada_lib::site::ServerChanges;
 use quickcheck::quickcheck;
@@ -14,42 +14,55 @@
 fn changes(numbers: &[u64], revision: u64) -> ServerChanges {
     ServerChanges {
         changes: numbers.iter().copied().map(gone).collect(),
-        revision: Revision(revision),
+        revision: Revision::new(0, revision),
     }
 }
 
 #[test]
 fn what_was_missed_is_told_in_order() {
     let mut log = ChangeLog::default();
-    log.push(Revision(10), &changes(&[11], 11));
-    log.push(Revision(11), &changes(&[13, 14], 14));
-    assert_eq!(log.since(Revision(10)), Some(changes(&[11, 13, 14], 14)));
-    assert_eq!(log.since(Revision(11)), Some(changes(&[13, 14], 14)));
+    log.push(Revision::new(0, 10), &changes(&[11], 11));
+    log.push(Revision::new(0, 11), &changes(&[13, 14], 14));
+    assert_eq!(
+        log.since(Revision::new(0, 10)),
+        Some(changes(&[11, 13, 14], 14))
+    );
+    assert_eq!(
+        log.since(Revision::new(0, 11)),
+        Some(changes(&[13, 14], 14))
+    );
     // Part of a batch may be known: it is told whole.
-    assert_eq!(log.since(Revision(13)), Some(changes(&[13, 14], 14)));
-    assert_eq!(log.since(Revision(14)), None);
-    assert_eq!(log.since(Revision(9)), None, "what came before is not kept");
+    assert_eq!(
+        log.since(Revision::new(0, 13)),
+        Some(changes(&[13, 14], 14))
+    );
+    assert_eq!(log.since(Revision::new(0, 14)), None);
+    assert_eq!(
+        log.since(Revision::new(0, 9)),
+        None,
+        "what came before is not kept"
+    );
 }
 
 /// Guards against an entry that is told what followed, and not what came between.
 #[test]
 fn a_gap_ends_what_can_be_told() {
     let mut log = ChangeLog::default();
-    log.push(Revision(10), &changes(&[11], 11));
-    log.push(Revision(20), &changes(&[21], 21));
-    assert_eq!(log.since(Revision(10)), None);
-    assert_eq!(log.since(Revision(20)), Some(changes(&[21], 21)));
+    log.push(Revision::new(0, 10), &changes(&[11], 11));
+    log.push(Revision::new(0, 20), &changes(&[21], 21));
+    assert_eq!(log.since(Revision::new(0, 10)), None);
+    assert_eq!(log.since(Revision::new(0, 20)), Some(changes(&[21], 21)));
     log.clear();
-    assert_eq!(log.since(Revision(20)), None);
+    assert_eq!(log.since(Revision::new(0, 20)), None);
 }
 
 /// The log is bounded, and forgets the oldest.
 #[test]
 fn old_changes_are_forgotten() {
     let mut log = ChangeLog::default();
-    (0..10_000).for_each(|n| log.push(Revision(n), &changes(&[n + 1], n + 1)));
-    assert_eq!(log.since(Revision(0)), None);
-    let latest = log.since(Revision(9_000)).expect("kept");
+    (0..10_000).for_each(|n| log.push(Revision::new(0, n), &changes(&[n + 1], n + 1)));
+    assert_eq!(log.since(Revision::new(0, 0)), None);
+    let latest = log.since(Revision::new(0, 9_000)).expect("kept");
     assert_eq!(latest.changes.len(), 1_000);
 }
 
@@ -61,11 +74,11 @@
         for size in sizes {
             let to = at + u64::from(size % 4) + 1;
             let numbers: Vec<u64> = (at + 1..=to).collect();
-            log.push(Revision(at), &changes(&numbers, to));
+            log.push(Revision::new(0, at), &changes(&numbers, to));
             at = to;
         }
         let from = 5 + from % (at - 4);
-        match log.since(Revision(from)) {
+        match log.since(Revision::new(0, from)) {
             None => from == at,
             Some(told) => (from + 1..=at).all(|n| told.changes.contains(&gone(n))),
         }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -14,8 +14,8 @@
 use cicada_lib::peer_words::EngineLoad;
 use cicada_lib::residency::ANY_REGION;
 use cicada_lib::residency::AllowedRegions;
+use cicada_lib::revision::Revision;
 use cicada_lib::routing::ServerKey;
-use cicada_lib::site::Revision;
 use cicada_lib::site::ServerChange;
 use cicada_lib::site::ServerPhase;
 use cicada_lib::site::ServerRecord;
@@ -537,7 +537,7 @@
 fn an_evacuated_zone_gets_nothing_until_it_is_taken_back() {
     let evacuated = |revision, zones: &[&str]| EvacuatedZones {
         zones: zones.iter().map(Name::new).collect(),
-        revision: Revision(revision),
+        revision: Revision::new(0, revision),
     };
     let mut fleet = fleet("a");
     fleet.set_all(millis(0), &[record(0, "a"), record(1, "b")]);
@@ -568,8 +568,63 @@
     assert!(fleet.may_get(one, &only(&["region-a"])) && !fleet.may_get(two, &only(&["region-a"])));
     let evacuated = EvacuatedZones {
         zones: [Name::new("a")].into(),
-        revision: Revision(3),
+        revision: Revision::new(0, 3),
     };
     fleet.set_evacuated(millis(1), &evacuated);
     assert!(!fleet.may_get(one, &ANY_REGION) && fleet.may_get(two, &ANY_REGION));
 }
+
+/// Guards against work for a server that has left, since the directory went back to a copy that still lists it.
+#[test]
+fn a_server_that_has_left_is_not_taken_back_from_an_older_copy() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "b")]);
+    fleet.change(millis(100), &ServerChange::Gone(Name::new("i-0")));
+    fleet.directory_returned(millis(500));
+    fleet.add_all(millis(510), &[record(0, "a")]);
+    assert_eq!(send(&mut fleet, millis(520)), Ok("i-1".into()));
+    fleet.set_all(millis(3_000), &[record(0, "a"), record(1, "b")]);
+    assert_eq!(send(&mut fleet, millis(3_010)), Ok("i-1".into()));
+    let other = ServerRecord {
+        born: 7,
+        ..record(0, "a")
+    };
+    fleet.add_all(millis(3_020), &[other]);
+    assert_eq!(
+        send(&mut fleet, millis(3_030)),
+        Ok("i-0".into()),
+        "another life"
+    );
+}
+
+/// Guards against a server that stays unused though it has written its entry again.
+#[test]
+fn a_server_that_writes_its_entry_again_is_used() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "b")]);
+    fleet.change(millis(100), &ServerChange::Gone(Name::new("i-0")));
+    fleet.directory_returned(millis(500));
+    fleet.add_all(millis(510), &[record(0, "a")]);
+    fleet.change(millis(900), &ServerChange::Put(record(0, "a")));
+    assert_eq!(send(&mut fleet, millis(910)), Ok("i-0".into()));
+}
+
+/// Guards against a server that takes work again, since the directory has lost its word that it leaves.
+#[test]
+fn a_server_that_leaves_goes_on_leaving_when_the_directory_has_lost_its_word() {
+    let mut fleet = fleet("a");
+    fleet.set_all(millis(0), &[record(0, "a"), record(1, "b")]);
+    let leaving = ServerRecord {
+        phase: ServerPhase::Draining,
+        ..record(0, "a")
+    };
+    fleet.change(millis(100), &ServerChange::Put(leaving));
+    fleet.directory_returned(millis(500));
+    fleet.add_all(millis(510), &[record(0, "a"), record(1, "b")]);
+    assert_eq!(send(&mut fleet, millis(520)), Ok("i-1".into()));
+    let told: Vec<ServerPhase> = fleet.servers().map(|record| record.phase).collect();
+    assert!(
+        told.contains(&ServerPhase::Draining),
+        "others are told so as well"
+    );
+}
--- a/lib/tests/placement_rules.rs
+++ b/lib/tests/placement_rules.rs
@@ -12,7 +12,7 @@
 use cicada_lib::fleet::Place;
 use cicada_lib::ids::Name;
 use cicada_lib::residency::AllowedRegions;
-use cicada_lib::site::Revision;
+use cicada_lib::revision::Revision;
 use cicada_lib::site::ServerChange;
 use cicada_lib::site::ServerRecord;
 use cicada_lib::site::ServiceSpec;
@@ -177,7 +177,7 @@
     fn evacuated_now(&self) -> EvacuatedZones {
         EvacuatedZones {
             zones: self.evacuated.clone(),
-            revision: Revision(self.revision),
+            revision: Revision::new(0, self.revision),
         }
     }
 
--- a/lib/tests/zone_evacuation.rs
+++ b/lib/tests/zone_evacuation.rs
@@ -1,7 +1,7 @@
 //! Which availability zones are evacuated, by words that come in any order.
 
 use cicada_lib::ids::Name;
-use cicada_lib::site::Revision;
+use cicada_lib::revision::Revision;
 use cicada_lib::zone_evacuation::EvacuatedZones;
 use cicada_lib::zone_evacuation::EvacuationChange;
 use quickcheck::quickcheck;
@@ -9,7 +9,7 @@
 fn zones(revision: u64, zones: &[&str]) -> EvacuatedZones {
     EvacuatedZones {
         zones: zones.iter().map(Name::new).collect(),
-        revision: Revision(revision),
+        revision: Revision::new(0, revision),
     }
 }
 
@@ -45,9 +45,11 @@
             let names: Vec<&str> = names.iter().map(String::as_str).collect();
             known.update(&zones(u64::from(*number), &names));
         }
-        let latest = order.iter().max().copied().unwrap_or_default();
+        let Some(latest) = order.iter().max().copied() else {
+            return !known.is_known();
+        };
         let bits = (0..3).filter(|bit| latest >> bit & 1 == 1);
         let expected = bits.map(|n| Name::new(format!("z-{n}"))).collect();
-        known.zones == expected && known.revision == Revision(u64::from(latest))
+        known.zones == expected && known.revision == Revision::new(0, u64::from(latest))
     }
 }
--- a/relay/src/awake.rs
+++ b/relay/src/awake.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cicada_lib::revision::Revision;
 use tokio::time::sleep;
 
 use crate::relay::Relay;
@@ -25,8 +26,8 @@
     }
 
     /// Another process has told what it knows, up to these versions.
-    pub(crate) fn note_told(&self, version: u64, revision: u64) {
-        if self.version() >= version && self.revision().0 >= revision {
+    pub(crate) fn note_told(&self, version: u64, revision: Revision) {
+        if self.version() >= version && self.revision() >= revision {
             self.standstill().told(self.now());
         }
     }
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -6,11 +6,14 @@
 
 use cicada_lib::peer_words::PeerAnswer;
 use cicada_lib::peer_words::PeerQuestion;
+use cicada_lib::revision::RETURN;
+use cicada_lib::revision::Revision;
 use cicada_lib::site::Directory;
+use cicada_lib::site::DirectoryError;
 use cicada_lib::site::PeerRecord;
 use cicada_lib::site::Result;
-use cicada_lib::site::Revision;
-use cicada_lib::zone_evacuation::EvacuatedZones;
+use cicada_lib::site::ServerChanges;
+use cicada_lib::site::ServerListing;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
@@ -24,10 +27,6 @@
 const CONFIG_WATCH: Duration = Duration::from_secs(10);
 const SERVER_WATCH: Duration = Duration::from_millis(1_500);
 
-/// How long a watch on evacuations waits. One whose connection fell silent is given up after this and the call's own
-/// time, together less than an evacuation may take to hold.
-const EVACUATION_WATCH: Duration = Duration::from_secs(3);
-
 /// The time from one watch on the backend servers to the next, for each relay that is known, and the longest. Each
 /// watch that returns costs a call, and changes grow with the fleet, while the platform's rates grow more
 /// slowly: in a large fleet several changes come with one call. Engines that leave are known by their scouts.
@@ -45,9 +44,8 @@
 const TAKE_OVER: Duration = Duration::from_millis(300);
 
 /// After an outage of this length servers may be missing in the list that are still there: their
-/// entries have lapsed, and come back within two seconds.
+/// entries have lapsed, and come back as after the directory's return from a copy.
 const OUTAGE: Duration = Duration::from_secs(1);
-const RETURN: Duration = Duration::from_millis(2_300);
 
 /// After this a directory that fails counts as out of reach: a connection that broke is replaced sooner.
 const OUT_OF_REACH: Duration = Duration::from_millis(400);
@@ -61,30 +59,30 @@
 
 /// Reads the directory and follows it.
 pub struct Keeper {
-    relay: Arc<Relay>,
-    directory: Arc<dyn Directory>,
+    pub(crate) relay: Arc<Relay>,
+    pub(crate) directory: Arc<dyn Directory>,
 }
 
 /// How the calls to the directory go: the pause before the next try, and since when they fail.
-struct Tries {
+pub(crate) struct Tries {
     pause: Duration,
     lost: Option<Instant>,
 }
 
 impl Tries {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Tries {
             pause: MIN_BACKOFF,
             lost: None,
         }
     }
 
-    fn went_well(&mut self) {
+    pub(crate) fn went_well(&mut self) {
         *self = Tries::new();
     }
 
     /// Notes a failure, and waits before the next try.
-    async fn failed(&mut self, relay: &Relay) {
+    pub(crate) async fn failed(&mut self, relay: &Relay) {
         let lost = *self.lost.get_or_insert_with(Instant::now);
         if lost.elapsed() >= OUT_OF_REACH {
             relay.set_out_of_reach(true);
@@ -127,7 +125,7 @@
                 Some(after) => tokio::select! {
                     outcome = self.directory.next_config(after, CONFIG_WATCH) => outcome,
                     // What the watch on the servers met, this one has met too and does not know yet.
-                    () = self.until_unfed(), if self.relay.version() > 0 => {
+                    () = self.until_reset(after), if self.relay.version() > 0 => {
                         at = None;
                         continue;
                     }
@@ -155,7 +153,7 @@
         let mut watching = false;
         let mut view = ServerView::default();
         loop {
-            if self.relay.revision().0 > 0 {
+            if self.relay.revision().is_known() {
                 watching = self.is_watcher(watching).await;
                 // Only once it was answered: others would stand down for one that is turned away.
                 self.relay.set_fed(watching && view.at.is_some());
@@ -179,42 +177,9 @@
         }
     }
 
-    async fn follow_evacuations(&self) {
-        let mut tries = Tries::new();
-        let mut known: Option<EvacuatedZones> = None;
-        loop {
-            if self.relay.evacuated().is_known() && self.is_told().await {
-                known = None;
-                continue;
-            }
-            let outcome = match &known {
-                None => self.directory.evacuations().await,
-                Some(before) => tokio::select! {
-                    outcome = self.directory.next_evacuations(before, EVACUATION_WATCH) => outcome,
-                    () = self.until_unfed(), if self.relay.evacuated().is_known() => {
-                        known = None;
-                        continue;
-                    }
-                },
-            };
-            match outcome {
-                Ok(evacuated) => {
-                    tries.went_well();
-                    self.relay.take_evacuated(&evacuated);
-                    known = Some(evacuated);
-                }
-                Err(error) => {
-                    tracing::info!(%error, "directory: no news of evacuations");
-                    known = None;
-                    tries.failed(&self.relay).await;
-                }
-            }
-        }
-    }
-
     /// Whether another relay of the region watches, or the directory is out of reach; waits a moment where that is so.
     /// Whoever watches the servers watches all else.
-    async fn is_told(&self) -> bool {
+    pub(crate) async fn is_told(&self) -> bool {
         if self.relay.is_fed() {
             return false;
         }
@@ -222,9 +187,9 @@
         true
     }
 
-    /// Waits until this relay watches no more, or was not answered.
-    async fn until_unfed(&self) {
-        while self.relay.is_fed() {
+    /// Waits until this relay watches no more, was not answered, or the directory has gone back since the revision.
+    pub(crate) async fn until_reset(&self, revision: Revision) {
+        while self.relay.is_fed() && self.relay.era() <= revision.era {
             sleep(PULL).await;
         }
     }
@@ -248,24 +213,7 @@
 
     async fn next_servers(&self, view: &mut ServerView, tries: &Tries) -> Result<()> {
         let Some(after) = view.at else {
-            let listing = self.directory.servers().await?;
-            let servers = listing.servers.len();
-            // A server that is missing in a list after an outage may still be there.
-            let whole = tries.lost.is_none_or(|since| since.elapsed() < OUTAGE);
-            tracing::info!(
-                servers,
-                whole,
-                revision = listing.revision.0,
-                "directory: servers listed"
-            );
-            if whole {
-                self.relay.set_servers(&listing);
-            } else {
-                self.relay.add_servers(&listing);
-                view.again = Some(Instant::now() + RETURN);
-            }
-            view.at = Some(listing.revision);
-            return Ok(());
+            return self.list_servers(view, tries).await;
         };
         let wait = match view.again {
             Some(again) => again
@@ -279,10 +227,14 @@
             let changes = news.changes.len();
             tracing::info!(
                 changes,
-                revision = news.revision.0,
+                revision = %news.revision,
                 "directory: servers changed"
             );
         }
+        let news = ServerChanges {
+            revision: news.revision.with_whole(after.whole),
+            ..news
+        };
         self.relay.change_servers(after, &news);
         view.at = Some(news.revision);
         if view.again.is_some_and(|again| again <= Instant::now()) {
@@ -293,6 +245,35 @@
         Ok(())
     }
 
+    async fn list_servers(&self, view: &mut ServerView, tries: &Tries) -> Result<()> {
+        let listing = self.directory.servers().await?;
+        self.relay.saw(listing.revision);
+        if listing.revision.era < self.relay.era() {
+            return Err(DirectoryError::HistoryGone);
+        }
+        let settled = self.relay.is_settled();
+        let listing = ServerListing {
+            revision: listing.revision.with_whole(settled),
+            ..listing
+        };
+        // A server that is missing in a list after an outage may still be there.
+        let whole = settled && tries.lost.is_none_or(|since| since.elapsed() < OUTAGE);
+        tracing::info!(
+            servers = listing.servers.len(),
+            whole,
+            revision = %listing.revision,
+            "directory: servers listed"
+        );
+        if whole {
+            self.relay.set_servers(&listing);
+        } else {
+            self.relay.add_servers(&listing);
+            view.again = Some(Instant::now() + RETURN);
+        }
+        view.at = Some(listing.revision);
+        Ok(())
+    }
+
     fn watch_gap(&self) -> Duration {
         let relays = self.relay.peers().count() as u32;
         (WATCH_GAP * relays).min(LONGEST_GAP)
@@ -300,6 +281,7 @@
 
     async fn follow_peers(&self) {
         let own = self.relay.peer_record();
+        let mut eras = self.relay.eras();
         let mut written = false;
         loop {
             if !written {
@@ -320,7 +302,14 @@
                     PEERS_AGAIN
                 }
             };
-            sleep(if written { pause } else { PEERS_AGAIN }).await;
+            tokio::select! {
+                () = sleep(if written { pause } else { PEERS_AGAIN }) => {}
+                _ = eras.changed() => {
+                    // What this relay has written may be lost, as that of all others.
+                    written = false;
+                    sleep(PEERS_AGAIN.mul_f64(fastrand::f64())).await;
+                }
+            }
         }
     }
 
@@ -337,22 +326,19 @@
     /// Reads from other relays what they know and this one does not.
     async fn pull(&self) {
         // What was known a round ago: a relay whose watch is alive has caught up by then.
-        let (mut version, mut revision) = (0, 0);
+        let (mut version, mut revision) = (0, Revision::default());
         loop {
             sleep(PULL).await;
             let ahead = self.relay.peers().with_config_after(self.relay.version());
             if let Some(peer) = ahead.filter(|_| self.relay.version() == version) {
                 self.pull_from(peer, &PeerQuestion::Config(version)).await;
             }
-            let ahead = self
-                .relay
-                .peers()
-                .with_servers_after(self.relay.revision().0);
-            if let Some(peer) = ahead.filter(|_| self.relay.revision().0 == revision) {
+            let ahead = self.relay.peers().with_servers_after(self.relay.revision());
+            if let Some(peer) = ahead.filter(|_| self.relay.revision() == revision) {
                 self.pull_from(peer, &PeerQuestion::Servers(revision)).await;
             }
             version = self.relay.version();
-            revision = self.relay.revision().0;
+            revision = self.relay.revision();
         }
     }
 
@@ -365,12 +351,15 @@
                 self.relay.set_config(config);
             }
             Ok(PeerAnswer::Servers(listing)) => {
-                tracing::info!(%peer, revision = listing.revision.0, "peers: servers came from a relay");
-                self.relay.set_servers(&listing);
+                tracing::info!(%peer, revision = %listing.revision, "peers: servers came from a relay");
+                match listing.revision.whole {
+                    true => self.relay.set_servers(&listing),
+                    false => self.relay.add_servers(&listing),
+                }
             }
             Ok(PeerAnswer::Changes(changes)) => {
                 let count = changes.changes.len();
-                tracing::debug!(%peer, count, revision = changes.revision.0, "peers: changes of servers came from a relay");
+                tracing::debug!(%peer, count, revision = %changes.revision, "peers: changes of servers came from a relay");
                 self.relay.take_changes(before, &changes);
             }
             Err(error) => tracing::debug!(%peer, %error, "peers: a relay gave no answer"),
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod figures;
 mod identity;
 mod keeper;
+mod keeper_evacuations;
 mod load_asks;
 mod lock;
 mod moved_runs;
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -185,7 +185,7 @@
             zone: self.relay.settings().place.zone.clone(),
             fed: self.relay.is_fed(),
             version: self.relay.version(),
-            revision: self.relay.revision().0,
+            revision: self.relay.revision(),
             others: self.relay.peers().some(PASSED_ON),
             evacuated: self.relay.evacuated(),
             limits: self.relay.limit_words(),
--- a/relay/src/peer_pull.rs
+++ b/relay/src/peer_pull.rs
@@ -10,7 +10,6 @@
 use cicada_lib::peer_words;
 use cicada_lib::peer_words::PeerAnswer;
 use cicada_lib::peer_words::PeerQuestion;
-use cicada_lib::site::Revision;
 use eyre::Context;
 use eyre::bail;
 use tokio::io::AsyncReadExt;
@@ -71,8 +70,8 @@
         PeerQuestion::Config(version) if relay.version() > version => {
             PeerAnswer::Config(relay.table().config().clone())
         }
-        PeerQuestion::Servers(revision) if relay.revision().0 > revision => {
-            let missed = relay.changes_since(Revision(revision));
+        PeerQuestion::Servers(revision) if relay.revision() > revision => {
+            let missed = relay.changes_since(revision);
             missed.map_or_else(|| PeerAnswer::Servers(relay.listing()), PeerAnswer::Changes)
         }
         PeerQuestion::Config(_) | PeerQuestion::Servers(_) => PeerAnswer::Nothing,
--- a/relay/src/peers.rs
+++ b/relay/src/peers.rs
@@ -10,6 +10,7 @@
 
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::RelayHello;
+use cicada_lib::revision::Revision;
 use tokio::time::Instant;
 
 /// Relays that hear a word at a time: with all of a small deployment, and in a large one news is
@@ -40,7 +41,7 @@
     zone: Name,
     fed: bool,
     version: u64,
-    revision: u64,
+    revision: Revision,
 }
 
 /// The other relays.
@@ -165,11 +166,11 @@
     }
 
     /// A relay that knows the backend servers up to a later revision.
-    pub(crate) fn with_servers_after(&self, revision: u64) -> Option<SocketAddr> {
+    pub(crate) fn with_servers_after(&self, revision: Revision) -> Option<SocketAddr> {
         self.best(|word| word.revision, revision)
     }
 
-    fn best(&self, figure: impl Fn(&Word) -> u64, above: u64) -> Option<SocketAddr> {
+    fn best<T: Ord>(&self, figure: impl Fn(&Word) -> T, above: T) -> Option<SocketAddr> {
         let ahead = self.words.iter().filter(|(_, word)| figure(word) > above);
         let best = ahead.max_by_key(|(_, word)| (figure(word), word.at));
         best.map(|(peer, _)| *peer)
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -24,6 +23,8 @@
 use cicada_lib::residency::AllowedRegions;
 use cicada_lib::retry_window::RetryWindow;
 use cicada_lib::returns::Returns;
+use cicada_lib::revision::Revision;
+use cicada_lib::revision::SeenEra;
 use cicada_lib::route_table::RouteTable;
 use cicada_lib::standstill::Standstill;
 use cicada_lib::time::Clock;
@@ -113,7 +114,9 @@
     // Told when other relays are to hear something at once.
     pub(crate) hello_due: Notify,
     pub(crate) pending: Mutex<Option<Pending>>,
-    pub(crate) revision: AtomicU64,
+    pub(crate) revision: Mutex<Revision>,
+    // Told when the directory has gone back to an older copy of itself.
+    pub(crate) era: watch::Sender<SeenEra>,
     // For relays that have missed some.
     pub(crate) changes: Mutex<ChangeLog>,
     // Raised when idle connections are to be closed.
@@ -169,7 +172,8 @@
             leaving: watch::Sender::new(0),
             moved: MovedRuns::new(),
             peers: Mutex::default(),
-            revision: AtomicU64::new(0),
+            revision: Mutex::default(),
+            era: watch::Sender::new(SeenEra::default()),
             changes: Mutex::default(),
             ending: watch::Sender::new(false),
             closing: watch::Sender::new(false),
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -10,15 +10,17 @@
 
 use cicada_lib::ids::Name;
 use cicada_lib::peer_words::ServerNews;
+use cicada_lib::revision::Revision;
+use cicada_lib::revision::SeenEra;
 use cicada_lib::route_table::RouteTable;
 use cicada_lib::site::PeerRecord;
-use cicada_lib::site::Revision;
-use cicada_lib::site::ServerChange;
 use cicada_lib::site::ServerChanges;
 use cicada_lib::site::ServerListing;
 use cicada_lib::site::SiteConfig;
 use cicada_lib::zone_evacuation::EvacuatedZones;
 
+use tokio::sync::watch;
+
 use crate::lock::lock;
 use crate::peers::Peers;
 use crate::relay::Relay;
@@ -64,6 +66,7 @@
 
     /// Takes the whole list of backend servers.
     pub fn set_servers(&self, listing: &ServerListing) {
+        self.saw(listing.revision);
         self.fleet().set_all(self.now(), &listing.servers);
         lock(&self.changes).clear();
         self.listed_at(listing.revision);
@@ -71,12 +74,8 @@
 
     /// Takes a list in which servers may be missing that are still there.
     pub fn add_servers(&self, listing: &ServerListing) {
-        let now = self.now();
-        let mut fleet = self.fleet();
-        for server in &listing.servers {
-            fleet.change(now, &ServerChange::Put(server.clone()));
-        }
-        drop(fleet);
+        self.saw(listing.revision);
+        self.fleet().add_all(self.now(), &listing.servers);
         lock(&self.changes).clear();
         self.listed_at(listing.revision);
     }
@@ -85,7 +84,7 @@
     pub fn change_servers(&self, after: Revision, news: &ServerChanges) {
         if !news.changes.is_empty() {
             let word = ServerNews {
-                after: after.0,
+                after,
                 changes: news.clone(),
             };
             if self.news.try_send(word).is_err() {
@@ -97,8 +96,8 @@
 
     /// Takes changes that another relay tells of, if they follow on what is known here.
     pub(crate) fn news(&self, news: &ServerNews) {
-        if self.revision().0 >= news.after {
-            self.take_changes(Revision(news.after), &news.changes);
+        if self.revision() >= news.after {
+            self.take_changes(news.after, &news.changes);
         }
     }
 
@@ -111,15 +110,11 @@
         // Another relay may have told of them, and of later ones, before.
         let known = self.revision();
         if news.revision < known {
-            let (changes, revision) = (news.changes.len(), news.revision.0);
-            tracing::info!(
-                changes,
-                revision,
-                known = known.0,
-                "directory: changes of servers passed over"
-            );
+            let (changes, revision) = (news.changes.len(), news.revision);
+            tracing::info!(changes, %revision, %known, "directory: changes of servers passed over");
             return;
         }
+        self.saw(news.revision);
         let now = self.now();
         let mut fleet = self.fleet();
         for change in &news.changes {
@@ -132,7 +127,36 @@
 
     /// The revision up to which the backend servers are known.
     pub fn revision(&self) -> Revision {
-        Revision(self.revision.load(Ordering::Relaxed))
+        *lock(&self.revision)
+    }
+
+    /// Something was read at the revision, by this relay or another one.
+    pub(crate) fn saw(&self, revision: Revision) {
+        let now = self.now();
+        let mut went_back = false;
+        self.era.send_if_modified(|seen| {
+            went_back = seen.saw(now, revision);
+            went_back
+        });
+        if went_back {
+            self.fleet().directory_returned(now);
+            tracing::info!(%revision, known = %self.revision(), "directory: it has gone back to an older copy");
+        }
+    }
+
+    /// The latest era of the directory.
+    pub(crate) fn era(&self) -> u64 {
+        self.era.borrow().era()
+    }
+
+    /// Whether the directory has all that it may have lost when it went back.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.era.borrow().is_settled(self.now())
+    }
+
+    /// Changes when the directory goes back once more.
+    pub(crate) fn eras(&self) -> watch::Receiver<SeenEra> {
+        self.era.subscribe()
     }
 
     /// The backend servers as they are known.
@@ -145,7 +169,9 @@
     }
 
     fn listed_at(&self, revision: Revision) {
-        self.revision.fetch_max(revision.0, Ordering::Relaxed);
+        let mut known = lock(&self.revision);
+        *known = revision.max(*known);
+        drop(known);
         self.listed.store(true, Ordering::Relaxed);
         self.note_leaving();
         self.joined.notify_one();
@@ -194,7 +220,7 @@
             begun = ?change.begun,
             ended = ?change.ended,
             unknown = ?unknown,
-            revision = evacuated.revision.0,
+            revision = %evacuated.revision,
             "fleet: evacuated availability zones changed"
         );
         true
