relay: a list after an outage is incomplete for other relays too

What callers saw: nothing yet. Found while looking for what else is remembered because the store once said so.

Cause: after an outage of a second the relay that watches keeps what the list lacks, and lists once more after 2.3 s. Other relays took over its first list, and the second has the same revision: a server that had left meanwhile got requests from them for as long as they ran, where no scout told of it.

The first list now carries an incomplete revision, which is less than the complete one, so that others take over the second as well. The test failed before: requests of the relay that does not watch ran at the server 6 s after the outage and later; it passes, with the 41 of the relays' process tests.

--- a/daemon/tests/relay_store_era.rs
+++ b/daemon/tests/relay_store_era.rs
@@ -210,3 +210,18 @@
     }
     Ok(())
 }
+
+/// Guards against a server that has left during an outage, and is dropped by the relay alone that lists the servers.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_left_during_an_outage_gets_nothing_new_from_any_relay() -> Result<()> {
+    let deployment = start().await?;
+    until_at(&deployment, "before", NEAR).await?;
+    deployment.store.set_busy(true);
+    sleep(Duration::from_secs(3)).await;
+    let near = deployment.services[NEAR].0.id();
+    deployment.store.remove("servers", near);
+    deployment.store.set_busy(false);
+    // Until the list is read a second time, and others have been told.
+    sleep(Duration::from_secs(6)).await;
+    stays_at(&deployment, "gone", BESIDE, Duration::from_secs(2)).await
+}
--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -251,13 +251,13 @@
         if listing.revision.era < self.relay.era() {
             return Err(DirectoryError::HistoryGone);
         }
-        let settled = self.relay.is_settled();
+        // A server that is missing in a list after an outage may still be there.
+        let lapsed = tries.lost.is_some_and(|since| since.elapsed() >= OUTAGE);
+        let whole = self.relay.is_settled() && !lapsed;
         let listing = ServerListing {
-            revision: listing.revision.with_whole(settled),
+            revision: listing.revision.with_whole(whole),
             ..listing
         };
-        // A server that is missing in a list after an outage may still be there.
-        let whole = settled && tries.lost.is_none_or(|since| since.elapsed() < OUTAGE);
         tracing::info!(
             servers = listing.servers.len(),
             whole,
