relay: another relay's list undoes no later change

What callers saw: nothing yet. Found while looking for what else goes by revisions: a list that was asked for, and answered while a server left, was taken over whole though it was older, and the server got requests again until the list changed once more.

A list of another relay is passed over where more is known by now. The test plays the other relay: its list names revision 1 after the server's end at a later one; the next request ran at the server, and runs elsewhere now.

--- a/relay/src/keeper.rs
+++ b/relay/src/keeper.rs
@@ -352,10 +352,7 @@
             }
             Ok(PeerAnswer::Servers(listing)) => {
                 tracing::info!(%peer, revision = %listing.revision, "peers: servers came from a relay");
-                match listing.revision.whole {
-                    true => self.relay.set_servers(&listing),
-                    false => self.relay.add_servers(&listing),
-                }
+                self.relay.take_listing(&listing);
             }
             Ok(PeerAnswer::Changes(changes)) => {
                 let count = changes.changes.len();
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -80,6 +80,19 @@
         self.listed_at(listing.revision);
     }
 
+    /// Takes the list of another relay, unless more is known by now.
+    pub(crate) fn take_listing(&self, listing: &ServerListing) {
+        let (revision, known) = (listing.revision, self.revision());
+        if revision < known {
+            tracing::info!(%revision, %known, "directory: a list of servers passed over");
+            return;
+        }
+        match revision.whole {
+            true => self.set_servers(listing),
+            false => self.add_servers(listing),
+        }
+    }
+
     /// Takes changes of the list from the directory, and passes them on to the relays of the zone.
     pub fn change_servers(&self, after: Revision, news: &ServerChanges) {
         if !news.changes.is_empty() {
