lib, relay: a set of evacuations that may be incomplete ends none

What callers saw: nothing yet. Found in reading the change: a relay that starts while the store has lost an evacuation lists none, and others took its word, since the era was later than theirs.

The test failed before (an entry that has just started ended the evacuation).

--- a/lib/src/zone_evacuation.rs
+++ b/lib/src/zone_evacuation.rs
@@ -49,23 +49,20 @@
         self.zones.contains(zone)
     }
 
-    /// The same set, of a directory that may have lost what `before` knows and may be told again.
-    pub fn keeping(mut self, before: &EvacuatedZones) -> Self {
-        self.zones.extend(before.zones.iter().cloned());
-        self.revision = self.revision.with_whole(false);
-        self
-    }
-
-    /// Takes a set over, if it is of a later revision.
+    /// Takes a set over, if it is of a later revision. One of an incomplete listing ends no evacuation.
     pub fn update(&mut self, other: &EvacuatedZones) -> EvacuationChange {
         if other.revision <= self.revision {
             return EvacuationChange::default();
         }
+        let mut next = other.clone();
+        if !next.revision.whole {
+            next.zones.extend(self.zones.iter().cloned());
+        }
         let change = EvacuationChange {
-            begun: other.zones.difference(&self.zones).cloned().collect(),
-            ended: self.zones.difference(&other.zones).cloned().collect(),
+            begun: next.zones.difference(&self.zones).cloned().collect(),
+            ended: self.zones.difference(&next.zones).cloned().collect(),
         };
-        *self = other.clone();
+        *self = next;
         change
     }
 }
--- a/lib/tests/revision.rs
+++ b/lib/tests/revision.rs
@@ -52,10 +52,15 @@
 #[test]
 fn an_evacuation_holds_until_it_can_have_been_written_again() {
     let mut known = zones(Revision::new(0, 28), &["a"]);
-    let listed = zones(Revision::new(1, 25), &["b"]).keeping(&known);
-    assert!(known.update(&listed).ended.is_empty());
+    let incomplete = Revision::new(1, 25).with_whole(false);
+    assert!(known.update(&zones(incomplete, &["b"])).ended.is_empty());
     assert_eq!(known.zones.len(), 2);
+    let later = Revision::new(1, 26).with_whole(false);
+    assert!(
+        known.update(&zones(later, &[])).is_empty(),
+        "an entry that has just started"
+    );
     assert!(known.update(&zones(Revision::new(0, 29), &[])).is_empty());
-    let again = known.update(&zones(Revision::new(1, 25), &["b"]));
+    let again = known.update(&zones(Revision::new(1, 26), &["b"]));
     assert_eq!(again.ended, [Name::new("a")]);
 }
--- a/relay/src/keeper_evacuations.rs
+++ b/relay/src/keeper_evacuations.rs
@@ -67,16 +67,16 @@
 
     fn take_evacuated(&self, view: &mut EvacuationView, evacuated: EvacuatedZones) {
         self.relay.saw(evacuated.revision);
-        let evacuated = match &view.known {
-            None if self.relay.is_settled() => evacuated,
-            None => {
-                view.again = Some(Instant::now() + RETURN);
-                evacuated.keeping(&self.relay.evacuated())
-            }
-            Some(before) => EvacuatedZones {
-                revision: evacuated.revision.with_whole(before.revision.whole),
-                ..evacuated
-            },
+        let whole = match &view.known {
+            None => self.relay.is_settled(),
+            Some(before) => before.revision.whole,
+        };
+        if view.known.is_none() && !whole {
+            view.again = Some(Instant::now() + RETURN);
+        }
+        let evacuated = EvacuatedZones {
+            revision: evacuated.revision.with_whole(whole),
+            ..evacuated
         };
         self.relay.take_evacuated(&evacuated);
         view.known = Some(evacuated);
