--- a/lib/src/entry_shares.rs
+++ b/lib/src/entry_shares.rs
@@ -52,7 +52,7 @@
         before.count() < places
     }
 
-    /// Whether this entry is drawn for the server in a `turn`, where each entry is with the probability.
+    /// Whether this entry is drawn for the server in the `turn`. Each entry is, with this probability.
     pub fn is_in_turn(&self, server: SocketAddr, turn: u64, probability: f64) -> bool {
         let Some(entries) = &self.entries else {
             return false;
--- a/lib/src/return_time.rs
+++ b/lib/src/return_time.rs
@@ -19,8 +19,7 @@
 /// be in time.
 const UNREACHED: (Duration, Duration) = (Duration::from_millis(500), Duration::from_millis(1_400));
 
-/// Beside the time until the entry may send to a server again that names a limit: callers that were turned away
-/// together are spread over it, and over as long as they wait.
+/// Spread of callers whom the limits of servers have turned away, beyond the time that they wait.
 const LIMITED: Duration = Duration::from_millis(200);
 
 /// A caller heeds a time of up to a third of what it has left.
--- a/lib/src/server_limit.rs
+++ b/lib/src/server_limit.rs
@@ -20,11 +20,11 @@
 /// Thousandths in one.
 const THOUSANDTHS: f64 = 1_000.0;
 
-/// The least limit that is kept to: a server that takes nothing must be asked now and then whether that still holds.
+/// Limits below this count as this one: a server that takes nothing is asked now and then whether that still holds.
 const LEAST_RATE: f64 = 0.1;
 
-/// Entries with a share beyond one for each request a second. Each may hold a request back and send it at any time, and
-/// all of them together may do so at once.
+/// Entries with a share, beyond one for each request a second of the limit. They are few, since all of them may send the
+/// request that they have saved up at once.
 const MORE_ENTRIES: f64 = 2.0;
 
 /// The time over which an entry with a large share may save up requests.
