tests: deployments of plain services, and a store's return, stand once

What callers saw: nothing; no decision and no assertion changes.

Three test files set up relays before plain services alike, and one of them wrote the platform's names: start_plain, add_route, bring_back and listed_relays stand with the stand-ins now. Seven doc comments in the usual terms of the field (the bounds of the reading rate, the servers that a request may go to).

--- a/daemon/tests/relay_limits.rs
+++ b/daemon/tests/relay_limits.rs
@@ -35,16 +35,7 @@
 
 async fn start(relays: usize, zones: &[&str]) -> Result<Deployment> {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
-    let mut deployment = Deployment::start(daemon, 0, 0, 0).await?;
-    for zone in zones {
-        deployment.add_service_in(zone, Duration::ZERO)?;
-    }
-    for _ in 0..relays {
-        deployment.add_relay()?;
-    }
-    for relay in 0..relays {
-        deployment.wait_ready(relay).await?;
-    }
+    let deployment = Deployment::start_plain(daemon, zones, &vec!["a"; relays]).await?;
     // Until relays know each other.
     sleep(Duration::from_millis(1_500)).await;
     Ok(deployment)
--- a/daemon/tests/relay_places.rs
+++ b/daemon/tests/relay_places.rs
@@ -32,17 +32,7 @@
 
 /// Relays in these zones, and a service in each zone.
 async fn start(relays: &[&str]) -> Result<Deployment> {
-    let mut deployment = Deployment::start(daemon(), 0, 0, 0).await?;
-    for zone in ["a", "b", "c"] {
-        deployment.add_service_in(zone, Duration::ZERO)?;
-    }
-    for zone in relays {
-        deployment.add_relay_in(zone)?;
-    }
-    for relay in 0..relays.len() {
-        deployment.wait_ready(relay).await?;
-    }
-    Ok(deployment)
+    Deployment::start_plain(daemon(), &["a", "b", "c"], relays).await
 }
 
 /// Asks once, and tells the answer's status and the service that ran the request, if one did.
--- a/daemon/tests/relay_store_era.rs
+++ b/daemon/tests/relay_store_era.rs
@@ -6,9 +6,9 @@
 use cicada_standins::caller::Ask;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::store::Store;
 use eyre::Result;
 use http::StatusCode;
-use serde_json::json;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -30,16 +30,7 @@
 
 async fn start() -> Result<Deployment> {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
-    let mut deployment = Deployment::start(daemon, 0, 0, 0).await?;
-    for zone in ["a", "b"] {
-        deployment.add_service_in(zone, Duration::ZERO)?;
-    }
-    for _ in 0..RELAYS {
-        deployment.add_relay()?;
-    }
-    for relay in 0..RELAYS {
-        deployment.wait_ready(relay).await?;
-    }
+    let deployment = Deployment::start_plain(daemon, &["a", "b"], &["a"; RELAYS]).await?;
     // Until relays know each other, and one of them watches.
     sleep(Duration::from_millis(1_500)).await;
     Ok(deployment)
@@ -48,15 +39,8 @@
 /// Writes versions of the configuration, each a revision of the store, and waits until the relays have them.
 async fn write_versions(deployment: &Deployment) -> Result<()> {
     for number in 0..LOST {
-        let path = format!("/added-{number}/");
-        deployment.reconfigure(|config| {
-            let mut route = config["routes"][3].clone();
-            route["name"] = json!(format!("added-{number}"));
-            route["pathPrefix"] = json!(path);
-            if let Some(routes) = config["routes"].as_array_mut() {
-                routes.push(route);
-            }
-        });
+        let name = format!("added-{number}");
+        deployment.add_route(&name, &format!("/{name}/"));
     }
     let last = format!("/added-{}/", LOST - 1);
     for relay in 0..RELAYS {
@@ -67,18 +51,6 @@
     Ok(())
 }
 
-/// The store is away, and comes back from the copy; the operator writes the configuration again.
-async fn bring_back(deployment: &Deployment, copy: &cicada_standins::store::Copy) {
-    let config = deployment.store.content("config", "main");
-    deployment.store.set_busy(true);
-    sleep(AWAY).await;
-    deployment.store.restore(copy);
-    deployment.store.set_busy(false);
-    if let Some(config) = config {
-        deployment.store.put("config", "main", config);
-    }
-}
-
 async fn until_status(
     deployment: &Deployment,
     relay: usize,
@@ -151,7 +123,7 @@
     until_at(&deployment, "before", NEAR).await?;
     let copy = deployment.store.copy();
     write_versions(&deployment).await?;
-    bring_back(&deployment, &copy).await;
+    deployment.bring_back(&copy, AWAY).await;
     sleep(Duration::from_secs(3)).await;
     until_at(&deployment, "back", NEAR).await?;
     deployment.service_leaves(NEAR);
@@ -167,7 +139,7 @@
     write_versions(&deployment).await?;
     deployment.evacuate("a");
     until_at(&deployment, "evacuated", BESIDE).await?;
-    bring_back(&deployment, &copy).await;
+    deployment.bring_back(&copy, AWAY).await;
     stays_at(&deployment, "lost", BESIDE, Duration::from_millis(1_200)).await?;
     deployment.evacuate("a");
     stays_at(&deployment, "written", BESIDE, Duration::from_secs(4)).await?;
@@ -181,16 +153,10 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn what_the_store_lost_is_used_until_it_is_written_again() -> Result<()> {
     let mut deployment = start().await?;
-    let listed = |deployment: &Deployment| {
-        let names = deployment.relays.iter();
-        let names = names.map(|relay| format!("relay-{}", relay.callers.ip()));
-        let there = names.filter(|name| deployment.store.content("cicada-peers", name).is_some());
-        there.count()
-    };
-    assert_eq!(listed(&deployment), RELAYS);
-    let empty = cicada_standins::store::Store::new().copy();
+    assert_eq!(deployment.listed_relays(), RELAYS);
+    let empty = Store::new().copy();
     until_at(&deployment, "before", NEAR).await?;
-    bring_back(&deployment, &empty).await;
+    deployment.bring_back(&empty, AWAY).await;
     let place = deployment.services.len();
     stays_at(&deployment, "lost", NEAR, Duration::from_millis(1_200)).await?;
     for service in [NEAR, BESIDE] {
@@ -201,7 +167,7 @@
     deployment.service_leaves(NEAR);
     until_at(&deployment, "came", place).await?;
     let begun = Instant::now();
-    while listed(&deployment) < RELAYS {
+    while deployment.listed_relays() < RELAYS {
         assert!(
             begun.elapsed() < PATIENCE,
             "relays are not written down again"
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -45,7 +45,7 @@
         Limited,
     }
 
-    /// Why no server was chosen.
+    /// The reason for which a choice found no server.
     pub enum NoServer {
         /// No server of the service is known that takes work.
         None,
@@ -118,7 +118,7 @@
 }
 
 impl Fleet {
-    /// What a request would meet at the engine that was chosen for it.
+    /// The load that a request would find at an engine.
     pub fn outlook(
         &self,
         now: Time,
@@ -246,7 +246,7 @@
         unknown || reports.any(|report| placement::reports_too_sparse(report.every))
     }
 
-    /// The servers that will do.
+    /// The servers that the request may go to.
     pub fn options(&self, now: Time, need: &Need<'_>, spec: &ServiceSpec) -> Vec<Candidate> {
         let servers = self.servers.iter();
         let able = servers.filter(|(key, server)| {
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -108,7 +108,7 @@
     }
 }
 
-/// What a request would meet at an engine.
+/// The load that a request would find at an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Outlook {
     /// The part of the engine's memory that is full at the highest point, this one among it.
--- a/lib/src/reading_rate.rs
+++ b/lib/src/reading_rate.rs
@@ -18,7 +18,7 @@
 /// Half of the evidence is forgotten in this time: engines slow down for seconds.
 const HALF_LIFE: f64 = 10.0;
 
-/// Bounds of the estimate, in priors: beyond them what was seen is no reading.
+/// Bounds of the estimate, as multiples of the prior.
 const LEAST: f64 = 0.1;
 const MOST: f64 = 10.0;
 
--- a/lib/src/server_limit.rs
+++ b/lib/src/server_limit.rs
@@ -64,7 +64,7 @@
 }
 
 impl RequestRate {
-    /// The rate; `None` for what is no number of requests. Rates that are too large to count are cut.
+    /// The rate; `None` for a negative number or none at all. Saturates.
     pub fn new(per_second: f64) -> Option<Self> {
         let thousandths = (per_second * THOUSANDTHS).round();
         (per_second >= 0.0).then_some(RequestRate(thousandths as u32))
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -208,7 +208,7 @@
         lock(&self.peers)
     }
 
-    /// Relays of the own region that were heard lately, this one among them.
+    /// Relays of this region that were heard lately, and this one.
     pub(crate) fn relays_in_region(&self) -> usize {
         let peers = self.peers();
         1 + peers.count_where(|zone| self.is_near(zone))
