relay: log answers in which a server states that it is leaving

The header is read by the adapter now, and each answer that bears it leaves a line with the request's id and the server. No decision reads it yet.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -89,6 +89,8 @@
         pub load: Option<(u32, u32)>,
         /// The limit that the server names, if it names one.
         pub limit: Option<RequestRate>,
+        /// Whether the server states that it is leaving.
+        pub leaving: bool,
     }
 
     /// A run at an engine, as the engine reports it.
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -92,6 +92,10 @@
     };
     let (parts, body) = answer.response.into_parts();
     let head = relay.dialect().answer_head(parts.status, &parts.headers);
+    if head.leaving {
+        let status = parts.status.as_u16();
+        tracing::info!(id = call.id(), server = %placed.record.id, status, "fleet: an answer says that its server leaves");
+    }
     placed.record_queue(head.load);
     let plain = call.spec.engine.is_none();
     if let (true, true, Some((_, waiting))) = (plain, parts.status.is_success(), head.load) {
