--- /dev/null
+++ b/daemon/tests/relay_leaving.rs
@@ -0,0 +1,102 @@
+//! Backend servers that state in their answers that they are leaving, with relays run as processes.
+
+use std::path::Path;
+use std::time::Duration;
+
+use cicada_standins::caller::Ask;
+use cicada_standins::deployment::Deployment;
+use cicada_standins::deployment::KEY;
+use eyre::Result;
+use http::StatusCode;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+/// Time within which a leaving server must stop getting new requests.
+const DRAIN_TIME: Duration = Duration::from_secs(3);
+
+/// How long requests are sent after that time.
+const LOAD_DURATION: Duration = Duration::from_secs(2);
+
+/// Interval between two rounds of requests, one to each relay.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Upper bound of a wait for a condition that normally holds within moments. It asserts no speed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Indices of services in the deployment: one in the relays' zone, one in another zone.
+const LOCAL_ZONE: usize = 0;
+
+/// Number of relays.
+const RELAY_COUNT: usize = 2;
+
+async fn start(zones: &[&str]) -> Result<Deployment> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let deployment = Deployment::start_plain(daemon, zones, &["a"; RELAY_COUNT]).await?;
+    // Wait until the relays know each other.
+    sleep(Duration::from_millis(1_500)).await;
+    Ok(deployment)
+}
+
+/// Sends a request to a relay, and returns the status of its answer.
+async fn send(deployment: &Deployment, relay: usize, id: &str) -> Result<StatusCode> {
+    let ask = Ask::new("GET", "/slots/7", id, KEY);
+    let response = ask.send(deployment.relays[relay].callers).await?;
+    Ok(response.status)
+}
+
+/// Sends requests to all relays for the duration, and returns the statuses of the answers.
+async fn send_to_all_relays(
+    deployment: &Deployment,
+    name: &str,
+    duration: Duration,
+) -> Result<Vec<StatusCode>> {
+    let until = Instant::now() + duration;
+    let mut statuses = Vec::new();
+    while Instant::now() < until {
+        for relay in 0..deployment.relays.len() {
+            let id = format!("{name}-{}", statuses.len());
+            statuses.push(send(deployment, relay, &id).await?);
+        }
+        sleep(REQUEST_INTERVAL).await;
+    }
+    Ok(statuses)
+}
+
+/// Sends requests to a relay until one reaches the service.
+async fn send_until_reached(deployment: &Deployment, relay: usize, service: usize) -> Result<()> {
+    let service = &deployment.services[service].0;
+    let before = service.arrivals().len();
+    let started = Instant::now();
+    let mut number = 0;
+    while service.arrivals().len() == before {
+        number += 1;
+        send(deployment, relay, &format!("reach-{relay}-{number}")).await?;
+        assert!(started.elapsed() < PATIENCE, "the service is not used");
+    }
+    Ok(())
+}
+
+/// Asserts that the service gets nothing from any relay for a while, and that all callers are served.
+async fn assert_unused(deployment: &Deployment, name: &str, service: usize) -> Result<()> {
+    let service = &deployment.services[service].0;
+    let before = service.arrivals().len();
+    let statuses = send_to_all_relays(deployment, name, LOAD_DURATION).await?;
+    let late = service.arrivals().len() - before;
+    let log = deployment.relays[0].process.log();
+    assert_eq!(late, 0, "{late} requests reached a leaving server\n{log}");
+    assert!(statuses.iter().all(StatusCode::is_success), "{statuses:?}");
+    Ok(())
+}
+
+/// Guards against a leaving server that is used on because the directory, which would list it as draining, is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_states_its_leaving_gets_nothing_new_without_the_store() -> Result<()> {
+    let deployment = start(&["a", "b"]).await?;
+    deployment.store.set_busy(true);
+    deployment.services[LOCAL_ZONE].0.leave();
+    for relay in 0..RELAY_COUNT {
+        send_until_reached(&deployment, relay, LOCAL_ZONE).await?;
+    }
+    sleep(DRAIN_TIME).await;
+    assert_unused(&deployment, "left", LOCAL_ZONE).await
+}
