lib, relay: a server that states in an answer that it is leaving gets nothing new

What callers saw: for seconds after a booking server had said in its answers that it leaves, requests were still sent there; had it ended, they would have been cut off. The store was away, so that its list could not say so.

Cause: no relay read the statement. Of the ways by which a server speaks, the relay heard the list and scouts' reports for leaving, and picked load and limit out of an answer's head field by field, past early returns, also from answers of other servers and to other requests.

Change: the head of an answer holds one ServerStatement, and one place takes it in for plain calls, streams, moved and resumed runs. AnswerHead::speaker decides whose statement it is: the expected server's, another one's that has taken the address, or nobody's. Leaving is kept with its source, ends with the incarnation alone, and is passed on with the list. The choice is looked at again once a connection is open: a server that stopped taking work meanwhile gets nothing, at no retry.

Why this works: the choice asks takes_work at every placement, and no list sets that back.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -13,7 +13,8 @@
 
 use crate::copy_type;
 use crate::ids::Name;
-use crate::server_limit::RequestRate;
+use crate::server_statement::ServerStatement;
+use crate::server_statement::Speaker;
 use crate::value_type;
 
 value_type! {
@@ -85,12 +86,8 @@
         pub other: Option<Name>,
         /// Whether it bears the server's signature: without one it is no server's success.
         pub signed: bool,
-        /// Requests that run and that wait there.
-        pub load: Option<(u32, u32)>,
-        /// The limit that the server names, if it names one.
-        pub limit: Option<RequestRate>,
-        /// Whether the server states that it is leaving.
-        pub leaving: bool,
+        /// What the server states about itself. [`AnswerHead::speaker`] tells which server that is.
+        pub statement: ServerStatement,
     }
 
     /// A run at an engine, as the engine reports it.
@@ -145,6 +142,21 @@
     }
 }
 
+impl AnswerHead {
+    /// The server that made the statements of this answer to the attempt `id`.
+    pub fn speaker(&self, id: Option<&Name>, status: StatusCode) -> Speaker {
+        if let Some(other) = &self.other {
+            return Speaker::Other(other.clone());
+        }
+        let is_other_answer = self.id.is_some() && self.id.as_ref() != id;
+        let is_forged = status.is_success() && !self.signed;
+        match is_other_answer || is_forged {
+            true => Speaker::Unknown,
+            false => Speaker::Expected,
+        }
+    }
+}
+
 copy_type! {
     /// Whether a run goes on while its memory is copied.
     pub enum MoveStep {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -23,6 +23,7 @@
 use crate::round_trips::RoundTrips;
 use crate::routing::ServerKey;
 use crate::server_incarnations::ServerIncarnations;
+use crate::server_leaving::LeavingSource;
 use crate::service_time::ServiceTime;
 use crate::site::ServerChange;
 use crate::site::ServerPhase;
@@ -277,14 +278,6 @@
         report.is_some_and(|report| now.since(report.received_at) < SCOUT_TIMEOUT)
     }
 
-    /// When this entry learnt that the server is leaving; `None` if it is not leaving.
-    pub fn leaving_since(&self, key: ServerKey) -> Option<Time> {
-        match self.servers.get(key) {
-            Some(server) => server.leaving_since,
-            None => Some(Time::ZERO),
-        }
-    }
-
     /// Records a request sent to the server.
     pub fn record_sent(&mut self, now: Time, key: ServerKey, request: &PlacementRequest<'_>) {
         if let Some(server) = self.servers.get_mut(key) {
@@ -366,15 +359,11 @@
             let server = &mut self.servers[key];
             let same_incarnation = server.record.born == record.born || server.record.born == 0;
             if same_incarnation && server.record.address == record.address {
-                if record.phase == ServerPhase::Draining {
-                    server.leaving_since.get_or_insert(now);
-                }
                 server.cold.set_remaining(now, record.cold);
-                let draining = server.record.phase == ServerPhase::Draining;
                 server.record = record.clone();
-                if draining {
-                    // An incarnation never takes work again. The record is passed on to other entries.
-                    server.record.phase = ServerPhase::Draining;
+                // An incarnation that is leaving never takes work again, even if an older list has it as ready.
+                if server.leaving.is_some() || record.phase == ServerPhase::Draining {
+                    server.set_leaving(now, LeavingSource::Directory);
                 }
                 server.observed_since = None;
                 return;
@@ -387,8 +376,9 @@
         }
         let mut server = Server::new(record.clone());
         server.listed = true;
-        let draining = record.phase == ServerPhase::Draining;
-        server.leaving_since = draining.then_some(now);
+        if record.phase == ServerPhase::Draining {
+            server.set_leaving(now, LeavingSource::Directory);
+        }
         server.cold.set_remaining(now, record.cold);
         if self.initial_list_applied {
             server.cold.note_possible_start(now);
@@ -408,8 +398,8 @@
         let server = &mut self.servers[key];
         server.cold.set_remaining(now, record.cold);
         server.record = record.clone();
-        if record.phase == ServerPhase::Draining {
-            server.leaving_since.get_or_insert(Time::ZERO);
+        if server.leaving.is_some() || record.phase == ServerPhase::Draining {
+            server.set_leaving(now, LeavingSource::Directory);
         }
         self.ids.insert(record.id.clone(), key);
         true
@@ -421,7 +411,7 @@
         };
         let server = &mut self.servers[key];
         server.listed = false;
-        server.leaving_since.get_or_insert(now);
+        server.set_leaving(now, LeavingSource::Directory);
         self.incarnations.record_removal(now, &server.record);
         if server.open_requests == 0 {
             self.remove(key);
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -325,7 +325,7 @@
             let region = self.location.region_of(&server.record.zone);
             let memory = regions.entry(region.clone()).or_default();
             let used = server.used_tokens(now);
-            if server.leaving_since.is_some() {
+            if server.leaving.is_some() {
                 // The runs of a leaving engine need memory at the others now.
                 memory.used += used;
             } else {
--- a/lib/src/fleet_news.rs
+++ b/lib/src/fleet_news.rs
@@ -13,6 +13,7 @@
 use crate::peer_messages::EngineLocation;
 use crate::prefill_rate;
 use crate::routing::ServerKey;
+use crate::server_leaving::LeavingSource;
 use crate::site::ServerPhase;
 use crate::site::ServerRecord;
 use crate::time::Time;
@@ -95,11 +96,8 @@
             return false;
         };
         let round_trip = self.round_trip(now, &self.servers[key].record.zone);
+        let started_leaving = load.leaving && self.record_leaving(now, key, LeavingSource::Scout);
         let server = &mut self.servers[key];
-        let started_leaving = load.leaving && server.leaving_since.is_none();
-        if started_leaving {
-            server.leaving_since = Some(now);
-        }
         server.report = Some(Report {
             received_at: now,
             peak_tokens: load.peak_tokens.max(load.used),
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -12,9 +12,12 @@
 use crate::residency::ANY_REGION;
 use crate::residency::AllowedRegions;
 use crate::routing::ServerKey;
+use crate::server_leaving::Leaving;
+use crate::server_leaving::LeavingSource;
 use crate::server_limit::LimitState;
 use crate::service_time::ServiceTime;
 use crate::site::EngineSpec;
+use crate::site::ServerPhase;
 use crate::site::ServerRecord;
 use crate::time::Time;
 
@@ -133,8 +136,8 @@
     pub(crate) listed: bool,
     // When another source than the list named it; `None` once the list has it.
     pub(crate) observed_since: Option<Time>,
-    // When this entry first learnt, from any source, that it is leaving.
-    pub(crate) leaving_since: Option<Time>,
+    // `None` until any source tells that it is leaving. Never reset.
+    pub(crate) leaving: Option<Leaving>,
     // This entry's open requests there, and the tokens that they are expected to hold.
     pub(crate) open_requests: u32,
     pub(crate) expected_tokens: u64,
@@ -205,7 +208,7 @@
             record,
             listed: false,
             observed_since: None,
-            leaving_since: None,
+            leaving: None,
             open_requests: 0,
             expected_tokens: 0,
             prefill_tokens: 0,
@@ -265,8 +268,16 @@
         });
     }
 
+    /// Records that it is leaving; returns whether that is new. Its record is passed on to other entries.
+    pub(crate) fn set_leaving(&mut self, now: Time, source: LeavingSource) -> bool {
+        self.record.phase = ServerPhase::Draining;
+        let is_new = self.leaving.is_none();
+        self.leaving.get_or_insert(Leaving { since: now, source });
+        is_new
+    }
+
     pub(crate) fn takes_work(&self) -> bool {
-        self.listed && self.leaving_since.is_none()
+        self.listed && self.leaving.is_none()
     }
 
     pub(crate) fn engine_cost(
--- a/relay/src/engine_reports.rs
+++ b/relay/src/engine_reports.rs
@@ -5,6 +5,7 @@
 use cicada_lib::peer_messages::EngineLocation;
 use cicada_lib::peer_messages::LoadProbeReply;
 use cicada_lib::peer_messages::ScoutReport;
+use cicada_lib::server_leaving::LeavingSource;
 
 use crate::relay::Relay;
 
@@ -44,6 +45,7 @@
         if started_leaving {
             let ScoutReport { engine, load } = report;
             tracing::info!(engine = %engine.address, leaves = ?load.leaves, "fleet: an engine leaves");
+            self.metrics().count_leaving(LeavingSource::Scout.as_str());
             self.notify_leaving();
         }
     }
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod scout;
 mod scout_reports;
 mod send;
+mod server_statements;
 mod stream;
 mod stream_run;
 mod upstream;
--- a/relay/src/placed_request.rs
+++ b/relay/src/placed_request.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Whether the server still takes new requests.
+    pub(crate) fn takes_work(&self) -> bool {
+        self.relay.fleet().takes_work(self.key)
+    }
+
     /// When the server began to leave, if it is leaving.
     pub(crate) fn leaving_since(&self) -> Option<Time> {
         self.relay.fleet().leaving_since(self.key)
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -145,6 +145,7 @@
         Ok(_) => ("ok", false),
         Err(NoAnswer::Refused) => ("refused", false),
         Err(NoAnswer::Unreached) => ("unreached", true),
+        Err(NoAnswer::Withdrawn) => ("withdrawn", false),
         Err(NoAnswer::Elsewhere) => ("elsewhere", false),
         Err(NoAnswer::Unknown) => ("unknown", true),
         Err(NoAnswer::Silent) => ("silent", true),
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -21,6 +21,7 @@
     first_events: IntCounterVec,
     open_requests: IntGauge,
     limited_servers: IntGauge,
+    leaving: IntCounterVec,
     first_response_time: Histogram,
     move_gap: Histogram,
 }
@@ -62,6 +63,11 @@
                 "relay_limited_servers",
                 "Backend servers that name a limit in their answers",
             )?,
+            leaving: counter(
+                "relay_leaving_total",
+                "Backend servers that this relay learned to be leaving, but for the directory's list",
+                "source",
+            )?,
             first_response_time: histogram(
                 "relay_first_seconds",
                 "Time to the first event or the answer",
@@ -75,6 +81,7 @@
         registry.register(Box::new(metrics.overdue.clone()))?;
         registry.register(Box::new(metrics.load_probes.clone()))?;
         registry.register(Box::new(metrics.first_events.clone()))?;
+        registry.register(Box::new(metrics.leaving.clone()))?;
         registry.register(Box::new(metrics.open_requests.clone()))?;
         registry.register(Box::new(metrics.limited_servers.clone()))?;
         registry.register(Box::new(metrics.first_response_time.clone()))?;
@@ -129,6 +136,11 @@
         self.move_gap.observe(time.as_secs_f64());
     }
 
+    /// Counts a server that is leaving by the source that told so first.
+    pub(crate) fn count_leaving(&self, source: &str) {
+        self.leaving.with_label_values(&[source]).inc();
+    }
+
     /// Sets the number of backend servers that announce a limit.
     pub(crate) fn set_limited_servers(&self, servers: usize) {
         self.limited_servers.set(servers as i64);
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -178,7 +178,9 @@
                 self.continue_with(paused_since, answered);
                 true
             }
-            Err(NoAnswer::Refused | NoAnswer::Unreached | NoAnswer::Elsewhere) => {
+            Err(
+                NoAnswer::Refused | NoAnswer::Unreached | NoAnswer::Withdrawn | NoAnswer::Elsewhere,
+            ) => {
                 self.relay.metrics().count_move("refused");
                 self.failed_moves += 1;
                 tracing::info!(id = self.call.id(), target = %target.record.address, "move: the target did not take the run");
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -5,6 +5,7 @@
 
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::fleet::NoServer;
+use cicada_lib::server_statement::Speaker;
 use cicada_lib::site::CallKind;
 use http::Response;
 use http::response::Parts;
@@ -37,6 +38,8 @@
     Refused,
     /// The server could not be reached, so nothing was sent.
     Unreached,
+    /// The server stopped taking work while the connection was opened, so nothing was sent.
+    Withdrawn,
     /// The address belongs to another server now, which did not run the request.
     Elsewhere,
     /// It is unknown whether the request ran.
@@ -70,6 +73,10 @@
             Ok(Ok(opened)) => opened,
         },
     };
+    // A run that continues from memory at the server can go nowhere else.
+    if dispatch.memory.is_none() && !placed.takes_work() {
+        return Err(NoAnswer::Withdrawn);
+    }
     // If the host was suspended while the connection was opened, the deadline may have passed without a timeout.
     let left = call.time_left();
     if left.is_zero() {
@@ -92,25 +99,23 @@
     };
     let (parts, body) = answer.response.into_parts();
     let head = relay.dialect().answer_head(parts.status, &parts.headers);
-    if head.leaving {
-        let status = parts.status.as_u16();
-        tracing::info!(id = call.id(), server = %placed.record.id, status, "fleet: an answer says that its server leaves");
-    }
-    placed.record_queue(head.load);
     let plain = call.spec.engine.is_none();
-    if let (true, true, Some((_, waiting))) = (plain, parts.status.is_success(), head.load) {
+    if let (true, true, Some((_, waiting))) =
+        (plain, parts.status.is_success(), head.statement.load)
+    {
         placed.record_response_time(sent_instant.elapsed(), waiting);
     }
+    let speaker = head.speaker(call.head.id.as_ref(), parts.status);
+    if let Speaker::Other(other) = &speaker {
+        placed.record_mismatch(other);
+    }
+    relay.record_statement(placed, &speaker, &head, sent_at);
     if head.id.is_some() && head.id != call.head.id {
         return Err(NoAnswer::Unknown);
     }
-    if let Some(other) = &head.other {
-        placed.record_mismatch(other);
+    if matches!(speaker, Speaker::Other(_)) {
         return Err(NoAnswer::Elsewhere);
     }
-    if head.limit.is_some() || head.signed {
-        placed.record_limit(sent_at, head.limit);
-    }
     if head.refused {
         return Err(NoAnswer::Refused);
     }
--- /dev/null
+++ b/relay/src/server_statements.rs
@@ -0,0 +1,56 @@
+//! Takes in what backend servers state about themselves in answers: to calls, streams, and runs that were moved or
+//! resumed.
+
+use cicada_lib::dialect::AnswerHead;
+use cicada_lib::ids::Name;
+use cicada_lib::server_leaving::LeavingSource;
+use cicada_lib::server_statement::Speaker;
+use cicada_lib::time::Time;
+
+use crate::placed_request::PlacedRequest;
+use crate::relay::Relay;
+
+impl Relay {
+    /// Records what the `speaker` states about itself in the head of an answer to a request that was sent at `sent`.
+    pub(crate) fn record_statement(
+        &self,
+        placed: &PlacedRequest,
+        speaker: &Speaker,
+        head: &AnswerHead,
+        sent: Time,
+    ) {
+        let statement = &head.statement;
+        let now = self.now();
+        let (server, started_leaving) = match speaker {
+            Speaker::Unknown => return,
+            Speaker::Other(id) => {
+                let leaving = statement.leaving
+                    && self
+                        .fleet()
+                        .record_leaving_id(now, id, LeavingSource::Answer);
+                (id, leaving)
+            }
+            Speaker::Expected => {
+                placed.record_queue(statement.load);
+                if statement.limit.is_some() || head.signed {
+                    placed.record_limit(sent, statement.limit);
+                }
+                let leaving = statement.leaving
+                    && self
+                        .fleet()
+                        .record_leaving(now, placed.key, LeavingSource::Answer);
+                (&placed.record.id, leaving)
+            }
+        };
+        if started_leaving {
+            self.handle_stated_leaving(server);
+        }
+    }
+
+    fn handle_stated_leaving(&self, server: &Name) {
+        let source = LeavingSource::Answer.as_str();
+        tracing::info!(%server, source, "fleet: a server leaves");
+        self.metrics().count_leaving(source);
+        self.notify_leaving();
+    }
+}
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -204,13 +204,14 @@
     let word = match no_answer {
         NoAnswer::Refused => "refused by the server",
         NoAnswer::Unreached => "server not reached",
+        NoAnswer::Withdrawn => "server takes no work any more",
         NoAnswer::Elsewhere => "another server is there",
         NoAnswer::Unknown => "lost before its first event",
         NoAnswer::Silent => "no first event in the time that the load explains",
         NoAnswer::TimeOver => "no first event in the caller's time",
     };
     match no_answer {
-        NoAnswer::Refused | NoAnswer::Elsewhere => {}
+        NoAnswer::Refused | NoAnswer::Withdrawn | NoAnswer::Elsewhere => {}
         NoAnswer::Unreached => placed.record_failure(true),
         NoAnswer::Unknown | NoAnswer::Silent | NoAnswer::TimeOver => placed.record_failure(false),
     }
