lib: what is known of a leaving server outlasts its entry in the list

Callers: a server that had said that it leaves would get requests again once its entry lapsed, as entries do while the store is away, and came back as it was before.

Cause: Fleet drops a server together with what is known of it when its entry goes, and takes the next entry of the same incarnation for a new server.

Tests a_statement_outlasts_the_entry (red before: chosen was i-0) and an_early_statement_outlasts_the_entry (red with the time counted from the statement).

--- a/daemon/tests/relay_leaving.rs
+++ b/daemon/tests/relay_leaving.rs
@@ -8,6 +8,7 @@
 use cicada_standins::deployment::KEY;
 use eyre::Result;
 use http::StatusCode;
+use testutils::cluster::Signal;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -23,7 +24,13 @@
 /// Upper bound of a wait for a condition that normally holds within moments. It asserts no speed.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Indices of services in the deployment: one in the relays' zone, one in another zone.
+/// Time within which a call is refused that no server can take: no timeout of the relay is involved.
+const REFUSAL_TIME: Duration = Duration::from_secs(1);
+
+/// How long the store is unavailable during a restore.
+const RESTORE_TIME: Duration = Duration::from_millis(300);
+
+/// Index of the service in the relays' zone. A second one, if any, is in another zone.
 const LOCAL_ZONE: usize = 0;
 
 /// Number of relays.
@@ -100,3 +107,50 @@
     sleep(DRAIN_TIME).await;
     assert_unused(&deployment, "left", LOCAL_ZONE).await
 }
+
+/// Guards against a relay that starts during an outage of the store and does not hear which servers are leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_starts_later_hears_of_a_leaving_server() -> Result<()> {
+    let mut deployment = start(&["a", "b"]).await?;
+    deployment.store.set_busy(true);
+    deployment.relays[1].process.signal(Signal::Kill)?;
+    deployment.services[LOCAL_ZONE].0.leave();
+    send_until_reached(&deployment, 0, LOCAL_ZONE).await?;
+    deployment.restart_relay(1)?;
+    deployment.wait_ready(1).await?;
+    assert_unused(&deployment, "left", LOCAL_ZONE).await
+}
+
+/// Guards against a leaving server that is used again because the store came back from a copy in which it is ready.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_statement_holds_when_the_store_went_back() -> Result<()> {
+    let deployment = start(&["a", "b"]).await?;
+    let copy = deployment.store.copy();
+    deployment.services[LOCAL_ZONE].0.leave();
+    for relay in 0..RELAY_COUNT {
+        send_until_reached(&deployment, relay, LOCAL_ZONE).await?;
+    }
+    deployment.bring_back(&copy, RESTORE_TIME).await;
+    assert_unused(&deployment, "restored", LOCAL_ZONE).await
+}
+
+/// Guards against callers that wait, or are told that their call may have run, when all servers are leaving.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_refused_at_once_when_all_servers_are_leaving() -> Result<()> {
+    let deployment = start(&["a"]).await?;
+    deployment.store.set_busy(true);
+    let service = &deployment.services[LOCAL_ZONE].0;
+    service.leave();
+    send_until_reached(&deployment, 0, LOCAL_ZONE).await?;
+    let ran = service.ran().len();
+    for number in 0..10 {
+        let ask = Ask::new("POST", "/deposits/1", &format!("refused-{number}"), KEY);
+        let started = Instant::now();
+        let response = ask.send(deployment.relays[0].callers).await?;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.headers.contains_key("retry-after"));
+        assert!(started.elapsed() < REFUSAL_TIME, "refused late");
+    }
+    assert_eq!(service.ran().len(), ran, "a refused call ran");
+    Ok(())
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -378,6 +378,8 @@
         server.listed = true;
         if record.phase == ServerPhase::Draining {
             server.set_leaving(now, LeavingSource::Directory);
+        } else if let Some(leaving) = self.incarnations.leaving(now, record) {
+            server.set_leaving(leaving.since, leaving.source);
         }
         server.cold.set_remaining(now, record.cold);
         if self.initial_list_applied {
@@ -411,6 +413,10 @@
         };
         let server = &mut self.servers[key];
         server.listed = false;
+        if let Some(leaving) = server.leaving {
+            let (id, born) = (&server.record.id, server.record.born);
+            self.incarnations.record_leaving(now, id, born, leaving);
+        }
         server.set_leaving(now, LeavingSource::Directory);
         self.incarnations.record_removal(now, &server.record);
         if server.open_requests == 0 {
--- a/lib/src/server_incarnations.rs
+++ b/lib/src/server_incarnations.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use crate::ids::Name;
+use crate::server_leaving::Leaving;
 use crate::site::ServerRecord;
 use crate::time::Time;
 
@@ -46,10 +47,21 @@
     // Incarnations that were removed before the directory was rolled back: when the rollback was
     // noticed, and their start times.
     suppressed: HashMap<Name, (Time, u64)>,
+    // Incarnations that are not listed and are known to be leaving.
+    leaving: HashMap<Name, UnlistedLeaving>,
     // Identifiers that were observed at addresses in place of the expected ones.
     observed: HashMap<SocketAddr, (Time, Name)>,
 }
 
+/// An incarnation that is leaving and has no entry in the list.
+#[derive(Clone, Copy, Debug)]
+struct UnlistedLeaving {
+    recorded_at: Time,
+    // Its start time.
+    born: u64,
+    leaving: Leaving,
+}
+
 impl ServerIncarnations {
     /// Records that the record's incarnation has ended.
     pub(crate) fn record_end(&mut self, now: Time, record: &ServerRecord) {
@@ -75,6 +87,26 @@
         self.removed.insert(record.id.clone(), (now, record.born));
     }
 
+    /// Records that an incarnation which is not listed is leaving: it must not take work if an entry of before, or
+    /// one that was late, lists it as ready.
+    pub(crate) fn record_leaving(&mut self, now: Time, id: &Name, born: u64, leaving: Leaving) {
+        self.leaving
+            .retain(|_, known| now.since(known.recorded_at) < REMOVED_RETENTION);
+        let known = UnlistedLeaving {
+            recorded_at: now,
+            born,
+            leaving,
+        };
+        self.leaving.insert(id.clone(), known);
+    }
+
+    /// Since when the record's incarnation has been leaving, if that was recorded while it was not listed.
+    pub(crate) fn leaving(&self, now: Time, record: &ServerRecord) -> Option<Leaving> {
+        let known = self.leaving.get(&record.id)?;
+        let holds = now.since(known.recorded_at) < REMOVED_RETENTION && known.born == record.born;
+        holds.then_some(known.leaving)
+    }
+
     /// Suppresses the removed incarnations, which the older copy of the directory may list again.
     pub(crate) fn directory_rolled_back(&mut self, now: Time) {
         let removed = std::mem::take(&mut self.removed).into_iter();
--- a/lib/tests/server_leaving.rs
+++ b/lib/tests/server_leaving.rs
@@ -123,3 +123,27 @@
     fleet.apply_change(millis(10), &ServerChange::Gone(Name::new("i-1")));
     assert_eq!(choose(&fleet, millis(11)), Err(NoServer::None));
 }
+
+/// Guards against a leaving server that is used again because its entry lapsed and is back from before.
+#[test]
+fn a_statement_outlasts_the_entry() {
+    let mut fleet = fleet_with_leaving_server();
+    fleet.apply_change(millis(10), &ServerChange::Gone(Name::new("i-0")));
+    fleet.apply_change(millis(4_000), &ServerChange::Put(record(0)));
+    assert_eq!(chosen(&fleet, millis(4_001)).as_deref(), Some("i-1"));
+    let restarted = ServerRecord {
+        born: 7,
+        ..record(0)
+    };
+    fleet.apply_change(millis(5_000), &ServerChange::Put(restarted));
+    assert_eq!(chosen(&fleet, millis(5_001)).as_deref(), Some("i-0"));
+}
+
+/// Guards against a statement that is forgotten with the entry because it was made long before the entry lapsed.
+#[test]
+fn an_early_statement_outlasts_the_entry() {
+    let mut fleet = fleet_with_leaving_server();
+    fleet.apply_change(millis(60_000), &ServerChange::Gone(Name::new("i-0")));
+    fleet.apply_change(millis(61_000), &ServerChange::Put(record(0)));
+    assert_eq!(chosen(&fleet, millis(61_001)).as_deref(), Some("i-1"));
+}
