lib, relay: relays tell each other which servers state that they are leaving

Cause: a statement in an answer stayed with the relay that got the answer.

A new statement sends a hello at once. A report that comes before the list is kept for the entry. Servers with a live scout are left out: their scouts tell all relays that use them.

Test a_statement_to_one_relay_reaches_the_others_without_the_store: red before, green now. Two tests waited until both relays had been sent to the leaving server, which a second relay now isn't any more; they have both relays send for half a second instead and check as before that nothing arrives afterwards.

--- a/daemon/tests/relay_leaving.rs
+++ b/daemon/tests/relay_leaving.rs
@@ -21,6 +21,9 @@
 /// Interval between two rounds of requests, one to each relay.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
+/// How long relays send requests to a server that states that it is leaving.
+const STATEMENT_TIME: Duration = Duration::from_millis(500);
+
 /// Upper bound of a wait for a condition that normally holds within moments. It asserts no speed.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -83,6 +86,15 @@
     Ok(())
 }
 
+/// Has all relays send requests while the nearest server states that it is leaving.
+async fn state_leaving_to_all_relays(deployment: &Deployment) -> Result<()> {
+    let service = &deployment.services[LOCAL_ZONE].0;
+    let before = service.arrivals().len();
+    send_to_all_relays(deployment, "stated", STATEMENT_TIME).await?;
+    assert!(service.arrivals().len() > before, "it stated nothing");
+    Ok(())
+}
+
 /// Asserts that the service gets nothing from any relay for a while, and that all callers are served.
 async fn assert_unused(deployment: &Deployment, name: &str, service: usize) -> Result<()> {
     let service = &deployment.services[service].0;
@@ -101,9 +113,18 @@
     let deployment = start(&["a", "b"]).await?;
     deployment.store.set_busy(true);
     deployment.services[LOCAL_ZONE].0.leave();
-    for relay in 0..RELAY_COUNT {
-        send_until_reached(&deployment, relay, LOCAL_ZONE).await?;
-    }
+    state_leaving_to_all_relays(&deployment).await?;
+    sleep(DRAIN_TIME).await;
+    assert_unused(&deployment, "left", LOCAL_ZONE).await
+}
+
+/// Guards against relays that use a leaving server on because only another relay has heard its statement.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_statement_to_one_relay_reaches_the_others_without_the_store() -> Result<()> {
+    let deployment = start(&["a", "b"]).await?;
+    deployment.store.set_busy(true);
+    deployment.services[LOCAL_ZONE].0.leave();
+    send_until_reached(&deployment, 0, LOCAL_ZONE).await?;
     sleep(DRAIN_TIME).await;
     assert_unused(&deployment, "left", LOCAL_ZONE).await
 }
@@ -127,9 +148,7 @@
     let deployment = start(&["a", "b"]).await?;
     let copy = deployment.store.copy();
     deployment.services[LOCAL_ZONE].0.leave();
-    for relay in 0..RELAY_COUNT {
-        send_until_reached(&deployment, relay, LOCAL_ZONE).await?;
-    }
+    state_leaving_to_all_relays(&deployment).await?;
     deployment.bring_back(&copy, RESTORE_TIME).await;
     assert_unused(&deployment, "restored", LOCAL_ZONE).await
 }
--- a/daemon/tests/relay_pull.rs
+++ b/daemon/tests/relay_pull.rs
@@ -73,6 +73,7 @@
             known_relays: Vec::new(),
             evacuated: EvacuatedZones::default(),
             limits: Vec::new(),
+            leaving: Vec::new(),
         };
         let message = peer_messages::encode(&Datagram::Hello(hello))?;
         self.datagrams.send_to(&message, self.relay).await?;
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -10,6 +10,7 @@
 use crate::ids::Name;
 use crate::recent_rejections::RejectionNotice;
 use crate::revision::Revision;
+use crate::server_leaving::LeavingReport;
 use crate::server_limit::LimitReport;
 use crate::site::ServerChanges;
 use crate::site::ServerListing;
@@ -134,6 +135,8 @@
         pub evacuated: EvacuatedZones,
         /// Some of the latest request limits reported by backend servers.
         pub limits: Vec<LimitReport>,
+        /// Servers that stated recently that they are leaving.
+        pub leaving: Vec<LeavingReport>,
     }
 
     /// How a request ended at an engine.
--- a/lib/src/server_leaving.rs
+++ b/lib/src/server_leaving.rs
@@ -5,10 +5,14 @@
 //! for the directory send to it until it has ended, and cut off callers.
 //!
 //! A statement from any source therefore takes effect at once, and ends only with the incarnation: an older list,
-//! a report made before or a directory that was rolled back does not revoke it.
+//! a report made before or a directory that was rolled back does not revoke it. An entry that hears a statement
+//! passes it on for some seconds; entries that start later learn of it with the list. Scouts' reports and the
+//! directory reach the other entries by themselves.
 
 use crate::copy_type;
+use crate::ids::Name;
 use crate::time::Time;
+use crate::value_type;
 
 copy_type! {
     /// How an entry learned that a server is leaving.
@@ -19,6 +23,8 @@
         Scout,
         /// The server itself stated it in an answer.
         Answer,
+        /// Another entry reports it.
+        Entry,
     }
 
     /// Since when a server is known to be leaving, and from which source.
@@ -30,6 +36,18 @@
     }
 }
 
+value_type! {
+    /// One entry's report to other entries of a server that is leaving.
+    pub struct LeavingReport {
+        /// The server's identifier.
+        pub server: Name,
+        /// Its start time in milliseconds since the Unix epoch.
+        pub born: u64,
+        /// Milliseconds since an entry first learned of it.
+        pub age: u32,
+    }
+}
+
 impl LeavingSource {
     /// The name in logs and counters.
     pub fn as_str(self) -> &'static str {
@@ -37,6 +55,7 @@
             LeavingSource::Directory => "directory",
             LeavingSource::Scout => "scout",
             LeavingSource::Answer => "answer",
+            LeavingSource::Entry => "relay",
         }
     }
 }
--- a/lib/tests/server_leaving.rs
+++ b/lib/tests/server_leaving.rs
@@ -147,3 +147,56 @@
     fleet.apply_change(millis(61_000), &ServerChange::Put(record(0)));
     assert_eq!(chosen(&fleet, millis(61_001)).as_deref(), Some("i-1"));
 }
+
+/// Guards against entries that each learn only from their own requests that a server is leaving.
+#[test]
+fn a_statement_is_reported_to_other_entries_for_a_while() {
+    let near = fleet_with_leaving_server();
+    let reports = near.leaving_reports(millis(100));
+    assert_eq!(reports.len(), 1);
+    let mut other = fleet();
+    other.replace_servers(millis(0), &[record(0), record(1)]);
+    let new = other.apply_leaving_reports(millis(100), &reports);
+    assert_eq!(new, [Name::new("i-0")]);
+    assert!(
+        other
+            .apply_leaving_reports(millis(101), &reports)
+            .is_empty()
+    );
+    assert_eq!(chosen(&other, millis(102)).as_deref(), Some("i-1"));
+    assert_eq!(other.leaving_reports(millis(102)).len(), 1, "passed on");
+    assert!(near.leaving_reports(millis(10_000)).is_empty());
+    assert!(other.leaving_reports(millis(10_000)).is_empty());
+}
+
+/// Guards against a restarted server that another entry's report of its former incarnation takes out of use.
+#[test]
+fn a_report_concerns_its_incarnation_only() {
+    let reports = fleet_with_leaving_server().leaving_reports(millis(100));
+    let mut other = fleet();
+    let restarted = ServerRecord {
+        born: 7,
+        ..record(0)
+    };
+    other.replace_servers(millis(0), &[restarted, record(1)]);
+    assert!(
+        other
+            .apply_leaving_reports(millis(100), &reports)
+            .is_empty()
+    );
+    assert_eq!(chosen(&other, millis(102)).as_deref(), Some("i-0"));
+}
+
+/// Guards against an entry that lists a server only after another entry reported that it is leaving.
+#[test]
+fn a_report_that_comes_before_the_list_holds() {
+    let reports = fleet_with_leaving_server().leaving_reports(millis(100));
+    let mut other = fleet();
+    assert!(
+        other
+            .apply_leaving_reports(millis(100), &reports)
+            .is_empty()
+    );
+    other.replace_servers(millis(200), &[record(0), record(1)]);
+    assert_eq!(chosen(&other, millis(201)).as_deref(), Some("i-1"));
+}
--- a/relay/src/engine_reports.rs
+++ b/relay/src/engine_reports.rs
@@ -14,7 +14,7 @@
     pub(crate) fn handle_report(&self, report: &ScoutReport) {
         let load = self.effective_load(&report.load);
         let started_leaving = self.fleet().apply_report(self.now(), &report.engine, &load);
-        self.handle_leaving(started_leaving, report);
+        self.handle_leaving_engine(started_leaving, report);
     }
 
     /// Applies the answer to a load probe.
@@ -24,7 +24,7 @@
         let started_leaving = self
             .fleet()
             .apply_load_answer(self.now(), &report.engine, &load);
-        self.handle_leaving(started_leaving, report);
+        self.handle_leaving_engine(started_leaving, report);
         self.load_probes().record_answer(answer);
     }
 
@@ -41,7 +41,7 @@
         }
     }
 
-    fn handle_leaving(&self, started_leaving: bool, report: &ScoutReport) {
+    fn handle_leaving_engine(&self, started_leaving: bool, report: &ScoutReport) {
         if started_leaving {
             let ScoutReport { engine, load } = report;
             tracing::info!(engine = %engine.address, leaves = ?load.leaves, "fleet: an engine leaves");
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -208,6 +208,7 @@
             known_relays: self.relay.peers().sample_heard(MAX_NAMED_RELAYS),
             evacuated: self.relay.evacuated(),
             limits: self.relay.limit_reports(),
+            leaving: self.relay.leaving_reports(),
         });
         if self.relay.is_watching_directory() {
             self.send_to_region(&datagram).await;
@@ -345,6 +346,7 @@
                 drop(peers);
                 self.relay.set_evacuated(&hello.evacuated);
                 self.relay.apply_limit_reports(from, &hello.limits);
+                self.relay.apply_leaving_reports(from, &hello.leaving);
                 self.relay
                     .record_peer_versions(hello.version, hello.revision);
             }
--- a/relay/src/server_statements.rs
+++ b/relay/src/server_statements.rs
@@ -1,8 +1,11 @@
 //! Takes in what backend servers state about themselves in answers: to calls, streams, and runs that were moved or
 //! resumed.
 
+use std::net::SocketAddr;
+
 use cicada_lib::dialect::AnswerHead;
 use cicada_lib::ids::Name;
+use cicada_lib::server_leaving::LeavingReport;
 use cicada_lib::server_leaving::LeavingSource;
 use cicada_lib::server_statement::Speaker;
 use cicada_lib::time::Time;
@@ -43,13 +46,29 @@
             }
         };
         if started_leaving {
-            self.handle_stated_leaving(server);
+            self.handle_leaving(server, LeavingSource::Answer, None);
+            // Other relays would otherwise learn of it only from an answer to a request of their own.
+            self.hello_due.notify_one();
+        }
+    }
+
+    /// Servers that are leaving, as reported to other relays.
+    pub(crate) fn leaving_reports(&self) -> Vec<LeavingReport> {
+        self.fleet().leaving_reports(self.now())
+    }
+
+    /// Applies another relay's reports of servers that are leaving.
+    pub(crate) fn apply_leaving_reports(&self, from: SocketAddr, reports: &[LeavingReport]) {
+        let new = self.fleet().apply_leaving_reports(self.now(), reports);
+        for server in new {
+            self.handle_leaving(&server, LeavingSource::Entry, Some(from));
         }
     }
 
-    fn handle_stated_leaving(&self, server: &Name) {
-        let source = LeavingSource::Answer.as_str();
-        tracing::info!(%server, source, "fleet: a server leaves");
+    fn handle_leaving(&self, server: &Name, source: LeavingSource, from: Option<SocketAddr>) {
+        let source = source.as_str();
+        let from = from.map(tracing::field::display);
+        tracing::info!(%server, source, from, "fleet: a server leaves");
         self.metrics().count_leaving(source);
         self.notify_leaving();
     }
