--- a/daemon/tests/relay_leaving.rs
+++ b/daemon/tests/relay_leaving.rs
@@ -5,6 +5,7 @@
 
 use cicada_standins::caller::Ask;
 use cicada_standins::deployment::Deployment;
+use cicada_standins::deployment::EngineHost;
 use cicada_standins::deployment::KEY;
 use eyre::Result;
 use http::StatusCode;
@@ -173,3 +174,28 @@
     assert_eq!(service.ran().len(), ran, "a refused call ran");
     Ok(())
 }
+
+/// Guards against runs that stay at an engine until it ends because it states its leaving in the heads of answers only.
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_leave_an_engine_that_states_its_leaving_in_heads_only() -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let deployment = Deployment::start(daemon, 1, 2, 0).await?;
+    // Wait until the scouts know their neighbours.
+    sleep(Duration::from_millis(1_500)).await;
+    let relay = deployment.relays[0].callers;
+    let draft = Ask::stream("draft-1", KEY, 500, 300);
+    let response = tokio::spawn(async move { draft.send(relay).await });
+    sleep(Duration::from_millis(500)).await;
+    let is_busy = |host: &EngineHost| host.engine.running() > 0;
+    let busy = deployment.engines.iter().position(is_busy);
+    let busy = busy.expect("the stream runs at an engine");
+    deployment.engines[busy].engine.state_leaving();
+    let response = response.await??;
+    assert_eq!(response.events("draft-1")?, (1..=300).collect::<Vec<u64>>());
+    let resumed = deployment.engines[1 - busy].engine.arrivals();
+    let resumed: Vec<bool> = resumed.iter().map(|arrival| arrival.resumed).collect();
+    assert_eq!(resumed, [true], "the run was moved once");
+    Ask::stream("draft-2", KEY, 500, 5).send(relay).await?;
+    assert_eq!(deployment.engines[busy].engine.arrivals().len(), 1);
+    Ok(())
+}
