--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -12,6 +12,7 @@
 use cicada_platform::PlatformDialect;
 use cicada_platform::StoreDirectory;
 use cicada_relay::DirectoryWatcher;
+use cicada_relay::LeavingServer;
 use cicada_relay::Policy;
 use cicada_relay::Relay;
 use cicada_relay::RelayMetrics;
@@ -175,6 +176,26 @@
     cold: usize,
     // Servers that name a limit.
     limited: usize,
+    // Servers that are leaving.
+    leaving: Vec<LeavingEntry>,
+}
+
+/// A server that is leaving: who told so, and how many milliseconds ago.
+#[derive(Serialize)]
+struct LeavingEntry {
+    server: Name,
+    source: &'static str,
+    age_ms: u64,
+}
+
+impl From<LeavingServer> for LeavingEntry {
+    fn from(leaving: LeavingServer) -> Self {
+        LeavingEntry {
+            server: leaving.server,
+            source: leaving.source,
+            age_ms: leaving.age.as_millis() as u64,
+        }
+    }
 }
 
 impl StatusSource for RelayStatus {
@@ -192,6 +213,7 @@
             restricted,
             cold,
             limited,
+            leaving,
         } = self.relay.restrictions();
         let page = RelayPage {
             name: self.settings.text("process", "name"),
@@ -204,6 +226,7 @@
             restricted,
             cold,
             limited,
+            leaving: leaving.into_iter().map(LeavingEntry::from).collect(),
         };
         serde_json::to_vec(&page).unwrap_or_default()
     }
--- a/daemon/tests/relay_leaving.rs
+++ b/daemon/tests/relay_leaving.rs
@@ -199,3 +199,21 @@
     assert_eq!(deployment.engines[busy].engine.arrivals().len(), 1);
     Ok(())
 }
+
+/// Guards against operators who cannot see why a server that the directory lists as ready gets nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_status_page_shows_who_leaves_and_by_whose_word() -> Result<()> {
+    let deployment = start(&["a", "b"]).await?;
+    deployment.store.set_busy(true);
+    deployment.services[LOCAL_ZONE].0.leave();
+    send_until_reached(&deployment, 0, LOCAL_ZONE).await?;
+    sleep(Duration::from_secs(1)).await;
+    for (relay, source) in [(0, "answer"), (1, "relay")] {
+        let status = deployment.status(relay).await?;
+        let leaving = &status["leaving"][0];
+        assert_eq!(leaving["server"], deployment.services[LOCAL_ZONE].0.id());
+        assert_eq!(leaving["source"], source);
+        assert!(leaving["age_ms"].as_u64().is_some_and(|age| age >= 900));
+    }
+    Ok(())
+}
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -45,6 +45,7 @@
 
 pub use directory_watcher::DirectoryWatcher;
 pub use drain::drain;
+pub use relay::LeavingServer;
 pub use relay::Relay;
 pub use relay::Restrictions;
 pub use relay_metrics::RelayMetrics;
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -76,6 +76,19 @@
     pub cold: usize,
     /// Number of servers that state a request rate limit.
     pub limited: usize,
+    /// Servers that are leaving.
+    pub leaving: Vec<LeavingServer>,
+}
+
+/// A server that is leaving, for the status page.
+#[derive(Clone, Debug)]
+pub struct LeavingServer {
+    /// Its identifier.
+    pub server: Name,
+    /// How this relay learned of it: `directory`, `scout`, `answer` or `relay`.
+    pub source: &'static str,
+    /// How long ago that was.
+    pub age: Duration,
 }
 
 /// An entry: routes callers' requests to backend servers and relays the answers.
@@ -251,11 +264,20 @@
         let restricted = allowed_regions
             .filter(|regions| **regions != AllowedRegions::Any)
             .count();
+        let now = self.now();
         let fleet = self.fleet();
+        let leaving = fleet
+            .leaving_servers()
+            .map(|(record, leaving)| LeavingServer {
+                server: record.id.clone(),
+                source: leaving.source.as_str(),
+                age: now.since(leaving.since),
+            });
         Restrictions {
+            leaving: leaving.collect(),
             evacuated: fleet.evacuated().zones.iter().cloned().collect(),
             restricted,
-            cold: fleet.cold_server_count(self.now(), table.services()),
+            cold: fleet.cold_server_count(now, table.services()),
             limited: fleet.limited_server_count(),
         }
     }
