--- a/lib/src/server_statement.rs
+++ b/lib/src/server_statement.rs
@@ -4,6 +4,8 @@
 //! servers send bytes that are no answer of theirs. A statement that is attributed to the wrong server takes a
 //! healthy one out of use.
 
+use std::time::Duration;
+
 use crate::ids::Name;
 use crate::server_limit::RequestRate;
 use crate::value_type;
@@ -18,6 +20,8 @@
         pub limit: Option<RequestRate>,
         /// Whether it is leaving. It takes no new work from then on.
         pub leaving: bool,
+        /// How long it wants no requests from this entry, if it turned the request away and asks for rest.
+        pub rest: Option<Duration>,
     }
 
     /// The server that made the statements of an answer.
--- a/relay/src/server_statements.rs
+++ b/relay/src/server_statements.rs
@@ -23,6 +23,10 @@
         sent: Time,
     ) {
         let statement = &head.statement;
+        if let Some(rest) = statement.rest {
+            let (server, rest) = (placed.record.id.as_str(), rest.as_millis() as u64);
+            tracing::info!(server, rest, "fleet: a refusal asks for rest");
+        }
         let now = self.now();
         let (server, started_leaving) = match speaker {
             Speaker::Unknown => return,
