lib, relay: a server that asks for rest gets none of the relay's requests until it ends

What callers saw: a booking server that shed its load had asked a relay for 3 s of rest, and got 42 and 30 requests in two such times; 28 of 95 booking calls of four seconds were refused while two servers had room.

Cause: Retry-After of a refusal was read nowhere. A refusal kept the one request it answered from that server, and nothing else.

Change: ServerStatement has the rest, and server_rest decides: left out of all choices until the time is over, then on trial with single requests until one that was sent after the rest is accepted. The rest that ends last holds; zero and negative times are none, dates and garbled values stand for a second, ten minutes are the most. Rest concerns the relay that was asked, ends with the incarnation, and is no failure of the server. A request whose connection opens after the rest began is withdrawn. Where all servers rest, callers are refused at once with resting_servers and a time to come back after the first rest ends, spread over half of it and 0.3 s and not cut to a third of the caller's time: who comes sooner is refused again.

Evidence: with Retry-After logged, one relay sent all 76 requests of the test's rest to the server. Why this works: every way to a server goes through Fleet::exclusion, but for runs that continue from memory there.

The one test of the wait for a limit asks exclusion_wait now, and for its reason too.

--- a/daemon/tests/relay_rest.rs
+++ b/daemon/tests/relay_rest.rs
@@ -26,8 +26,8 @@
 /// Interval between two requests of a caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(30);
 
-/// Upper bound of a wait for a condition that normally holds within moments. It asserts no speed.
-const PATIENCE: Duration = Duration::from_secs(20);
+/// Time within which a call is refused that no server can take: no timeout of the relay is involved.
+const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
 /// Index of the service in the relay's zone. A second one, if any, is in another zone.
 const LOCAL_ZONE: usize = 0;
@@ -82,3 +82,62 @@
     assert!(statuses.iter().all(StatusCode::is_success), "{statuses:?}");
     Ok(())
 }
+
+/// Guards against callers that are sent to a resting server, wait for it, or are asked back before it takes work.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_refused_at_once_with_an_honest_time_when_all_servers_rest() -> Result<()> {
+    let deployment = start(&["a"]).await?;
+    let relay = deployment.relays[0].callers;
+    let service = &deployment.services[LOCAL_ZONE].0;
+    service.set_rest(Some(REST_SECONDS));
+    call("first").send(relay).await?;
+    let asked_at = Instant::now();
+    sleep(SETTLE_TIME).await;
+    for number in 0..10 {
+        let started = Instant::now();
+        let left = REST.saturating_sub(asked_at.elapsed()).as_secs_f64();
+        let response = call(&format!("refused-{number}")).send(relay).await?;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(started.elapsed() < REFUSAL_TIME, "refused late");
+        let retry_after: f64 = response.headers["retry-after"].to_str()?.parse()?;
+        assert!(retry_after > left - 0.2, "{retry_after} s, {left} s left");
+    }
+    assert_eq!(service.arrivals().len(), 1);
+    assert_eq!(service.ran(), [], "a refused call ran");
+    Ok(())
+}
+
+/// Guards against a server that stays unused after its rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rested_server_is_used_in_full_again() -> Result<()> {
+    let deployment = start(&["a"]).await?;
+    let relay = deployment.relays[0].callers;
+    let service = &deployment.services[LOCAL_ZONE].0;
+    service.set_rest(Some("0.5"));
+    call("first").send(relay).await?;
+    service.set_rest(None);
+    sleep(Duration::from_secs(1)).await;
+    let statuses = send_for(relay, "rested", Duration::from_secs(1)).await?;
+    assert!(statuses.iter().all(StatusCode::is_success), "{statuses:?}");
+    Ok(())
+}
+
+/// Guards against rests that are ignored because their time is a fraction or no number of seconds, and against a rest
+/// taken from a time of nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn times_that_are_no_whole_seconds_are_understood() -> Result<()> {
+    let deployment = start(&["a"]).await?;
+    let relay = deployment.relays[0].callers;
+    let service = &deployment.services[LOCAL_ZONE].0;
+    let date = "Wed, 21 Oct 2026 07:28:00 GMT";
+    for (retry_after, rests) in [("0", false), ("-3", false), ("0.9", true), (date, true)] {
+        let before = service.arrivals().len();
+        service.set_rest(Some(retry_after));
+        call(&format!("first-{before}")).send(relay).await?;
+        call(&format!("second-{before}")).send(relay).await?;
+        let arrivals = service.arrivals().len() - before;
+        assert_eq!(arrivals == 1, rests, "{retry_after}: {arrivals} arrivals");
+        sleep(Duration::from_millis(1_300)).await;
+    }
+    Ok(())
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -288,6 +288,7 @@
             server.cold.record_send(now);
             let address = server.record.address;
             server.limit.record_sent(now, address, &self.entry_shares);
+            server.rest.record_sent(now);
         }
     }
 
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -3,7 +3,7 @@
 //! A request goes to the server with the least sum of network distance, expected wait and missing memory,
 //! among the servers that it may use: those in an allowed region and in no evacuated availability zone,
 //! where this entry has not used up its share of a cold server's tolerated rate or of a server's
-//! announced limit. The module `fleet` describes the load patterns.
+//! announced limit, and that did not ask it for rest. The module `fleet` describes the load patterns.
 
 use std::collections::HashMap;
 use std::fmt;
@@ -43,6 +43,8 @@
         Evacuated,
         /// It is cold, and this entry has used up its share of the rate that cold servers tolerate.
         Cold,
+        /// It asked this entry for rest, or is on trial after that.
+        Resting,
         /// It announces a rate limit, and this entry has used up its share.
         Limited,
     }
@@ -64,6 +66,7 @@
             NoServer::Excluded(Exclusion::Region) => "region_not_allowed",
             NoServer::Excluded(Exclusion::Evacuated) => "zone_evacuated",
             NoServer::Excluded(Exclusion::Cold) => "cold_servers",
+            NoServer::Excluded(Exclusion::Resting) => "resting_servers",
             NoServer::Excluded(Exclusion::Limited) => "limited_servers",
         }
     }
@@ -78,6 +81,8 @@
     pub evacuated: u32,
     /// See [`Exclusion::Cold`].
     pub cold: u32,
+    /// See [`Exclusion::Resting`].
+    pub resting: u32,
     /// See [`Exclusion::Limited`].
     pub limited: u32,
 }
@@ -88,6 +93,7 @@
             Exclusion::Region => self.region += 1,
             Exclusion::Evacuated => self.evacuated += 1,
             Exclusion::Cold => self.cold += 1,
+            Exclusion::Resting => self.resting += 1,
             Exclusion::Limited => self.limited += 1,
         }
     }
@@ -96,6 +102,7 @@
     fn most_transient(&self) -> NoServer {
         match self {
             ExclusionCounts { limited: 1.., .. } => NoServer::Excluded(Exclusion::Limited),
+            ExclusionCounts { resting: 1.., .. } => NoServer::Excluded(Exclusion::Resting),
             ExclusionCounts { cold: 1.., .. } => NoServer::Excluded(Exclusion::Cold),
             ExclusionCounts { evacuated: 1.., .. } => NoServer::Excluded(Exclusion::Evacuated),
             ExclusionCounts { region: 1.., .. } => NoServer::Excluded(Exclusion::Region),
@@ -110,11 +117,13 @@
             region,
             evacuated,
             cold,
+            resting,
             limited,
         } = self;
         write!(
             f,
-            "region_not_allowed {region}, zone_evacuated {evacuated}, cold {cold}, limited {limited}"
+            "region_not_allowed {region}, zone_evacuated {evacuated}, cold {cold}, resting {resting}, \
+             limited {limited}"
         )
     }
 }
@@ -225,6 +234,9 @@
         if self.has_used_cold_share(now, server, &spec.cold) {
             return Some(Exclusion::Cold);
         }
+        if !server.rest.wait(now).is_zero() {
+            return Some(Exclusion::Resting);
+        }
         self.has_reached_limit(now, server)
             .then_some(Exclusion::Limited)
     }
--- a/lib/src/fleet_limits.rs
+++ b/lib/src/fleet_limits.rs
@@ -3,16 +3,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::fleet::Exclusion;
 use crate::fleet::Fleet;
-use crate::fleet::PlacementRequest;
 use crate::fleet_server::Server;
 use crate::ids::Name;
 use crate::routing::ServerKey;
 use crate::server_limit::LimitChange;
 use crate::server_limit::LimitReport;
 use crate::server_limit::RequestRate;
-use crate::site::ServiceSpec;
 use crate::time::Time;
 
 /// The most limits that one entry reports at once: they fit into a datagram along with its other content.
@@ -86,28 +83,13 @@
         reports
     }
 
-    /// How long until this entry may send a request to one of the servers that are excluded only by
-    /// their limits.
-    pub fn shortest_limit_wait(
-        &self,
-        now: Time,
-        request: &PlacementRequest<'_>,
-        spec: &ServiceSpec,
-    ) -> Option<Duration> {
-        let limited = self.servers.iter().filter(|(key, server)| {
-            let limited = Some(Exclusion::Limited);
-            request.matches(*key, server) && self.exclusion(now, server, request, spec) == limited
-        });
-        let waits = limited.filter_map(|(_, server)| self.limit_wait(now, server));
-        waits.min()
-    }
-
     /// Whether this entry has used up its share of the server's limit.
     pub(crate) fn has_reached_limit(&self, now: Time, server: &Server) -> bool {
         self.limit_wait(now, server) != Some(Duration::ZERO)
     }
 
-    fn limit_wait(&self, now: Time, server: &Server) -> Option<Duration> {
+    /// How long until this entry has a share of the server's limit; `None` if it never has.
+    pub(crate) fn limit_wait(&self, now: Time, server: &Server) -> Option<Duration> {
         let address = server.record.address;
         server.limit.wait(now, address, &self.entry_shares)
     }
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -15,6 +15,7 @@
 use crate::server_leaving::Leaving;
 use crate::server_leaving::LeavingSource;
 use crate::server_limit::LimitState;
+use crate::server_rest::RestState;
 use crate::service_time::ServiceTime;
 use crate::site::EngineSpec;
 use crate::site::ServerPhase;
@@ -153,6 +154,7 @@
     pub(crate) other_requests: f64,
     pub(crate) cold: ColdState,
     pub(crate) limit: LimitState,
+    pub(crate) rest: RestState,
     // `None` until a plain server has answered.
     pub(crate) work_time: Option<ServiceTime>,
 }
@@ -219,6 +221,7 @@
             other_requests: 0.0,
             cold: ColdState::default(),
             limit: LimitState::default(),
+            rest: RestState::default(),
             work_time: None,
         }
     }
--- a/lib/src/retry_after.rs
+++ b/lib/src/retry_after.rs
@@ -24,6 +24,10 @@
 /// Jitter for callers rejected by a rate limit, in addition to the wait itself.
 const LIMITED_JITTER: Duration = Duration::from_millis(200);
 
+/// Jitter for callers rejected because all servers rest, in addition to a share of the wait: a server that has rested
+/// accepts single requests at first.
+const RESTING_JITTER: Duration = Duration::from_millis(300);
+
 /// Callers heed a `Retry-After` of at most this fraction (one third) of their remaining time.
 const HEEDED_DIVISOR: u32 = 3;
 
@@ -37,6 +41,8 @@
         /// This entry has used up its share of the servers' rate limits. Holds the time until the next
         /// request may be sent.
         Limited(Duration),
+        /// All servers that may receive the request asked for rest. Holds the time until the first one's is over.
+        Resting(Duration),
         /// No server may receive the request until an operator changes the rules.
         NotAllowed,
     }
@@ -45,12 +51,15 @@
 /// How long a caller with `left` until its deadline should wait before it retries. `jitter` is a random
 /// number from 0 to 1, drawn anew for each caller.
 pub fn delay(cause: RejectionCause, left: Duration, jitter: f64) -> Duration {
+    let jitter = jitter.clamp(0.0, 1.0);
     let (min, max) = match cause {
         RejectionCause::Full => FULL,
         RejectionCause::Unreached => UNREACHED,
         RejectionCause::Limited(wait) => (wait, wait * 2 + LIMITED_JITTER),
+        // Callers that come back before the rest is over would be rejected again.
+        RejectionCause::Resting(wait) => return wait + (wait / 2 + RESTING_JITTER).mul_f64(jitter),
         RejectionCause::NotAllowed => return left / HEEDED_DIVISOR,
     };
-    let jittered = min + (max - min).mul_f64(jitter.clamp(0.0, 1.0));
+    let jittered = min + (max - min).mul_f64(jitter);
     jittered.min(left / HEEDED_DIVISOR)
 }
--- a/lib/tests/retry_after.rs
+++ b/lib/tests/retry_after.rs
@@ -74,3 +74,14 @@
             .all(|cause| delay(cause, left, if jitter.is_nan() { 0.5 } else { jitter }) <= left / 3)
     }
 }
+
+/// Guards against callers that come back during a rest, or all at once when it ends.
+#[test]
+fn callers_of_resting_servers_come_back_spread_after_the_rest() {
+    let rest = Duration::from_secs(3);
+    let cause = RejectionCause::Resting(rest);
+    let delays = [0.0, 0.5, 1.0].map(|jitter| delay(cause, Duration::from_secs(4), jitter));
+    assert_eq!(delays[0], rest);
+    assert!(delays[2] >= delays[0] + Duration::from_secs(1));
+    assert!(delays.is_sorted());
+}
--- a/lib/tests/server_limit.rs
+++ b/lib/tests/server_limit.rs
@@ -346,7 +346,7 @@
     for second in 1..30 {
         assert_eq!(fleet.choose(at(second * SECOND), &request, &spec), limited);
     }
-    assert_eq!(fleet.shortest_limit_wait(at(SECOND), &request, &spec), None);
+    assert_eq!(fleet.exclusion_wait(at(SECOND), &request, &spec), None);
     fleet.set_entries(entry(0), [entry(1)]);
     assert!(fleet.choose(at(30 * SECOND), &request, &spec).is_ok());
 }
@@ -369,7 +369,9 @@
         .expect("its share");
     (0..4).for_each(|_| fleet.record_sent(at(2 * SECOND), key, &request));
     assert!(fleet.choose(at(5 * SECOND), &request, &spec).is_err());
-    let wait = fleet.shortest_limit_wait(at(5 * SECOND), &request, &spec);
+    let wait = fleet.exclusion_wait(at(5 * SECOND), &request, &spec);
+    let (why, wait) = wait.unzip();
+    assert_eq!(why, Some(Exclusion::Limited));
     assert_eq!(wait, Some(Duration::from_secs(1)));
     assert!(fleet.choose(at(6 * SECOND), &request, &spec).is_ok());
 }
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -46,8 +46,8 @@
     refused: bool,
     // Why the last choice found no server.
     no_server_reason: Option<NoServer>,
-    // Wait until a server has room that the last choice excluded only because of its limit.
-    limit_wait: Option<Duration>,
+    // Why the last choice excluded the server that may be sent to first, and how long until then, if that is known.
+    exclusion_wait: Option<(Exclusion, Duration)>,
 }
 
 impl Attempts {
@@ -63,7 +63,7 @@
             may_have_run: false,
             refused: false,
             no_server_reason: None,
-            limit_wait: None,
+            exclusion_wait: None,
         }
     }
 
@@ -89,8 +89,13 @@
         };
         match why {
             Exclusion::Evacuated | Exclusion::Region => Some(RejectionCause::NotAllowed),
-            Exclusion::Limited => self.limit_wait.map(RejectionCause::Limited),
             Exclusion::Cold => None,
+            Exclusion::Limited | Exclusion::Resting => {
+                self.exclusion_wait.map(|(why, wait)| match why {
+                    Exclusion::Resting => RejectionCause::Resting(wait),
+                    _ => RejectionCause::Limited(wait),
+                })
+            }
         }
     }
 
@@ -130,7 +135,8 @@
         };
         if let Err(AdmissionError::NoServer(why)) = &result {
             self.no_server_reason = Some(*why);
-            self.limit_wait = relay.shortest_limit_wait(&request(&self.tried), &call.spec);
+            let (now, request) = (relay.now(), request(&self.tried));
+            self.exclusion_wait = relay.fleet().exclusion_wait(now, &request, &call.spec);
         }
         let placed = result?;
         if tokens > 0 {
--- a/relay/src/placed_request.rs
+++ b/relay/src/placed_request.rs
@@ -98,9 +98,11 @@
         }
     }
 
-    /// Whether the server still takes new requests.
-    pub(crate) fn takes_work(&self) -> bool {
-        self.relay.fleet().takes_work(self.key)
+    /// Whether the request may still be sent: the server has neither begun to leave nor asked for rest.
+    pub(crate) fn may_be_sent(&self) -> bool {
+        let now = self.relay.now();
+        let fleet = self.relay.fleet();
+        fleet.takes_work(self.key) && !fleet.is_resting(now, self.key)
     }
 
     /// When the server began to leave, if it is leaving.
--- a/relay/src/relay_limits.rs
+++ b/relay/src/relay_limits.rs
@@ -2,15 +2,12 @@
 //! counted.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
-use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::routing::ServerKey;
 use cicada_lib::server_limit::LimitChange;
 use cicada_lib::server_limit::LimitReport;
 use cicada_lib::server_limit::RequestRate;
-use cicada_lib::site::ServiceSpec;
 use cicada_lib::time::Time;
 
 use crate::relay::Relay;
@@ -47,15 +44,6 @@
         }
     }
 
-    /// Shortest wait until a server has room that is excluded only because of its limit.
-    pub(crate) fn shortest_limit_wait(
-        &self,
-        request: &PlacementRequest<'_>,
-        spec: &ServiceSpec,
-    ) -> Option<Duration> {
-        self.fleet().shortest_limit_wait(self.now(), request, spec)
-    }
-
     fn log_limit_change(&self, server: &Name, change: LimitChange, from: Option<SocketAddr>) {
         self.metrics()
             .set_limited_servers(self.fleet().limited_server_count());
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -4,6 +4,7 @@
 
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::Opts;
@@ -22,6 +23,7 @@
     open_requests: IntGauge,
     limited_servers: IntGauge,
     leaving: IntCounterVec,
+    rests: IntCounter,
     first_response_time: Histogram,
     move_gap: Histogram,
 }
@@ -68,6 +70,10 @@
                 "Backend servers that this relay learned to be leaving, but for the directory's list",
                 "source",
             )?,
+            rests: IntCounter::new(
+                "relay_rests_total",
+                "Refusals by backend servers that asked this relay for rest",
+            )?,
             first_response_time: histogram(
                 "relay_first_seconds",
                 "Time to the first event or the answer",
@@ -82,6 +88,7 @@
         registry.register(Box::new(metrics.load_probes.clone()))?;
         registry.register(Box::new(metrics.first_events.clone()))?;
         registry.register(Box::new(metrics.leaving.clone()))?;
+        registry.register(Box::new(metrics.rests.clone()))?;
         registry.register(Box::new(metrics.open_requests.clone()))?;
         registry.register(Box::new(metrics.limited_servers.clone()))?;
         registry.register(Box::new(metrics.first_response_time.clone()))?;
@@ -141,6 +148,11 @@
         self.leaving.with_label_values(&[source]).inc();
     }
 
+    /// Counts a refusal that asks for rest.
+    pub(crate) fn count_rest(&self) {
+        self.rests.inc();
+    }
+
     /// Sets the number of backend servers that announce a limit.
     pub(crate) fn set_limited_servers(&self, servers: usize) {
         self.limited_servers.set(servers as i64);
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -74,7 +74,7 @@
         },
     };
     // A run that continues from memory at the server can go nowhere else.
-    if dispatch.memory.is_none() && !placed.takes_work() {
+    if dispatch.memory.is_none() && !placed.may_be_sent() {
         return Err(NoAnswer::Withdrawn);
     }
     // If the host was suspended while the connection was opened, the deadline may have passed without a timeout.
--- a/relay/src/server_statements.rs
+++ b/relay/src/server_statements.rs
@@ -2,6 +2,7 @@
 //! resumed.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cicada_lib::dialect::AnswerHead;
 use cicada_lib::ids::Name;
@@ -23,10 +24,6 @@
         sent: Time,
     ) {
         let statement = &head.statement;
-        if let Some(rest) = statement.rest {
-            let (server, rest) = (placed.record.id.as_str(), rest.as_millis() as u64);
-            tracing::info!(server, rest, "fleet: a refusal asks for rest");
-        }
         let now = self.now();
         let (server, started_leaving) = match speaker {
             Speaker::Unknown => return,
@@ -42,6 +39,10 @@
                 if statement.limit.is_some() || head.signed {
                     placed.record_limit(sent, statement.limit);
                 }
+                self.record_rest(placed, statement.rest);
+                if !head.refused && statement.rest.is_none() {
+                    self.fleet().record_accepted(placed.key, sent);
+                }
                 let leaving = statement.leaving
                     && self
                         .fleet()
@@ -56,6 +57,18 @@
         }
     }
 
+    /// Records the rest that a server asked for in a refusal. Only this relay rests it: others may not have been asked.
+    fn record_rest(&self, placed: &PlacedRequest, rest: Option<Duration>) {
+        let Some(rest) = rest else {
+            return;
+        };
+        self.metrics().count_rest();
+        if self.fleet().record_rest(self.now(), placed.key, rest) {
+            let (server, rest) = (placed.record.id.as_str(), rest.as_millis() as u64);
+            tracing::info!(server, rest, "fleet: a server asks for rest");
+        }
+    }
+
     /// Servers that are leaving, as reported to other relays.
     pub(crate) fn leaving_reports(&self) -> Vec<LeavingReport> {
         self.fleet().leaving_reports(self.now())
