lib: limits and rests of a server outlast its entry in the list

Callers: a server that rests, or names a limit, would have been sent everything again once its entry lapsed and came back, as entries do while the store is away. Found by looking for the cause of a leaving that was forgotten in the same way.

Change: all that an incarnation stated and that still holds goes along when its entry does and is taken over when it returns. Tests rest_outlasts_the_entry and a_limit_outlasts_the_entry, both red before.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -379,8 +379,9 @@
         server.listed = true;
         if record.phase == ServerPhase::Draining {
             server.set_leaving(now, LeavingSource::Directory);
-        } else if let Some(leaving) = self.incarnations.leaving(now, record) {
-            server.set_leaving(leaving.since, leaving.source);
+        }
+        if let Some(statements) = self.incarnations.take_statements(now, record) {
+            server.restore(statements);
         }
         server.cold.set_remaining(now, record.cold);
         if self.initial_list_applied {
@@ -414,10 +415,9 @@
         };
         let server = &mut self.servers[key];
         server.listed = false;
-        if let Some(leaving) = server.leaving {
-            let (id, born) = (&server.record.id, server.record.born);
-            self.incarnations.record_leaving(now, id, born, leaving);
-        }
+        let born = server.record.born;
+        self.incarnations
+            .keep_statements(now, id, born, server.statements());
         server.set_leaving(now, LeavingSource::Directory);
         self.incarnations.record_removal(now, &server.record);
         if server.open_requests == 0 {
--- a/lib/src/fleet_leaving.rs
+++ b/lib/src/fleet_leaving.rs
@@ -5,6 +5,7 @@
 use crate::fleet::Fleet;
 use crate::ids::Name;
 use crate::routing::ServerKey;
+use crate::server_incarnations::StandingStatements;
 use crate::server_leaving::Leaving;
 use crate::server_leaving::LeavingReport;
 use crate::server_leaving::LeavingSource;
@@ -62,12 +63,15 @@
             if let Some(key) = listed.copied() {
                 return self.record_leaving(since, key, LeavingSource::Entry);
             }
-            let leaving = Leaving {
-                since,
-                source: LeavingSource::Entry,
+            let statements = StandingStatements {
+                leaving: Some(Leaving {
+                    since,
+                    source: LeavingSource::Entry,
+                }),
+                ..StandingStatements::default()
             };
             self.incarnations
-                .record_leaving(now, &report.server, report.born, leaving);
+                .keep_statements(now, &report.server, report.born, statements);
             false
         });
         new.map(|report| report.server.clone()).collect()
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -13,6 +13,7 @@
 use crate::residency::ANY_REGION;
 use crate::residency::AllowedRegions;
 use crate::routing::ServerKey;
+use crate::server_incarnations::StandingStatements;
 use crate::server_leaving::Leaving;
 use crate::server_leaving::LeavingSource;
 use crate::server_limit::LimitState;
@@ -282,6 +283,24 @@
         is_new
     }
 
+    /// What it stated about itself, as far as it still holds.
+    pub(crate) fn statements(&self) -> StandingStatements {
+        StandingStatements {
+            leaving: self.leaving,
+            limit: self.limit.clone(),
+            rest: self.rest,
+        }
+    }
+
+    /// Takes over what the same incarnation stated before its entry lapsed.
+    pub(crate) fn restore(&mut self, statements: StandingStatements) {
+        self.limit = statements.limit;
+        self.rest = statements.rest;
+        if let Some(leaving) = statements.leaving {
+            self.set_leaving(leaving.since, leaving.source);
+        }
+    }
+
     pub(crate) fn takes_work(&self) -> bool {
         self.listed && self.leaving.is_none()
     }
--- a/lib/src/server_incarnations.rs
+++ b/lib/src/server_incarnations.rs
@@ -15,6 +15,8 @@
 
 use crate::ids::Name;
 use crate::server_leaving::Leaving;
+use crate::server_limit::LimitState;
+use crate::server_rest::RestState;
 use crate::site::ServerRecord;
 use crate::time::Time;
 
@@ -47,19 +49,27 @@
     // Incarnations that were removed before the directory was rolled back: when the rollback was
     // noticed, and their start times.
     suppressed: HashMap<Name, (Time, u64)>,
-    // Incarnations that are not listed and are known to be leaving.
-    leaving: HashMap<Name, UnlistedLeaving>,
+    // What incarnations that are not listed stated about themselves.
+    stated: HashMap<Name, UnlistedStatements>,
     // Identifiers that were observed at addresses in place of the expected ones.
     observed: HashMap<SocketAddr, (Time, Name)>,
 }
 
-/// An incarnation that is leaving and has no entry in the list.
-#[derive(Clone, Copy, Debug)]
-struct UnlistedLeaving {
+/// What an incarnation stated about itself, as far as it still holds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StandingStatements {
+    pub(crate) leaving: Option<Leaving>,
+    pub(crate) limit: LimitState,
+    pub(crate) rest: RestState,
+}
+
+/// The statements of an incarnation that has no entry in the list.
+#[derive(Clone, Debug)]
+struct UnlistedStatements {
     recorded_at: Time,
     // Its start time.
     born: u64,
-    leaving: Leaving,
+    statements: StandingStatements,
 }
 
 impl ServerIncarnations {
@@ -87,24 +97,37 @@
         self.removed.insert(record.id.clone(), (now, record.born));
     }
 
-    /// Records that an incarnation which is not listed is leaving: it must not take work if an entry of before, or
-    /// one that was late, lists it as ready.
-    pub(crate) fn record_leaving(&mut self, now: Time, id: &Name, born: u64, leaving: Leaving) {
-        self.leaving
+    /// Keeps what an incarnation stated that is not listed: an entry of before, or one that comes late, must not revoke
+    /// it.
+    pub(crate) fn keep_statements(
+        &mut self,
+        now: Time,
+        id: &Name,
+        born: u64,
+        statements: StandingStatements,
+    ) {
+        self.stated
             .retain(|_, known| now.since(known.recorded_at) < REMOVED_RETENTION);
-        let known = UnlistedLeaving {
+        let known = UnlistedStatements {
             recorded_at: now,
             born,
-            leaving,
+            statements,
         };
-        self.leaving.insert(id.clone(), known);
+        self.stated.insert(id.clone(), known);
     }
 
-    /// Since when the record's incarnation has been leaving, if that was recorded while it was not listed.
-    pub(crate) fn leaving(&self, now: Time, record: &ServerRecord) -> Option<Leaving> {
-        let known = self.leaving.get(&record.id)?;
+    /// What the record's incarnation stated before it was listed again.
+    pub(crate) fn take_statements(
+        &mut self,
+        now: Time,
+        record: &ServerRecord,
+    ) -> Option<StandingStatements> {
+        let known = self.stated.get(&record.id)?;
         let holds = now.since(known.recorded_at) < REMOVED_RETENTION && known.born == record.born;
-        holds.then_some(known.leaving)
+        if !holds {
+            return None;
+        }
+        Some(self.stated.remove(&record.id)?.statements)
     }
 
     /// Suppresses the removed incarnations, which the older copy of the directory may list again.
--- a/lib/tests/server_limit.rs
+++ b/lib/tests/server_limit.rs
@@ -14,6 +14,7 @@
 use cicada_lib::server_limit::LimitReport;
 use cicada_lib::server_limit::LimitState;
 use cicada_lib::server_limit::RequestRate;
+use cicada_lib::site::ServerRecord;
 use cicada_lib::site::ServiceSpec;
 use cicada_lib::time::Time;
 use testutils::site;
@@ -375,3 +376,20 @@
     assert_eq!(wait, Some(Duration::from_secs(1)));
     assert!(fleet.choose(at(6 * SECOND), &request, &spec).is_ok());
 }
+
+/// Guards against a limit that is forgotten because the server's entry lapsed and came back.
+#[test]
+fn a_limit_outlasts_the_entry() {
+    let mut fleet = fleet(0, 1);
+    let word = LimitReport {
+        server: Name::new("i-1"),
+        limit: Some(rate(2.0)),
+        age: 0,
+    };
+    fleet.apply_limit_reports(at(0), &[word]);
+    let listed: Vec<ServerRecord> = fleet.servers().cloned().collect();
+    fleet.replace_servers(at(SECOND), &[]);
+    fleet.replace_servers(at(2 * SECOND), &listed);
+    let key = fleet.key_at(listed[0].address).expect("a listed server");
+    assert_eq!(fleet.limit(key), Some(rate(2.0)));
+}
--- a/lib/tests/server_rest.rs
+++ b/lib/tests/server_rest.rs
@@ -149,3 +149,16 @@
     fleet.apply_change(millis(100), &ServerChange::Put(restarted));
     assert!(choose(&fleet, millis(101)).is_ok());
 }
+
+/// Guards against a server that is used during its rest because its entry lapsed and came back meanwhile.
+#[test]
+fn rest_outlasts_the_entry() {
+    let mut fleet = fleet(1);
+    let key = choose(&fleet, millis(0)).unwrap();
+    fleet.record_rest(millis(0), key, REST, None);
+    fleet.apply_change(millis(500), &ServerChange::Gone(Name::new("i-0")));
+    fleet.apply_change(millis(1_000), &ServerChange::Put(record(0)));
+    let refused = Err(NoServer::Excluded(Exclusion::Resting));
+    assert_eq!(choose(&fleet, millis(2_999)), refused);
+    assert!(choose(&fleet, millis(3_000)).is_ok());
+}
