lib: an engine does not inherit the leaving of the one announced before at its address

Callers: with the store away, an engine that replaced one which no list ever had would have stayed unused for as long as its scout announced it.

Change: nothing is kept under placeholders. Test an_announced_engine_does_not_inherit_its_predecessors_leaving, red before.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -415,9 +415,12 @@
         };
         let server = &mut self.servers[key];
         server.listed = false;
-        let born = server.record.born;
-        self.incarnations
-            .keep_statements(now, id, born, server.statements());
+        // A placeholder identifier is that of the address, and the next engine there has it as well.
+        if !id.as_str().starts_with(UNLISTED_PREFIX) {
+            let born = server.record.born;
+            self.incarnations
+                .keep_statements(now, id, born, server.statements());
+        }
         server.set_leaving(now, LeavingSource::Directory);
         self.incarnations.record_removal(now, &server.record);
         if server.open_requests == 0 {
--- a/lib/tests/server_leaving.rs
+++ b/lib/tests/server_leaving.rs
@@ -8,6 +8,8 @@
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
+use cicada_lib::peer_messages::EngineLoad;
+use cicada_lib::peer_messages::EngineLocation;
 use cicada_lib::routing::ServerKey;
 use cicada_lib::server_leaving::LeavingSource;
 use cicada_lib::site::ServerChange;
@@ -200,3 +202,23 @@
     other.replace_servers(millis(200), &[record(0), record(1)]);
     assert_eq!(chosen(&other, millis(201)).as_deref(), Some("i-1"));
 }
+
+/// Guards against an engine that stays unused because the one before at its address, which no list had, was leaving.
+#[test]
+fn an_announced_engine_does_not_inherit_its_predecessors_leaving() {
+    let mut fleet = fleet();
+    let engine = EngineLocation {
+        address: address(0),
+        service: Name::new("llm"),
+        zone: Name::new("a"),
+    };
+    let leaving = EngineLoad {
+        leaving: true,
+        ..EngineLoad::default()
+    };
+    assert!(fleet.add_announced(millis(0), &engine));
+    assert!(fleet.apply_report(millis(100), &engine, &leaving));
+    fleet.remove_silent_engines(millis(5_000));
+    assert!(fleet.add_announced(millis(6_000), &engine));
+    assert!(chosen(&fleet, millis(6_001)).is_some());
+}
