relay: the status page shows which servers rest, and runs are moved to resting engines last

Scouts that move runs off an engine hear which engines asked a relay for rest as they hear of limits, and move runs there last: a run that is moved is sent whatever its target asked for, since it would be lost otherwise.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -178,6 +178,15 @@
     limited: usize,
     // Servers that are leaving.
     leaving: Vec<LeavingEntry>,
+    // Servers that asked this relay for rest.
+    resting: Vec<RestingEntry>,
+}
+
+/// A server that rests, for so many more milliseconds.
+#[derive(Serialize)]
+struct RestingEntry {
+    server: Name,
+    left_ms: u64,
 }
 
 /// A server that is leaving: who told so, and how many milliseconds ago.
@@ -214,6 +223,7 @@
             cold,
             limited,
             leaving,
+            resting,
         } = self.relay.restrictions();
         let page = RelayPage {
             name: self.settings.text("process", "name"),
@@ -227,6 +237,13 @@
             cold,
             limited,
             leaving: leaving.into_iter().map(LeavingEntry::from).collect(),
+            resting: resting
+                .into_iter()
+                .map(|(server, left)| RestingEntry {
+                    server,
+                    left_ms: left.as_millis() as u64,
+                })
+                .collect(),
         };
         serde_json::to_vec(&page).unwrap_or_default()
     }
--- a/daemon/tests/relay_rest.rs
+++ b/daemon/tests/relay_rest.rs
@@ -141,3 +141,21 @@
     }
     Ok(())
 }
+
+/// Guards against operators who cannot see why a server gets nothing.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_status_page_shows_who_rests_and_for_how_long() -> Result<()> {
+    let deployment = start(&["a"]).await?;
+    let service = &deployment.services[LOCAL_ZONE].0;
+    service.set_rest(Some(REST_SECONDS));
+    call("first").send(deployment.relays[0].callers).await?;
+    let status = deployment.status(0).await?;
+    let resting = &status["resting"][0];
+    assert_eq!(resting["server"], service.id());
+    let left = resting["left_ms"].as_u64().unwrap_or_default();
+    assert!(
+        left > 0 && left <= REST.as_millis() as u64,
+        "{left} ms left"
+    );
+    Ok(())
+}
--- a/lib/src/fleet_limits.rs
+++ b/lib/src/fleet_limits.rs
@@ -43,14 +43,15 @@
             .count()
     }
 
-    /// The addresses of listed servers of the service that have a limit.
+    /// The addresses of listed servers of the service that have a limit or rest.
     pub fn limited_addresses<'a>(
         &'a self,
+        now: Time,
         service: &'a Name,
     ) -> impl Iterator<Item = SocketAddr> + 'a {
         let limited = self.servers.values().filter(move |server| {
-            let has_limit = server.limit.rate().is_some();
-            has_limit && server.listed && server.record.service == *service
+            let is_limited = server.limit.rate().is_some() || server.rest.is_resting(now);
+            is_limited && server.listed && server.record.service == *service
         });
         limited.map(|server| server.record.address)
     }
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -166,7 +166,7 @@
         pub cold: Option<u32>,
         /// The evacuated availability zones. No run is moved there.
         pub evacuated: EvacuatedZones,
-        /// Engines that report a request limit. Runs are moved there last.
+        /// Engines that report a request limit or asked the relay for rest. Runs are moved there last.
         pub limited: Vec<SocketAddr>,
     }
 
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -78,6 +78,8 @@
     pub limited: usize,
     /// Servers that are leaving.
     pub leaving: Vec<LeavingServer>,
+    /// Servers that asked this relay for rest, and how much longer they rest.
+    pub resting: Vec<(Name, Duration)>,
 }
 
 /// A server that is leaving, for the status page.
@@ -275,6 +277,10 @@
             });
         Restrictions {
             leaving: leaving.collect(),
+            resting: fleet
+                .resting_servers(now)
+                .map(|(server, left)| (server.clone(), left))
+                .collect(),
             evacuated: fleet.evacuated().zones.iter().cloned().collect(),
             restricted,
             cold: fleet.cold_server_count(now, table.services()),
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -36,7 +36,7 @@
     pub(crate) health_path: Name,
     // How long the engines are cold after a start.
     pub(crate) cold_period: Duration,
-    // Engines of the service, in any region, that state a request rate limit.
+    // Engines of the service, in any region, that state a request rate limit or asked for rest.
     pub(crate) limited_engines: Vec<SocketAddr>,
 }
 
@@ -293,6 +293,7 @@
         let place = &self.settings.place;
         let own = place.region_of(&place.zone);
         let mut groups: HashMap<(Name, Name), EngineGroup> = HashMap::new();
+        let now = self.now();
         let fleet = self.fleet();
         for server in fleet.servers() {
             let Some(spec) = table.service(&server.service) else {
@@ -309,7 +310,7 @@
                 health_path: spec.health_path.clone(),
                 cold_period: spec.cold.period,
                 limited_engines: fleet
-                    .limited_addresses(&server.service)
+                    .limited_addresses(now, &server.service)
                     .take(MAX_LIMITED_ENGINES)
                     .collect(),
             });
