daemon: an agent rests its plain service when that asks for it

Callers of the product's own API: a plain service that refuses calls and asks for rest was sent each further call all the same, and callers were not told the time that it had named.

Change: a refusal with Retry-After is BackendError::Resting, and the agent's backend goes by the module that decides for relays. Calls meanwhile are answered "not run" with the rest that is left, and entries send them to other agents.

The test a_refused_booking_may_be_sent_again sent its second try at once and relied on the rest being ignored. It now checks that this try is truthfully refused and does not run, and that the one after the rest runs once.

--- a/daemon/src/runs.rs
+++ b/daemon/src/runs.rs
@@ -1,6 +1,9 @@
 //! Carries requests to the backend server and tells the desk what it says.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -20,6 +23,8 @@
 use cicada_lib::outcome::Outcome;
 use cicada_lib::outcome::RefusalReason;
 use cicada_lib::outcome::UnknownReason;
+use cicada_lib::server_rest::RestState;
+use cicada_lib::time::Clock;
 use futures_util::StreamExt;
 use tokio::sync::mpsc;
 
@@ -202,12 +207,47 @@
 /// A plain service as a backend.
 pub(crate) struct ServiceBackend {
     service: Arc<dyn Service>,
+    clock: Clock,
+    // The rest that the service asked for. It gets no call meanwhile.
+    rest: Mutex<RestState>,
 }
 
 impl ServiceBackend {
     /// A backend over the service.
     pub(crate) fn new(service: Arc<dyn Service>) -> Self {
-        ServiceBackend { service }
+        ServiceBackend {
+            service,
+            clock: Clock::new(),
+            rest: Mutex::default(),
+        }
+    }
+
+    /// Calls the service unless it rests.
+    async fn call(&self, call: &CallSpec) -> cicada_lib::backend::Result<CallAnswer> {
+        let sent = self.clock.now();
+        let wait = self.rest().wait(sent);
+        if !wait.is_zero() {
+            return Err(BackendError::Resting(wait));
+        }
+        self.rest().record_sent(sent);
+        let answer = self.service.call(call).await;
+        match &answer {
+            Ok(_) => self.rest().record_accepted(sent),
+            Err(BackendError::Resting(rest)) => {
+                if self.rest().record_request(self.clock.now(), *rest) {
+                    tracing::info!(
+                        rest = rest.as_millis() as u64,
+                        "backend: the service asks for rest"
+                    );
+                }
+            }
+            Err(_) => {}
+        }
+        answer
+    }
+
+    fn rest(&self) -> MutexGuard<'_, RestState> {
+        self.rest.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -217,7 +257,7 @@
         let RunSpec::Call(call) = spec else {
             return placed_wrongly();
         };
-        match self.service.call(&call).await {
+        match self.call(&call).await {
             Ok(answer) => {
                 let _ = events.send(BackendEvent::Run(record, RunEvent::Answer(answer)));
                 Outcome::Completed(Completion::default())
@@ -244,6 +284,7 @@
         BackendError::Unreachable(_) => {
             Outcome::NotRun(NotRun::never_sent(RefusalReason::ConnectFailed))
         }
+        BackendError::Resting(rest) => Outcome::NotRun(NotRun::refused_by_backend(Some(*rest))),
         BackendError::Refused(_) => Outcome::NotRun(NotRun::refused_by_backend(None)),
         _ => Outcome::Failed(FailureReason::BackendError),
     }
--- a/daemon/tests/call_faults.rs
+++ b/daemon/tests/call_faults.rs
@@ -118,8 +118,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refused_booking_may_be_sent_again() -> Result<()> {
-    // The plain services refuse before they run. The caller is told "not run", and its next try with
-    // the same key runs: the claim was given back.
+    // The plain services refuse before they run and ask for a second of rest. The caller is told "not run", also if it
+    // comes back sooner, and its try after that with the same key runs: the claim was given back.
     let deployment = start(1, 2).await?;
     let service = &deployment.services[0].service;
     service.set_faults(ServiceFaults {
@@ -130,6 +130,10 @@
     assert_eq!(error_of(&refused)?["ran"], "no", "{refused:?}");
     assert_eq!(effects(&deployment, "again"), 0);
     service.set_faults(ServiceFaults::default());
+    let early = book(&deployment.caller(1), "again").await?;
+    assert_eq!(error_of(&early)?["ran"], "no", "{early:?}");
+    assert_eq!(effects(&deployment, "again"), 0);
+    tokio::time::sleep(Duration::from_secs(1)).await;
     let served = book(&deployment.caller(1), "again").await?;
     assert!(served.status().is_success(), "{served:?}");
     assert_eq!(effects(&deployment, "again"), 1);
--- a/lib/src/backend.rs
+++ b/lib/src/backend.rs
@@ -1,5 +1,7 @@
 //! What stands behind an agent: a model engine or a plain service.
 
+use std::time::Duration;
+
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures_util::stream::BoxStream;
@@ -18,6 +20,9 @@
     /// The backend server said that it did not run the request.
     #[error("the backend server did not run the request ({0}); send it elsewhere")]
     Refused(String),
+    /// The backend server said that it did not run the request, and that it wants none for so long.
+    #[error("the backend server asks for rest ({0:?}); send the request elsewhere")]
+    Resting(Duration),
     /// The backend server answered with an error after it had begun.
     #[error("the backend server failed ({0}); see its log")]
     Failed(String),
--- a/lib/src/service_http.rs
+++ b/lib/src/service_http.rs
@@ -8,6 +8,7 @@
 use http::HeaderMap;
 use http::Method;
 use http::Request;
+use http::header::RETRY_AFTER;
 use http_body_util::Full;
 
 use crate::backend::BackendError;
@@ -21,6 +22,7 @@
 use crate::http_client::Reuse;
 use crate::http_client::did_not_run;
 use crate::http_client::excerpt;
+use crate::server_rest;
 
 // A plain service shows no sign of life while it works on a call, so silence is no sign of a lost
 // connection before the longest call that users wait for is over.
@@ -78,6 +80,9 @@
         let reuse = reuse(request.method());
         let response = self.http.fetch(request, reuse).await?;
         if did_not_run(&response) {
+            if let Some(rest) = requested_rest(response.headers()) {
+                return Err(BackendError::Resting(rest));
+            }
             let text = format!("{}: {}", response.status(), excerpt(response.body()));
             return Err(BackendError::Refused(text));
         }
@@ -108,6 +113,17 @@
     }
 }
 
+/// The rest that a refusal asks for, in seconds. A date, or what is no time, stands for the default.
+fn requested_rest(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(RETRY_AFTER)?;
+    let seconds = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse::<f64>().ok());
+    let rest = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds.max(0.0)).ok());
+    Some(rest.unwrap_or(server_rest::DEFAULT_REST))
+}
+
 // Only methods that change nothing may meet a connection that the peer has just closed.
 fn reuse(method: &Method) -> Reuse {
     if method.is_safe() {
--- a/lib/testutils/src/service.rs
+++ b/lib/testutils/src/service.rs
@@ -92,6 +92,7 @@
     faults: ServiceFaults,
     effects: Vec<Effect>,
     reads: u64,
+    refusals: u64,
     rng: fastrand::Rng,
 }
 
@@ -116,6 +117,7 @@
             faults: ServiceFaults::default(),
             effects: Vec::new(),
             reads: 0,
+            refusals: 0,
             rng: fastrand::Rng::with_seed(settings.seed),
         };
         let listen = settings.listen;
@@ -165,6 +167,11 @@
         self.shared.clone().die().await;
     }
 
+    /// The number of calls that it refused.
+    pub fn refusals(&self) -> u64 {
+        self.shared.state().refusals
+    }
+
     /// Refuses connections until [`ServiceServer::up`].
     pub async fn down(&self) {
         self.server.down().await;
@@ -218,6 +225,7 @@
 
     async fn serve(&self, call: &Call) -> Reply {
         if self.state().faults.refuse {
+            self.state().refusals += 1;
             return Reply::text(StatusCode::SERVICE_UNAVAILABLE, "refused")
                 .with_header("x-ran", "no")
                 .with_header("retry-after", 1);
