relay: work times are learned from answers of the expected server only

A late answer to another request, or an unsigned success, counted as a measurement of the server's work time, as its load and limit did. Found in reading the change.

--- a/relay/src/placed_request.rs
+++ b/relay/src/placed_request.rs
@@ -153,10 +153,10 @@
         self.relay.fleet().round_trip(now, &self.record.zone)
     }
 
-    /// Records a plain server's response time. Ignored if calls were waiting there, since it then includes their
-    /// queueing.
-    pub(crate) fn record_response_time(&self, elapsed: Duration, waiting: u32) {
-        if waiting == 0 {
+    /// Records a plain server's response time. Ignored unless it states that no calls were waiting there, since it
+    /// otherwise includes their queueing.
+    pub(crate) fn record_response_time(&self, elapsed: Duration, load: Option<(u32, u32)>) {
+        if load.is_some_and(|(_, waiting)| waiting == 0) {
             let now = self.relay.now();
             self.relay.fleet().record_work_time(now, self.key, elapsed);
         }
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -99,17 +99,15 @@
     };
     let (parts, body) = answer.response.into_parts();
     let head = relay.dialect().answer_head(parts.status, &parts.headers);
-    let plain = call.spec.engine.is_none();
-    if let (true, true, Some((_, waiting))) =
-        (plain, parts.status.is_success(), head.statement.load)
-    {
-        placed.record_response_time(sent_instant.elapsed(), waiting);
-    }
     let speaker = head.speaker(call.head.id.as_ref(), parts.status);
     if let Speaker::Other(other) = &speaker {
         placed.record_mismatch(other);
     }
     relay.record_statement(placed, &speaker, &head, sent_at);
+    let is_plain_success = call.spec.engine.is_none() && parts.status.is_success();
+    if speaker == Speaker::Expected && is_plain_success {
+        placed.record_response_time(sent_instant.elapsed(), head.statement.load);
+    }
     if head.id.is_some() && head.id != call.head.id {
         return Err(NoAnswer::Unknown);
     }
