lib: the bound of a full server ends, whatever time it names

Callers of a service one of whose full servers named a time of years would have been refused with full_servers by that relay for as long. Found in reading the change. Test the_bound_of_a_full_server_ends, red before.

--- a/lib/src/busy_limit.rs
+++ b/lib/src/busy_limit.rs
@@ -6,11 +6,12 @@
 //!
 //! An entry that filled a server until it turned a request away therefore keeps below that number of open requests
 //! for a multiple of the rest. Callers beyond it are rejected at once, as the server would have done, the less urgent
-//! ones first. A server that
-//! turns requests away while it has free slots teaches nothing: fewer requests would not help it.
+//! ones first. A server that turns requests away while it has free slots teaches nothing: fewer requests would not
+//! help it.
 
 use std::time::Duration;
 
+use crate::server_rest::MAX_REST;
 use crate::time::Time;
 
 /// The share of the open requests at a refusal that are permitted afterwards.
@@ -19,7 +20,7 @@
 /// The share of the bound that each kind of request leaves free for every kind that is more urgent.
 const KIND_RESERVE: f64 = 0.2;
 
-/// How long a bound holds, as a multiple of the rest that the refusal cost. Then the entry finds out whether the
+/// How long a bound holds, as a multiple of the rest that the refusal cost, but no longer than [`MAX_REST`]. Then the entry finds out whether the
 /// server takes more by now.
 const RETENTION_FACTOR: u32 = 10;
 
@@ -51,7 +52,8 @@
             true => self.most.min(most),
             false => most,
         };
-        self.until = self.until.max(now + rest * RETENTION_FACTOR);
+        let retention = (rest.min(MAX_REST) * RETENTION_FACTOR).min(MAX_REST);
+        self.until = self.until.max(now + retention);
     }
 
     /// Whether no more requests than the `open` ones are permitted, for a kind of request with so many more urgent ones.
--- a/lib/tests/server_rest.rs
+++ b/lib/tests/server_rest.rs
@@ -162,3 +162,18 @@
     assert_eq!(choose(&fleet, millis(2_999)), refused);
     assert!(choose(&fleet, millis(3_000)).is_ok());
 }
+
+/// Guards against a service that is used less for good because a full server named a time of years.
+#[test]
+fn the_bound_of_a_full_server_ends() {
+    let mut fleet = fleet(1);
+    let key = choose(&fleet, millis(0)).unwrap();
+    let service = Name::new("llm");
+    for _ in 0..8 {
+        fleet.record_sent(millis(0), key, &PlacementRequest::new(&service, 0, 0));
+    }
+    let years = Duration::from_secs(100_000_000);
+    fleet.record_rest(millis(0), key, years, Some((6, 2)));
+    assert!(choose(&fleet, millis(1_000)).is_err());
+    assert!(choose(&fleet, Time::ZERO + MAX_REST).is_ok());
+}
