lib: an answer of an unnamed other server states nothing of the expected one

A 421 that does not name the server that answered was taken for the expected server's: had it said that it leaves, a healthy server would have been out of use until its incarnation ended. Found in reading the change. The test of misdirected answers covers it, red before.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -150,7 +150,8 @@
         }
         let is_other_answer = self.id.is_some() && self.id.as_ref() != id;
         let is_forged = status.is_success() && !self.signed;
-        match is_other_answer || is_forged {
+        let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        match is_other_answer || is_forged || is_misdirected {
             true => Speaker::Unknown,
             false => Speaker::Expected,
         }
--- a/lib/tests/server_statement.rs
+++ b/lib/tests/server_statement.rs
@@ -49,4 +49,9 @@
     let status = StatusCode::MISDIRECTED_REQUEST;
     let other = Speaker::Other(Name::new("i-2"));
     assert_eq!(speaker(&misdirected, status), other);
+    let unnamed = AnswerHead {
+        other: None,
+        ..misdirected
+    };
+    assert_eq!(speaker(&unnamed, status), Speaker::Unknown);
 }
