--- a/daemon/tests/relay_soak.rs
+++ b/daemon/tests/relay_soak.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cicada_standins::soak;
+use cicada_standins::soak::Size;
 use eyre::Result;
 
 /// Duration of a soak run.
@@ -11,7 +12,7 @@
 
 async fn assert_guarantees_hold(seed: u64) -> Result<()> {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
-    let report = soak::run(daemon, seed, DURATION).await?;
+    let report = soak::run(daemon, Size::default(), seed, DURATION).await?;
     assert!(!report.faults.is_empty());
     assert!(
         report.broken.is_empty(),
