--- a/lib/testutils/src/service.rs
+++ b/lib/testutils/src/service.rs
@@ -72,6 +72,8 @@
     pub lose_next: u32,
     /// Every call is refused before it runs, and the answer says so.
     pub refuse: bool,
+    /// Refusals name no time to come back.
+    pub untimed: bool,
     /// Every call fails with status 500 after it took effect.
     pub fail: bool,
 }
@@ -226,9 +228,12 @@
     async fn serve(&self, call: &Call) -> Reply {
         if self.state().faults.refuse {
             self.state().refusals += 1;
-            return Reply::text(StatusCode::SERVICE_UNAVAILABLE, "refused")
-                .with_header("x-ran", "no")
-                .with_header("retry-after", 1);
+            let refusal =
+                Reply::text(StatusCode::SERVICE_UNAVAILABLE, "refused").with_header("x-ran", "no");
+            return match self.state().faults.untimed {
+                true => refusal,
+                false => refusal.with_header("retry-after", 1),
+            };
         }
         let _worker = self.workers.acquire().await;
         let slow = Duration::from_millis(self.state().faults.slow);
--- a/lib/testutils/tests/adapters.rs
+++ b/lib/testutils/tests/adapters.rs
@@ -119,9 +119,16 @@
 async fn refused_and_unreachable_bookings_prove_that_nothing_ran() -> Result<()> {
     let server = ServiceServer::start(ServiceSettings::new())?;
     let service = HttpService::new(server.addr());
-    server.set_faults(ServiceFaults {
+    let refusing = ServiceFaults {
         refuse: true,
         ..ServiceFaults::default()
+    };
+    server.set_faults(refusing.clone());
+    let refused = service.call(&booking("k1")).await;
+    assert_eq!(refused, Err(BackendError::Resting(Duration::from_secs(1))));
+    server.set_faults(ServiceFaults {
+        untimed: true,
+        ..refusing
     });
     let refused = service.call(&booking("k1")).await;
     assert!(matches!(refused, Err(BackendError::Refused(_))));
