lib, platform: all that plain servers state of their load is used

What callers saw: calls went to servers whose hosts were several times slower at the moment, although their answers said so, and as many to a server of 3 slots as to one of 8. Cause: of the four figures of the header the adapter read two, and the slots came from the list.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -24,6 +24,7 @@
 use crate::routing::ServerKey;
 use crate::server_incarnations::ServerIncarnations;
 use crate::server_leaving::LeavingSource;
+use crate::server_load::ServerLoad;
 use crate::service_time::ServiceTime;
 use crate::site::ServerChange;
 use crate::site::ServerPhase;
@@ -172,14 +173,20 @@
         self.round_trips.record(now, zone, took);
     }
 
-    /// Records how long a plain server took to answer a call. Only for calls that did not queue there:
-    /// otherwise the time includes waiting.
-    pub fn record_work_time(&mut self, now: Time, key: ServerKey, took: Duration) {
+    /// Records how long a plain server took to answer a call, and the load that it stated then. Only for calls that did
+    /// not queue there: otherwise the time includes waiting.
+    pub fn record_work_time(
+        &mut self,
+        now: Time,
+        key: ServerKey,
+        took: Duration,
+        load: &ServerLoad,
+    ) {
         let Some(server) = self.servers.get(key) else {
             return;
         };
         let round_trip = self.round_trip(now, &server.record.zone);
-        let took = took.saturating_sub(round_trip);
+        let took = took.saturating_sub(round_trip).div_f64(load.slowdown());
         let service = server.record.service.clone();
         let mean = self.service_times.entry(service).or_default();
         mean.record(took);
@@ -344,11 +351,13 @@
         }
     }
 
-    /// Records how many requests a plain server reports as running and waiting.
-    pub fn record_queue(&mut self, key: ServerKey, running: u32, waiting: u32) {
+    /// Records the load that a plain server states.
+    pub fn record_load(&mut self, now: Time, key: ServerKey, load: &ServerLoad) {
         if let Some(server) = self.servers.get_mut(key) {
-            let reported = f64::from(running + waiting);
+            let reported = f64::from(load.requests());
             server.other_requests = (reported - f64::from(server.open_requests)).max(0.0);
+            server.stated_slots = load.slots.or(server.stated_slots);
+            server.host_speed.record(now, load);
         }
     }
 
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -325,7 +325,7 @@
         let cold = server.cold.remaining(now, spec.cold.period).as_secs_f64() * COLD_SECOND_COST;
         let load = match &spec.engine {
             Some(engine) => server.engine_cost(now, request, engine),
-            None => server.queue_cost(self.service_time(request.service, server)),
+            None => server.queue_cost(now, self.service_time(request.service, server)),
         };
         distance + 10.0 * backoff + cold + load
     }
--- a/lib/src/fleet_rest.rs
+++ b/lib/src/fleet_rest.rs
@@ -8,26 +8,26 @@
 use crate::fleet_server::Server;
 use crate::ids::Name;
 use crate::routing::ServerKey;
+use crate::server_load::ServerLoad;
 use crate::site::ServiceSpec;
 use crate::time::Time;
 
 impl Fleet {
     /// Records that the server turned a request away and asks this entry for rest; returns whether it did not rest
-    /// before. `load` is the number of running and waiting requests there, if the refusal tells it. The request still
-    /// counts as open.
+    /// before. `load` is what the refusal states of its load. The request still counts as open.
     pub fn record_rest(
         &mut self,
         now: Time,
         key: ServerKey,
         rest: Duration,
-        load: Option<(u32, u32)>,
+        load: Option<ServerLoad>,
     ) -> bool {
         let Some(server) = self.servers.get_mut(key) else {
             return false;
         };
         let open = server.open_requests.saturating_sub(1);
-        let busy = load.map(|(running, waiting)| running + waiting);
-        let (service, slots) = (server.record.service.clone(), server.record.slots);
+        let busy = load.map(|load| load.requests());
+        let (service, slots) = (server.record.service.clone(), server.slots());
         let is_new = server.rest.record_request(now, rest);
         // The servers of a service are alike: what is too much for one would make the others ask for rest as well.
         for server in self.servers.values_mut() {
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -17,6 +17,7 @@
 use crate::server_leaving::Leaving;
 use crate::server_leaving::LeavingSource;
 use crate::server_limit::LimitState;
+use crate::server_load::HostSpeed;
 use crate::server_rest::RestState;
 use crate::service_time::ServiceTime;
 use crate::site::EngineSpec;
@@ -157,6 +158,9 @@
     pub(crate) backoff_until: Time,
     // Running and waiting requests that a plain server reported, without this entry's.
     pub(crate) other_requests: f64,
+    // The slots that it states, which go before those of its record.
+    pub(crate) stated_slots: Option<u32>,
+    pub(crate) host_speed: HostSpeed,
     pub(crate) cold: ColdState,
     pub(crate) limit: LimitState,
     pub(crate) rest: RestState,
@@ -225,6 +229,8 @@
             consecutive_failures: 0,
             backoff_until: Time::ZERO,
             other_requests: 0.0,
+            stated_slots: None,
+            host_speed: HostSpeed::default(),
             cold: ColdState::default(),
             limit: LimitState::default(),
             rest: RestState::default(),
@@ -355,12 +361,20 @@
         report.map_or(prefill_rate::PRIOR, |report| report.prefill_rate)
     }
 
-    /// The cost of a plain server's queue, in milliseconds, given the time that one call takes.
-    pub(crate) fn queue_cost(&self, work_time: Duration) -> f64 {
-        let call_ms = work_time.as_secs_f64() * 1_000.0;
+    /// The requests that a plain server runs concurrently.
+    pub(crate) fn slots(&self) -> u32 {
+        self.stated_slots.unwrap_or(self.record.slots).max(1)
+    }
+
+    /// The cost of a plain server's queue and of the load on its host, in milliseconds, given the time that one call
+    /// usually takes.
+    pub(crate) fn queue_cost(&self, now: Time, work_time: Duration) -> f64 {
+        let usual_ms = work_time.as_secs_f64() * 1_000.0;
+        let call_ms = usual_ms * self.host_speed.slowdown(now);
         let busy = f64::from(self.open_requests) + self.other_requests;
-        let slots = f64::from(self.record.slots.max(1));
-        busy / slots * call_ms / 2.0 + (busy + 1.0 - slots).max(0.0) * call_ms
+        let slots = f64::from(self.slots());
+        let queue = busy / slots * call_ms / 2.0 + (busy + 1.0 - slots).max(0.0) * call_ms;
+        queue + (call_ms - usual_ms)
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -101,6 +101,7 @@
 mod server_incarnations;
 pub mod server_leaving;
 pub mod server_limit;
+pub mod server_load;
 pub mod server_rest;
 pub mod server_statement;
 pub mod service_http;
--- a/lib/src/server_statement.rs
+++ b/lib/src/server_statement.rs
@@ -8,14 +8,15 @@
 
 use crate::ids::Name;
 use crate::server_limit::RequestRate;
+use crate::server_load::ServerLoad;
 use crate::value_type;
 
 value_type! {
     /// What a backend server states about itself in the head of an answer, whatever became of the request.
     #[derive(Default)]
     pub struct ServerStatement {
-        /// Numbers of running and of waiting requests.
-        pub load: Option<(u32, u32)>,
+        /// Its load.
+        pub load: Option<ServerLoad>,
         /// The limit on the rate of requests from all entries together.
         pub limit: Option<RequestRate>,
         /// Whether it is leaving. It takes no new work from then on.
--- a/lib/tests/rest_overload.rs
+++ b/lib/tests/rest_overload.rs
@@ -10,6 +10,7 @@
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::routing::ServerKey;
+use cicada_lib::server_load::ServerLoad;
 use cicada_lib::site::ServiceSpec;
 use cicada_lib::time::Time;
 use testutils::site;
@@ -88,8 +89,8 @@
         ended
     }
 
-    fn load(&self) -> (u32, u32) {
-        (self.running.len() as u32, self.waiting.len() as u32)
+    fn load(&self) -> ServerLoad {
+        ServerLoad::new(self.running.len() as u32, self.waiting.len() as u32)
     }
 }
 
@@ -166,22 +167,22 @@
                 return;
             }
             self.turned_away += 1;
-            let (running, waiting) = self.servers[server].load();
+            let load = self.servers[server].load();
             let fleet = &mut self.entries[entry];
-            fleet.record_queue(key, running, waiting);
-            fleet.record_rest(millis(now), key, REST, Some((running, waiting)));
+            fleet.record_load(millis(now), key, &load);
+            fleet.record_rest(millis(now), key, REST, Some(load));
             fleet.record_ended(key, 0);
             tried.push(key);
         }
     }
 
     fn answer(&mut self, now: u64, server: usize, job: &Job) {
-        let (running, waiting) = self.servers[server].load();
+        let load = self.servers[server].load();
         let address = SocketAddr::from(([10, 0, 0, server as u8], 8_701));
         let fleet = &mut self.entries[job.entry];
         let key = fleet.key_at(address).expect("a listed server");
         fleet.record_ended(key, 0);
-        fleet.record_queue(key, running, waiting);
+        fleet.record_load(millis(now), key, &load);
         fleet.record_accepted(key, millis(job.sent));
         if now >= CALM_MS && now - job.sent <= OBJECTIVE_MS {
             self.in_time[job.rank as usize] += 1;
--- a/lib/tests/round_trips.rs
+++ b/lib/tests/round_trips.rs
@@ -10,6 +10,7 @@
 use cicada_lib::ids::Name;
 use cicada_lib::placement::Locality;
 use cicada_lib::round_trips::RoundTrips;
+use cicada_lib::server_load::ServerLoad;
 use cicada_lib::site::ServiceSpec;
 use cicada_lib::time::Time;
 use testutils::site;
@@ -103,7 +104,8 @@
     let calls_at = |ms: u32| {
         let mut fleet = fleet();
         let near = fleet.key_at(address(0)).expect("listed");
-        (0..200).for_each(|_| fleet.record_work_time(millis(1), near, ms * MS));
+        (0..200)
+            .for_each(|_| fleet.record_work_time(millis(1), near, ms * MS, &ServerLoad::default()));
         local_calls(&mut fleet)
     };
     let (short, long) = (calls_at(5), calls_at(150));
@@ -115,11 +117,11 @@
 fn one_slow_answer_does_not_divert_all_calls() {
     let mut fleet = fleet();
     let near = fleet.key_at(address(0)).expect("listed");
-    (0..200).for_each(|_| fleet.record_work_time(millis(1), near, 30 * MS));
+    (0..200).for_each(|_| fleet.record_work_time(millis(1), near, 30 * MS, &ServerLoad::default()));
     let before = local_calls(&mut fleet);
     let mut fleet = self::fleet();
     let near = fleet.key_at(address(0)).expect("listed");
-    (0..200).for_each(|_| fleet.record_work_time(millis(1), near, 30 * MS));
-    fleet.record_work_time(millis(2), near, 6_000 * MS);
+    (0..200).for_each(|_| fleet.record_work_time(millis(1), near, 30 * MS, &ServerLoad::default()));
+    fleet.record_work_time(millis(2), near, 6_000 * MS, &ServerLoad::default());
     assert!(local_calls(&mut fleet) + 1 >= before, "{before}");
 }
--- a/lib/tests/server_rest.rs
+++ b/lib/tests/server_rest.rs
@@ -11,6 +11,7 @@
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::routing::ServerKey;
+use cicada_lib::server_load::ServerLoad;
 use cicada_lib::server_rest::MAX_REST;
 use cicada_lib::server_rest::RestState;
 use cicada_lib::site::ServerChange;
@@ -173,7 +174,7 @@
         fleet.record_sent(millis(0), key, &PlacementRequest::new(&service, 0, 0));
     }
     let years = Duration::from_secs(100_000_000);
-    fleet.record_rest(millis(0), key, years, Some((6, 2)));
+    fleet.record_rest(millis(0), key, years, Some(ServerLoad::new(6, 2)));
     assert!(choose(&fleet, millis(1_000)).is_err());
     assert!(choose(&fleet, Time::ZERO + MAX_REST).is_ok());
 }
--- a/relay/src/placed_request.rs
+++ b/relay/src/placed_request.rs
@@ -9,6 +9,7 @@
 use cicada_lib::peer_messages::RequestSent;
 use cicada_lib::routing::ServerKey;
 use cicada_lib::server_limit::RequestRate;
+use cicada_lib::server_load::ServerLoad;
 use cicada_lib::site::ServerRecord;
 use cicada_lib::time::Time;
 
@@ -155,10 +156,11 @@
 
     /// Records a plain server's response time. Ignored unless it states that no calls were waiting there, since it
     /// otherwise includes their queueing.
-    pub(crate) fn record_response_time(&self, elapsed: Duration, load: Option<(u32, u32)>) {
-        if load.is_some_and(|(_, waiting)| waiting == 0) {
+    pub(crate) fn record_response_time(&self, elapsed: Duration, load: Option<ServerLoad>) {
+        if let Some(load) = load.filter(|load| load.waiting == 0) {
             let now = self.relay.now();
-            self.relay.fleet().record_work_time(now, self.key, elapsed);
+            let mut fleet = self.relay.fleet();
+            fleet.record_work_time(now, self.key, elapsed, &load);
         }
     }
 
@@ -168,10 +170,11 @@
         self.relay.record_limit(server, sent, limit);
     }
 
-    /// Records the counts of running and waiting requests that an answer states.
-    pub(crate) fn record_queue(&self, load: Option<(u32, u32)>) {
-        if let Some((running, waiting)) = load {
-            self.relay.fleet().record_queue(self.key, running, waiting);
+    /// Records the load that an answer states.
+    pub(crate) fn record_load(&self, load: Option<ServerLoad>) {
+        if let Some(load) = load {
+            let now = self.relay.now();
+            self.relay.fleet().record_load(now, self.key, &load);
         }
     }
 }
--- a/relay/src/server_statements.rs
+++ b/relay/src/server_statements.rs
@@ -35,7 +35,7 @@
                 (id, leaving)
             }
             Speaker::Expected => {
-                placed.record_queue(statement.load);
+                placed.record_load(statement.load);
                 if statement.limit.is_some() || head.signed {
                     placed.record_limit(sent, statement.limit);
                 }
