relay: what is held for callers is bounded by the host's memory

What callers saw: nothing yet; a host of 88 MB would have been ended by its platform while 200 callers read a byte a second, since answers of up to 8 MB were buffered whole for each of them, and request bodies without any bound in all. Events of streams were bounded by count, and then the engine was not read any more, which cuts off what stays unread for seconds.

Counters: relay_held_bytes, refusals "memory", overdue "unread", answers "caller_too_slow".

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -33,6 +33,8 @@
 use crate::status::ProcessState;
 use crate::status::StatusSource;
 
+const MEGABYTE: usize = 1024 * 1024;
+
 /// Runs until the process has drained.
 pub(crate) fn run(settings: Settings, file: &Path, traffic: &Runtime) -> eyre::Result<()> {
     let metrics = Metrics::new();
@@ -114,6 +116,7 @@
             zone: settings.name("process", "zone"),
             regions: settings.pairs("relay", "zones").into_iter().collect(),
         },
+        memory: settings.count("process", "memory") as usize * MEGABYTE,
         reloadable: reloadable_settings(settings),
     })
 }
@@ -249,6 +252,7 @@
     }
 
     fn figures(&self) -> Vec<u8> {
+        self.relay.update_gauges();
         self.metrics.render()
     }
 }
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -180,6 +180,7 @@
     key("process", "status", Kind::Address, "", "Where `/status`, `/healthz`, `/readyz` and `/metrics` are served. Not for callers."),
     key("process", "peer_key_file", Kind::OptionalPath, "", "File with the key that all processes of the system share; 32 bytes or more. Needed by entries and agents."),
     key("process", "threads", Kind::Count { min: 1, max: 64 }, "2", "Threads for traffic, besides the one for control state."),
+    key("process", "memory", Kind::Count { min: 0, max: 1_048_576 }, "0", "Memory of the host in MB, which bounds what a relay holds for callers that read slowly or send large bodies. 0: not known."),
     key("platform", "address", Kind::Address, "", "The platform's object API."),
     key("platform", "token_file", Kind::OptionalPath, "", "File with the bearer token for the platform. Needed by entries and agents."),
     key("platform", "hosts_poll", Kind::Millis { min: 200, max: 60_000 }, "5000", "How often the list of hosts is read: by two processes of each availability zone from the platform, by the others from those. The list itself lags by seconds, and processes tell of their own leaving."),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod admission;
 pub mod backend;
 pub mod broadcast_queue;
+pub mod byte_budget;
 pub mod change_log;
 pub mod claim_log;
 pub mod claim_shard;
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cicada_lib::byte_budget::HeldBytes;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -16,9 +17,12 @@
 use http_body::SizeHint;
 use prometheus::IntGauge;
 use thiserror::Error;
-use tokio::sync::mpsc;
 
 use crate::caller_io::ConnectionActivity;
+use crate::event_queue::EventReceiver;
+
+/// A complete body is passed on in pieces of this size: what a slow caller has not read stays counted as held.
+const MAX_PIECE_BYTES: usize = 16 * 1024;
 
 /// A stream that could not be continued. Its connection is closed before the end of the body, so that the caller does
 /// not take a truncated response for a complete one.
@@ -31,28 +35,39 @@
     source: BodySource,
     // Counts the response as open until its body is dropped.
     _guard: Option<OpenResponseGuard>,
+    // Counts the bytes of a complete body as held until then.
+    _held: Option<HeldBytes>,
 }
 
 enum BodySource {
-    Full(Option<Bytes>),
-    Channel(mpsc::Receiver<Result<Bytes, StreamAborted>>),
+    Full(Bytes),
+    Events(EventReceiver),
 }
 
 impl ResponseBody {
     /// Creates a body whose bytes are all known.
     pub(crate) fn full(bytes: Bytes) -> Self {
-        let bytes = (!bytes.is_empty()).then_some(bytes);
         ResponseBody {
             source: BodySource::Full(bytes),
             _guard: None,
+            _held: None,
         }
     }
 
-    /// Creates a body that is streamed from a channel.
-    pub(crate) fn from_channel(chunks: mpsc::Receiver<Result<Bytes, StreamAborted>>) -> Self {
+    /// Creates a body that is streamed from a queue of events.
+    pub(crate) fn from_events(events: EventReceiver) -> Self {
         ResponseBody {
-            source: BodySource::Channel(chunks),
+            source: BodySource::Events(events),
             _guard: None,
+            _held: None,
+        }
+    }
+
+    /// Attaches what counts the bytes of a complete body as held until it is sent or dropped.
+    pub(crate) fn with_held(self, held: HeldBytes) -> Self {
+        ResponseBody {
+            _held: Some(held),
+            ..self
         }
     }
 
@@ -74,23 +89,25 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamAborted>>> {
         match &mut self.source {
-            BodySource::Full(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            BodySource::Channel(chunks) => chunks
+            BodySource::Full(rest) if rest.is_empty() => Poll::Ready(None),
+            BodySource::Full(rest) => {
+                let piece = rest.split_to(rest.len().min(MAX_PIECE_BYTES));
+                Poll::Ready(Some(Ok(Frame::data(piece))))
+            }
+            BodySource::Events(events) => events
                 .poll_recv(cx)
-                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self.source, BodySource::Full(None))
+        matches!(&self.source, BodySource::Full(rest) if rest.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.source {
-            BodySource::Full(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
-            }
-            BodySource::Channel(_) => SizeHint::default(),
+            BodySource::Full(rest) => SizeHint::with_exact(rest.len() as u64),
+            BodySource::Events(_) => SizeHint::default(),
         }
     }
 }
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -174,7 +174,7 @@
             // since it is one more arrival at the service.
             SendFailure::NoAnswer(NoAnswer::Elsewhere) => return self.try_retry(relay, call),
             SendFailure::NoAnswer(NoAnswer::Refused) => self.refused = true,
-            SendFailure::NoAnswer(NoAnswer::TimeOver) => {
+            SendFailure::NoAnswer(NoAnswer::TimeOver | NoAnswer::TooLarge) => {
                 self.may_have_run = true;
                 return false;
             }
--- a/relay/src/caller_io.rs
+++ b/relay/src/caller_io.rs
@@ -18,6 +18,9 @@
 
 use crate::lock::lock;
 
+/// How long a caller may accept no byte of a response. What is held for it is freed then.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Activity on a connection: open requests, and the times from which its timeouts count.
 #[derive(Debug)]
 pub(crate) struct ConnectionActivity {
@@ -34,6 +37,8 @@
     head_since: Option<Instant>,
     // When the last response ended, or the connection was opened.
     idle_since: Instant,
+    // Since when the caller accepts no more bytes.
+    unread_since: Option<Instant>,
 }
 
 /// The timeout for which a connection is closed.
@@ -43,6 +48,8 @@
     Head,
     /// The connection was idle for too long.
     Idle,
+    /// The caller has accepted no byte of a response for too long.
+    Unread,
 }
 
 impl ConnectionActivity {
@@ -53,6 +60,7 @@
                 open_requests: 0,
                 head_since: None,
                 idle_since: Instant::now(),
+                unread_since: None,
             }),
             changed: Notify::new(),
         }
@@ -78,13 +86,17 @@
         self.changed.notify_one();
     }
 
-    /// Returns when the connection times out if nothing arrives, and by which timeout. `None` while a request is open.
+    /// Returns when the connection times out if nothing arrives or is accepted, and by which timeout. `None` while a
+    /// request is open and the caller reads its response.
     pub(crate) fn next_timeout(
         &self,
         head: Duration,
         idle: Duration,
     ) -> Option<(Instant, ConnectionTimeout)> {
         let state = *self.lock();
+        if let Some(since) = state.unread_since {
+            return Some((since + UNREAD_TIMEOUT, ConnectionTimeout::Unread));
+        }
         match (state.open_requests, state.head_since) {
             (0, Some(since)) => Some((since + head, ConnectionTimeout::Head)),
             (0, None) => Some((state.idle_since + idle, ConnectionTimeout::Idle)),
@@ -100,6 +112,19 @@
         }
     }
 
+    /// Records whether the caller accepted bytes, or has no room for them.
+    fn bytes_offered(&self, accepted: bool) {
+        let mut state = self.lock();
+        match (accepted, state.unread_since) {
+            (true, _) => state.unread_since = None,
+            (false, None) => {
+                state.unread_since = Some(Instant::now());
+                self.changed.notify_one();
+            }
+            (false, Some(_)) => {}
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
@@ -139,7 +164,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.bytes_offered(written.is_ready());
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -155,7 +182,9 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.bytes_offered(written.is_ready());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/relay/src/caller_server.rs
+++ b/relay/src/caller_server.rs
@@ -120,7 +120,7 @@
         let timeout = activity.next_timeout(limits.header_timeout, limits.idle_timeout);
         let timed_out = async {
             match timeout {
-                Some((at, why)) if !shutting_down => {
+                Some((at, why)) if !shutting_down || why == ConnectionTimeout::Unread => {
                     sleep_until(Instant::from_std(at)).await;
                     why
                 }
@@ -146,6 +146,10 @@
                         relay.metrics().count_overdue("head");
                         return;
                     }
+                    Some((at, ConnectionTimeout::Unread)) if at <= now => {
+                        relay.metrics().count_overdue("unread");
+                        return;
+                    }
                     Some((at, _)) if at <= now && !shutting_down => {
                         tracing::trace!(?why, "callers: closing an idle connection");
                         shutting_down = true;
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use cicada_lib::byte_budget::BudgetError;
+use cicada_lib::byte_budget::HeldBytes;
 use cicada_lib::dialect::CallHead;
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::ids::Name;
@@ -50,6 +52,9 @@
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(800);
 const STARTUP_RETRY_AFTER_JITTER: Duration = Duration::from_millis(3_200);
 
+/// Mean Retry-after of a caller whose body this host has no memory for: others are sent on or read meanwhile.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
+
 /// A draining relay rejects calls if less than this is left before it ends. If it is the only relay of its zone,
 /// callers keep arriving until the end, and calls accepted later would be cut off: a call that is retried in another
 /// region takes a quarter of a second, one that waits for a full server longer.
@@ -65,6 +70,8 @@
     // Without hop-by-hop headers and the headers reserved for this system.
     headers: HeaderMap,
     body: Bytes,
+    // The body's bytes, as held for the caller.
+    _held: HeldBytes,
     pub(crate) head: CallHead,
     pub(crate) admitted: Admitted,
     pub(crate) service: Name,
@@ -168,6 +175,14 @@
         );
         return LocalResponse::NotRun(RETRY_ELSEWHERE).into_response();
     }
+    if relay.budget().is_nearly_used_up() {
+        relay.metrics().count_refusal("memory");
+        tracing::info!(
+            id = call.id(),
+            "request: refused, callers that read slowly have used up the memory for answers"
+        );
+        return LocalResponse::NotRun(memory_retry_after()).into_response();
+    }
     relay.count_request(&call.service);
     match call.admitted.route.kind {
         CallKind::Streaming => stream::serve(relay, call).await,
@@ -192,7 +207,9 @@
     let timeout = time_limit(&admitted.route, head.deadline);
     let timer_deadline = arrived + timeout;
     let deadline = arrived_at + timeout;
-    let body = read_body(body, table.config().limits.max_body_bytes, timer_deadline).await?;
+    let mut held = relay.budget().holder();
+    let max_bytes = table.config().limits.max_body_bytes;
+    let body = read_body(relay, body, max_bytes, &mut held, timer_deadline).await?;
     let service = pick_service(&admitted.route, fastrand::f64()).cloned();
     let service = service.ok_or(LocalResponse::NotRun(startup_retry_after()))?;
     let spec = table
@@ -209,6 +226,7 @@
         method: parts.method,
         path,
         body,
+        _held: held,
         head,
         admitted,
         service,
@@ -220,6 +238,10 @@
     })
 }
 
+fn memory_retry_after() -> Duration {
+    MEMORY_RETRY_AFTER.mul_f64(0.5 + fastrand::f64())
+}
+
 fn startup_retry_after() -> Duration {
     STARTUP_RETRY_AFTER + STARTUP_RETRY_AFTER_JITTER.mul_f64(fastrand::f64())
 }
@@ -256,10 +278,12 @@
     })
 }
 
-/// Reads the whole body, until `limit` at the latest.
+/// Reads the whole body, until `limit` at the latest. Its bytes are counted in `held`.
 async fn read_body(
+    relay: &Relay,
     mut body: Incoming,
     max_bytes: usize,
+    held: &mut HeldBytes,
     limit: Instant,
 ) -> Result<Bytes, LocalResponse> {
     let mut whole = BytesMut::new();
@@ -276,10 +300,28 @@
         if whole.len() + data.len() > max_bytes {
             return Err(LocalResponse::BodyTooLarge);
         }
+        if let Err(error) = held.grow(data.len()) {
+            drop(whole);
+            return Err(refuse_body(relay, body, error, limit).await);
+        }
         whole.extend_from_slice(&data);
     }
 }
 
+/// Refuses a request whose body cannot be held. What is left of the body is read and discarded: closing a connection
+/// with unread bytes resets it, and the caller would not get the answer.
+async fn refuse_body(
+    relay: &Relay,
+    mut body: Incoming,
+    error: BudgetError,
+    limit: Instant,
+) -> LocalResponse {
+    relay.metrics().count_refusal("memory");
+    tracing::info!(%error, "request: refused, its body is not held");
+    while let Ok(Some(Ok(_))) = timeout_at(limit, body.frame()).await {}
+    LocalResponse::NotRun(memory_retry_after())
+}
+
 /// The headers that are forwarded to a backend server.
 fn forwarded_headers(relay: &Relay, headers: &HeaderMap) -> HeaderMap {
     let dialect = relay.dialect();
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod drain;
 mod engine_reports;
 mod evacuation_watcher;
+mod event_queue;
 mod events;
 mod exchange;
 mod freeze_recovery;
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use cicada_lib::byte_budget::HeldBytes;
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::retry_after;
@@ -39,11 +40,13 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    held: HeldBytes,
 }
 
 impl BufferedAnswer {
     fn response(self) -> Response<ResponseBody> {
-        let mut response = Response::new(ResponseBody::full(self.body));
+        let body = ResponseBody::full(self.body).with_held(self.held);
+        let mut response = Response::new(body);
         *response.status_mut() = self.status;
         *response.headers_mut() = returned_headers(&self.headers);
         response
@@ -149,6 +152,7 @@
         Err(NoAnswer::Elsewhere) => ("elsewhere", false),
         Err(NoAnswer::Unknown) => ("unknown", true),
         Err(NoAnswer::Silent) => ("silent", true),
+        Err(NoAnswer::TooLarge) => ("too_large", false),
         Err(NoAnswer::TimeOver) => ("time_over", true),
     };
     if failed {
@@ -184,25 +188,28 @@
     };
     let mut answered = send(relay, call, placed, &dispatch, None, None).await?;
     let mut whole = BytesMut::new();
+    let mut held = relay.budget().holder();
     loop {
         match timeout_at(call.timer_deadline, answered.body.frame()).await {
             Err(_) => return Err(NoAnswer::TimeOver),
             Ok(Some(Err(_))) => return Err(NoAnswer::Unknown),
             Ok(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
+                    let too_large = whole.len() + data.len() > MAX_ANSWER_BYTES;
+                    if too_large || held.grow(data.len()).is_err() {
+                        return Err(NoAnswer::TooLarge);
+                    }
                     whole.extend_from_slice(&data);
                 }
             }
             Ok(None) => break,
         }
-        if whole.len() > MAX_ANSWER_BYTES {
-            return Err(NoAnswer::Unknown);
-        }
     }
     drop(answered.connection);
     Ok(BufferedAnswer {
         status: answered.parts.status,
         headers: answered.parts.headers,
         body: whole.freeze(),
+        held,
     })
 }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use cicada_lib::byte_budget::ByteBudget;
 use cicada_lib::change_log::ChangeLog;
 use cicada_lib::dialect::Dialect;
 use cicada_lib::dialect::EngineCalls;
@@ -101,6 +102,7 @@
     pub(crate) engines: Arc<dyn EngineCalls>,
     pub(crate) metrics: RelayMetrics,
     pub(crate) clock: Clock,
+    pub(crate) budget: Arc<ByteBudget>,
     pub(crate) freeze_detector: Mutex<FreezeDetector>,
     pub(crate) table: ArcSwap<RouteTable>,
     pub(crate) fleet: Mutex<Fleet>,
@@ -170,6 +172,7 @@
             receivers: Mutex::new(Some(receivers)),
             reloadable: ArcSwap::from_pointee(settings.reloadable),
             fleet: Mutex::new(Fleet::new(settings.place.clone())),
+            budget: ByteBudget::new(settings.memory),
             settings,
             dialect,
             engines,
@@ -311,6 +314,16 @@
         &self.metrics
     }
 
+    /// Sets the gauges that are read from the state when metrics are asked for.
+    pub fn update_gauges(&self) {
+        self.metrics.set_held_bytes(self.budget.used());
+    }
+
+    /// The bytes that may be held for callers.
+    pub(crate) fn budget(&self) -> &Arc<ByteBudget> {
+        &self.budget
+    }
+
     pub(crate) fn now(&self) -> Time {
         self.clock.now()
     }
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -22,6 +22,7 @@
     first_events: IntCounterVec,
     open_requests: IntGauge,
     limited_servers: IntGauge,
+    held_bytes: IntGauge,
     leaving: IntCounterVec,
     rests: IntCounter,
     first_response_time: Histogram,
@@ -65,6 +66,10 @@
                 "relay_limited_servers",
                 "Backend servers that name a limit in their answers",
             )?,
+            held_bytes: IntGauge::new(
+                "relay_held_bytes",
+                "Bytes of request bodies, answers and events that are held for callers",
+            )?,
             leaving: counter(
                 "relay_leaving_total",
                 "Backend servers that this relay learned to be leaving, but for the directory's list",
@@ -91,6 +96,7 @@
         registry.register(Box::new(metrics.rests.clone()))?;
         registry.register(Box::new(metrics.open_requests.clone()))?;
         registry.register(Box::new(metrics.limited_servers.clone()))?;
+        registry.register(Box::new(metrics.held_bytes.clone()))?;
         registry.register(Box::new(metrics.first_response_time.clone()))?;
         registry.register(Box::new(metrics.move_gap.clone()))?;
         Ok(metrics)
@@ -158,6 +164,11 @@
         self.limited_servers.set(servers as i64);
     }
 
+    /// Sets the bytes that are held for callers.
+    pub fn set_held_bytes(&self, bytes: usize) {
+        self.held_bytes.set(bytes as i64);
+    }
+
     /// The gauge of open requests.
     pub fn open_requests(&self) -> &IntGauge {
         &self.open_requests
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -157,7 +157,7 @@
                 break;
             };
             let data = frame.into_data().unwrap_or_default();
-            if !self.forward(&data).await {
+            if self.forward(&data).await.is_err() {
                 break;
             }
         }
@@ -187,7 +187,7 @@
                 self.refused_target = Some(target.key);
                 self.resume_at_source(handle).await
             }
-            Err(NoAnswer::Unknown | NoAnswer::Silent | NoAnswer::TimeOver) => {
+            Err(NoAnswer::Unknown | NoAnswer::Silent | NoAnswer::TooLarge | NoAnswer::TimeOver) => {
                 self.relay.metrics().count_move("lost");
                 false
             }
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -46,6 +46,8 @@
     Unknown,
     /// No answer came for longer than the server's load explains.
     Silent,
+    /// The answer exceeds what this host may hold for a caller. The request ran.
+    TooLarge,
     /// The request's deadline has passed.
     TimeOver,
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -18,7 +18,6 @@
 use http::Response;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -26,6 +25,7 @@
 use crate::answer::ResponseBody;
 use crate::attempts::Attempts;
 use crate::attempts::SendFailure;
+use crate::event_queue::event_queue;
 use crate::exchange::Call;
 use crate::exchange::RETRY_ELSEWHERE;
 use crate::exchange::returned_headers;
@@ -40,9 +40,6 @@
 /// Share of a service's retry limit that streams leave to moves of runs.
 const MOVE_RESERVE: f64 = 0.35;
 
-/// Maximum number of chunks that wait for a caller who reads slowly.
-const WAITING_CHUNKS: usize = 32;
-
 /// A drain is in its early phase while more than this fraction of the grace period is left.
 const EARLY_DRAIN_FRACTION: f64 = 0.7;
 
@@ -208,10 +205,11 @@
         NoAnswer::Elsewhere => "another server is there",
         NoAnswer::Unknown => "lost before its first event",
         NoAnswer::Silent => "no first event in the time that the load explains",
+        NoAnswer::TooLarge => "answer larger than what may be held",
         NoAnswer::TimeOver => "no first event in the caller's time",
     };
     match no_answer {
-        NoAnswer::Refused | NoAnswer::Withdrawn | NoAnswer::Elsewhere => {}
+        NoAnswer::Refused | NoAnswer::Withdrawn | NoAnswer::Elsewhere | NoAnswer::TooLarge => {}
         NoAnswer::Unreached => placed.record_failure(true),
         NoAnswer::Unknown | NoAnswer::Silent | NoAnswer::TimeOver => placed.record_failure(false),
     }
@@ -336,8 +334,8 @@
     tokens: u64,
     attempts: Attempts,
 ) -> Response<ResponseBody> {
-    let (sender, receiver) = mpsc::channel(WAITING_CHUNKS);
-    let response = response_from(&answered.parts, ResponseBody::from_channel(receiver));
+    let (sender, receiver) = event_queue(relay.budget().holder());
+    let response = response_from(&answered.parts, ResponseBody::from_events(receiver));
     let run = Run::new(relay, call, placed, answered, tokens, attempts, sender);
     tokio::spawn(run.relay_to_end());
     response
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -13,14 +13,14 @@
 use cicada_lib::routing::ServerKey;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
-use crate::answer::StreamAborted;
 use crate::attempts::Attempts;
 use crate::attempts::SendFailure;
+use crate::event_queue::EventSender;
+use crate::event_queue::QueueError;
 use crate::events::EventSplitter;
 use crate::exchange::Call;
 use crate::moved_runs::LocalRunGuard;
@@ -46,7 +46,7 @@
     // `None` after the run has stopped at one engine and before it has started at the next.
     pub(crate) source: Option<(Incoming, Connection)>,
     pub(crate) events: EventSplitter,
-    pub(crate) sender: mpsc::Sender<Result<Bytes, StreamAborted>>,
+    pub(crate) sender: EventSender,
     // When the first and the latest event arrived; until the first event, when the answer began.
     pub(crate) first_event_at: Instant,
     pub(crate) last_event_at: Instant,
@@ -88,9 +88,10 @@
 
 /// How a stream ended.
 #[derive(Clone, Copy, Debug)]
-enum StreamEnd {
+pub(crate) enum StreamEnd {
     Complete,
     CallerGone,
+    CallerTooSlow,
     TimeOver,
     Lost,
 }
@@ -104,7 +105,7 @@
         answered: StartedAnswer,
         tokens: u64,
         attempts: Attempts,
-        sender: mpsc::Sender<Result<Bytes, StreamAborted>>,
+        sender: EventSender,
     ) -> Self {
         let now = Instant::now();
         let events = EventSplitter::after(call.last_event_id());
@@ -142,6 +143,7 @@
         let word = match ending {
             StreamEnd::Complete => "complete",
             StreamEnd::CallerGone => "caller_gone",
+            StreamEnd::CallerTooSlow => "caller_too_slow",
             StreamEnd::TimeOver => "time_over",
             StreamEnd::Lost => "lost",
         };
@@ -167,13 +169,12 @@
                 self.placed.record_success();
                 let rest = self.events.take_remainder();
                 if !rest.is_empty() {
-                    drop(self.sender.send(Ok(rest)).await);
+                    let sent = self.sender.send(rest).await;
+                    tracing::trace!(?sent, "stream: what followed the last event");
                 }
             }
             StreamEnd::CallerGone => {}
-            StreamEnd::TimeOver | StreamEnd::Lost => {
-                drop(self.sender.send(Err(StreamAborted)).await);
-            }
+            StreamEnd::CallerTooSlow | StreamEnd::TimeOver | StreamEnd::Lost => self.sender.abort(),
         }
     }
 
@@ -184,8 +185,8 @@
                 Wake::CallerGone => return StreamEnd::CallerGone,
                 Wake::TimeOver => return StreamEnd::TimeOver,
                 Wake::Data(data) => {
-                    if !self.forward(&data).await {
-                        return StreamEnd::CallerGone;
+                    if let Err(end) = self.forward(&data).await {
+                        return end;
                     }
                 }
                 Wake::End => return StreamEnd::Complete,
@@ -242,10 +243,14 @@
         }
     }
 
-    /// Forwards whole events to the caller. Returns `false` if the caller is gone, or if an event is too long.
-    pub(crate) async fn forward(&mut self, data: &[u8]) -> bool {
+    /// Forwards whole events to the caller. Returns how the stream ends if the caller is gone or reads too slowly, or if
+    /// an event is too long.
+    pub(crate) async fn forward(&mut self, data: &[u8]) -> Result<(), StreamEnd> {
         let Some(whole) = self.events.push(data) else {
-            return !self.events.is_partial_too_long();
+            return match self.events.is_partial_too_long() {
+                true => Err(StreamEnd::CallerGone),
+                false => Ok(()),
+            };
         };
         let now = Instant::now();
         let since_last = now.duration_since(self.last_event_at);
@@ -266,7 +271,10 @@
             let gap = gap.as_millis() as u64;
             tracing::info!(id = self.call.id(), gap, server = %self.placed.record.id, "move: went on");
         }
-        self.sender.send(Ok(whole)).await.is_ok()
+        self.sender.send(whole).await.map_err(|error| match error {
+            QueueError::CallerGone => StreamEnd::CallerGone,
+            QueueError::TooSlow => StreamEnd::CallerTooSlow,
+        })
     }
 
     /// Returns when the run is abandoned at its engine for lack of progress. `None` if it cannot be resumed elsewhere,
