--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -116,6 +116,7 @@
             zone: settings.name("process", "zone"),
             regions: settings.pairs("relay", "zones").into_iter().collect(),
         },
+        first_start: settings.text("platform", "first_start") == "true",
         memory: settings.count("process", "memory") as usize * MEGABYTE,
         reloadable: reloadable_settings(settings),
     })
--- a/daemon/tests/relay_pull.rs
+++ b/daemon/tests/relay_pull.rs
@@ -68,6 +68,9 @@
         let hello = RelayHello {
             zone: Name::new("a"),
             watches_directory: false,
+            watchers: Vec::new(),
+            relay_count: 1,
+            list_complete: false,
             version: 0,
             revision: Revision::new(0, FUTURE_REVISION),
             known_relays: Vec::new(),
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -69,6 +69,12 @@
     pub fn region_of<'a>(&'a self, zone: &'a Name) -> &'a Name {
         self.regions.get(zone).unwrap_or(zone)
     }
+
+    /// The number of regions.
+    pub fn region_count(&self) -> usize {
+        let regions: HashSet<&Name> = self.regions.values().collect();
+        regions.len().max(1)
+    }
 }
 
 /// The backend servers of all services.
@@ -273,10 +279,13 @@
         keys.find(|key| self.servers[*key].listed)
     }
 
-    /// Whether this entry has open requests at the listed server at the address.
-    pub fn has_open_requests_at(&self, address: SocketAddr) -> bool {
-        let key = self.key_at(address);
-        key.is_some_and(|key| self.servers[key].open_requests > 0)
+    /// Whether this entry needs the reports of the listed engine at the address, where it does not follow all of them: it
+    /// has open requests there, or knows of the engine from its scout alone.
+    pub fn needs_reports_of(&self, address: SocketAddr) -> bool {
+        let server = self.key_at(address).map(|key| &self.servers[key]);
+        server.is_some_and(|server| {
+            server.open_requests > 0 || server.record.id.as_str().starts_with(UNLISTED_PREFIX)
+        })
     }
 
     /// Whether the server's scout has sent a report recently.
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -15,6 +15,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::PlacementRequest;
 use crate::fleet_server::RegionMemory;
+use crate::fleet_server::Report;
 use crate::fleet_server::Server;
 use crate::ids::Name;
 use crate::placement;
@@ -34,6 +35,9 @@
 /// The cost of each second for which a server remains cold, in milliseconds: it works slowly.
 const COLD_SECOND_COST: f64 = 100.0;
 
+/// The share of the engines whose load must be known to choose by it.
+const MIN_KNOWN_SHARE: f64 = 0.5;
+
 copy_type! {
     /// Why an otherwise suitable server is excluded from a choice.
     pub enum Exclusion {
@@ -266,7 +270,7 @@
         server.cold.recent_sends(now) >= share
     }
 
-    /// Whether load reports are too infrequent to choose by, or none has arrived yet: all entries would
+    /// Whether load reports are too infrequent to choose by, or too few have arrived: all entries would
     /// then choose the same engine. Considers the engines of this entry's region that a request may go to,
     /// or those of all regions if there are none.
     pub fn reports_too_sparse(&self, now: Time, service: &Name, regions: &AllowedRegions) -> bool {
@@ -279,12 +283,11 @@
         let (near, far): (Vec<&Server>, Vec<&Server>) =
             eligible.partition(|s| self.locality(&s.record.zone) != Locality::OtherRegion);
         let considered = if near.is_empty() { far } else { near };
-        let mut reports = considered
-            .iter()
-            .filter_map(|s| s.fresh_report(now))
-            .peekable();
-        let unknown = reports.peek().is_none();
-        unknown || reports.any(|report| placement::reports_too_sparse(report.interval))
+        let reports = considered.iter().filter_map(|s| s.fresh_report(now));
+        let reports: Vec<Report> = reports.collect();
+        let known_share = reports.len() as f64 / considered.len().max(1) as f64;
+        let sparse = |report: &Report| placement::reports_too_sparse(report.interval);
+        known_share < MIN_KNOWN_SHARE || reports.iter().any(sparse)
     }
 
     /// The servers that the request may go to.
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -15,7 +15,10 @@
 use crate::site::ServerChanges;
 use crate::site::ServerListing;
 use crate::site::SiteConfig;
+use crate::state_holders::StateOffer;
+use crate::state_holders::StateVersion;
 use crate::value_type;
+use crate::watch_election::WatchStatement;
 use crate::zone_evacuation::EvacuatedZones;
 
 /// The largest datagram in bytes. It passes every link without fragmentation.
@@ -125,6 +128,12 @@
         pub zone: Name,
         /// Whether it watches the directory and receives answers.
         pub watches_directory: bool,
+        /// What other relays of its region last stated about that.
+        pub watchers: Vec<WatchStatement>,
+        /// Number of relays that it knows, itself included.
+        pub relay_count: u32,
+        /// Whether it knows all relays of the directory's list.
+        pub list_complete: bool,
         /// The version of the configuration in force there.
         pub version: u64,
         /// The store's revision up to which it knows the backend servers.
@@ -139,6 +148,15 @@
         pub leaving: Vec<LeavingReport>,
     }
 
+    /// The relays that a process knows.
+    #[derive(Default)]
+    pub struct RelayList {
+        /// Their addresses for datagrams and connections.
+        pub relays: Vec<SocketAddr>,
+        /// Whether the directory's list is contained in them.
+        pub complete: bool,
+    }
+
     /// How a request ended at an engine.
     pub struct RequestOutcome {
         /// Where the engine takes requests.
@@ -168,6 +186,8 @@
         pub evacuated: EvacuatedZones,
         /// Engines that report a request limit or asked the relay for rest. Runs are moved there last.
         pub limited: Vec<SocketAddr>,
+        /// The relay's state, for a scout that holds a copy of it.
+        pub state: Option<StateVersion>,
     }
 
     /// An engine's current identifier. The directory may still list a former incarnation.
@@ -214,6 +234,8 @@
         Ping(u32),
         /// The reply to a `Ping`, with the same number.
         Pong(u32),
+        /// A scout that hears of no relay offers the state that it holds.
+        StateOffer(StateOffer),
     }
 
     /// A request over a connection.
@@ -222,6 +244,28 @@
         Config(u64),
         /// Requests the changes to the backend servers since the revision, or the full list.
         Servers(Revision),
+        /// Requests the known relays.
+        Relays,
+    }
+}
+
+impl Datagram {
+    /// The name of its kind, for counters.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Datagram::Subscribe(_) => "subscription",
+            Datagram::Identity(_) => "identity",
+            Datagram::Report(_) => "report",
+            Datagram::Announcement(_) | Datagram::ForwardedAnnouncement(_) => "announcement",
+            Datagram::Moving(_) | Datagram::Moved(_) | Datagram::QueryMove(_) => "move",
+            Datagram::ServerUpdate(_) => "server_update",
+            Datagram::RequestSent(_) | Datagram::RequestOutcome(_) => "request",
+            Datagram::Hello(_) => "hello",
+            Datagram::Rejections(_) => "rejections",
+            Datagram::LoadProbe(_) | Datagram::LoadProbeReply(_) => "load_probe",
+            Datagram::Ping(_) | Datagram::Pong(_) => "round_trip",
+            Datagram::StateOffer(_) => "state_offer",
+        }
     }
 }
 
@@ -236,6 +280,10 @@
     Servers(ServerListing),
     /// Changes to the list of backend servers.
     Changes(ServerChanges),
+    /// The known relays.
+    Relays(RelayList),
+    /// The process is serving as many pulls as it can; another one may be asked.
+    Busy,
 }
 
 /// A message that cannot be encoded or decoded.
--- a/lib/src/relay_peers.rs
+++ b/lib/src/relay_peers.rs
@@ -1,19 +1,22 @@
-//! The other relays: which are known, which have newer state than this one, and which one watches the
-//! directory.
+//! The other relays: which are known, and which have newer state than this one.
 //!
-//! One relay of each region watches the directory, and the others receive its state from it. If all of them
-//! watched, each change would cost a call per relay. When the watching relay falls silent or the directory
-//! rejects it, another one takes over.
+//! Load pattern: hundreds of relays start at the same time, or are killed together while the directory is away. None of
+//! them can ask the directory for all others, nor all of them one relay for its state. Each tells a few relays of
+//! itself several times a second and names some others, pulls what it lacks from any relay that has it, and so passes
+//! on what it has: the number of informed relays grows by a factor in each round.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cicada_lib::ids::Name;
-use cicada_lib::peer_messages::RelayHello;
-use cicada_lib::revision::Revision;
-use tokio::time::Instant;
+use crate::ids::Name;
+use crate::peer_messages::RelayHello;
+use crate::peer_messages::RelayList;
+use crate::revision::Revision;
+use crate::state_holders::StateVersion;
+use crate::time::Time;
+use crate::watch_election;
 
 /// Number of relays that receive each gossiped message: all of a small deployment. In a large one a message
 /// reaches every relay within a few rounds, since each relay passes it on.
@@ -30,42 +33,41 @@
 /// Maximum silence of a relay that is probed.
 const MAX_PROBED_SILENCE: Duration = Duration::from_secs(5);
 
-/// Maximum silence of a relay that counts as watching the directory: a little more than three hellos.
-const WATCHER_TIMEOUT: Duration = Duration::from_millis(1_400);
+/// Silence of all other relays from which this one counts as cut off from them: several hellos.
+const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Number of relays of the local region that receive each hello of the watching relay. In a larger region
 /// they are sampled.
-const REGION_FANOUT: usize = 40;
+const REGION_FANOUT: usize = watch_election::DIRECTLY_TOLD;
 
 /// The contents of a relay's last hello.
 #[derive(Clone, Debug)]
 struct LastHello {
-    heard_at: Instant,
+    heard_at: Time,
     zone: Name,
-    fed: bool,
     version: u64,
     revision: Revision,
+    relay_count: usize,
+    list_complete: bool,
 }
 
 /// The other relays.
 #[derive(Debug, Default)]
-pub(crate) struct Peers {
+pub struct RelayPeers {
     // All relays that any source has named, whether they sent a hello or not.
     known: HashSet<SocketAddr>,
     last_hellos: HashMap<SocketAddr, LastHello>,
+    // Scouts that offered the state that they hold, and when.
+    offers: HashMap<SocketAddr, (Time, StateVersion)>,
     // Whether the directory's list has been read.
     list_read: bool,
     // Whether `known` has grown or become complete since it was last taken.
     changed: bool,
 }
 
-impl Peers {
+impl RelayPeers {
     /// Adds relays to the known ones.
-    pub(crate) fn add_known(
-        &mut self,
-        own: SocketAddr,
-        peers: impl IntoIterator<Item = SocketAddr>,
-    ) {
+    pub fn add_known(&mut self, own: SocketAddr, peers: impl IntoIterator<Item = SocketAddr>) {
         let before = self.known.len();
         self.known
             .extend(peers.into_iter().filter(|peer| *peer != own));
@@ -73,14 +75,14 @@
     }
 
     /// Records that the directory's list has been read: relays that are added from now on are new.
-    pub(crate) fn set_list_read(&mut self) {
+    pub fn set_list_read(&mut self) {
         self.changed |= !self.list_read;
         self.list_read = true;
     }
 
     /// All known relays, alive or not, if there are more than at the last call; `None` also until the
     /// directory's list has been read.
-    pub(crate) fn take_changed_peers(&mut self) -> Option<Vec<SocketAddr>> {
+    pub fn take_changed_peers(&mut self) -> Option<Vec<SocketAddr>> {
         if !self.list_read || !std::mem::take(&mut self.changed) {
             return None;
         }
@@ -88,63 +90,49 @@
     }
 
     /// Records a relay's hello.
-    pub(crate) fn record_hello(&mut self, from: SocketAddr, hello: &RelayHello) {
+    pub fn record_hello(&mut self, now: Time, from: SocketAddr, hello: &RelayHello) {
         let last_hello = LastHello {
-            heard_at: Instant::now(),
+            heard_at: now,
             zone: hello.zone.clone(),
-            fed: hello.watches_directory,
             version: hello.version,
             revision: hello.revision,
+            relay_count: hello.relay_count as usize,
+            list_complete: hello.list_complete,
         };
         self.changed |= self.known.insert(from);
         self.last_hellos.insert(from, last_hello);
     }
 
+    /// Records that a scout offers the state that it holds.
+    pub fn record_offer(&mut self, now: Time, scout: SocketAddr, state: StateVersion) {
+        self.offers.insert(scout, (now, state));
+    }
+
     /// A random sample of the known relays, of all zones.
-    pub(crate) fn gossip_targets(&self) -> Vec<SocketAddr> {
+    pub fn gossip_targets(&self) -> Vec<SocketAddr> {
         fastrand::choose_multiple(self.known.iter().copied(), GOSSIP_FANOUT)
     }
 
     /// The relays to notify of a request to an engine.
-    pub(crate) fn request_notice_targets(&self) -> Vec<SocketAddr> {
+    pub fn request_notice_targets(&self) -> Vec<SocketAddr> {
         fastrand::choose_multiple(self.known.iter().copied(), REQUEST_NOTICE_FANOUT)
     }
 
     /// Recently heard relays in the availability zones that match, sampled if there are many.
-    pub(crate) fn recently_heard_in(&self, is: impl Fn(&Name) -> bool) -> Vec<SocketAddr> {
+    pub fn recently_heard_in(&self, now: Time, is: impl Fn(&Name) -> bool) -> Vec<SocketAddr> {
         let recently_heard = self
             .last_hellos
             .iter()
-            .filter(|(_, hello)| hello.heard_at.elapsed() < SHARE_TTL);
+            .filter(|(_, hello)| now.since(hello.heard_at) < SHARE_TTL);
         let matching = recently_heard.filter(|(_, hello)| is(&hello.zone));
         fastrand::choose_multiple(matching.map(|(peer, _)| *peer), REGION_FANOUT)
     }
 
-    /// Whether the relay at `own` may watch the directory for the zones of its region. If two relays watch,
-    /// the one with the lower address continues.
-    pub(crate) fn may_watch(
-        &self,
-        own: SocketAddr,
-        watching: bool,
-        is_near: impl Fn(&Name) -> bool,
-    ) -> bool {
-        let near = self
-            .last_hellos
-            .iter()
-            .filter(|(_, hello)| is_near(&hello.zone));
-        let mut others =
-            near.filter(|(_, hello)| hello.fed && hello.heard_at.elapsed() < WATCHER_TIMEOUT);
-        match watching {
-            true => others.all(|(peer, _)| own < *peer),
-            false => others.next().is_none(),
-        }
-    }
-
     /// A random recently heard relay of each availability zone other than `own`.
-    pub(crate) fn sample_other_zones(&self, own: &Name) -> Vec<(SocketAddr, Name)> {
+    pub fn sample_other_zones(&self, now: Time, own: &Name) -> Vec<(SocketAddr, Name)> {
         let mut zones: HashMap<&Name, Vec<SocketAddr>> = HashMap::new();
         for (peer, hello) in &self.last_hellos {
-            if hello.zone != *own && hello.heard_at.elapsed() < MAX_PROBED_SILENCE {
+            if hello.zone != *own && now.since(hello.heard_at) < MAX_PROBED_SILENCE {
                 zones.entry(&hello.zone).or_default().push(*peer);
             }
         }
@@ -156,31 +144,112 @@
     }
 
     /// A random sample of the relays that have sent a hello, to name to others.
-    pub(crate) fn sample_heard(&self, count: usize) -> Vec<SocketAddr> {
+    pub fn sample_heard(&self, count: usize) -> Vec<SocketAddr> {
         fastrand::choose_multiple(self.last_hellos.keys().copied(), count)
     }
 
     /// Number of relays that share limits, including this one.
-    pub(crate) fn count(&self) -> usize {
-        1 + self.count_recently_heard(|_| true)
+    pub fn count(&self, now: Time) -> usize {
+        1 + self.count_recently_heard(now, |_| true)
     }
 
     /// Number of other recently heard relays in the availability zones that match.
-    pub(crate) fn count_recently_heard(&self, is: impl Fn(&Name) -> bool) -> usize {
+    pub fn count_recently_heard(&self, now: Time, is: impl Fn(&Name) -> bool) -> usize {
         let recently_heard = self
             .last_hellos
             .values()
-            .filter(|hello| hello.heard_at.elapsed() < SHARE_TTL);
+            .filter(|hello| now.since(hello.heard_at) < SHARE_TTL);
         recently_heard.filter(|hello| is(&hello.zone)).count()
     }
 
+    /// Whether no relay was heard for so long that this one counts as cut off from the others.
+    pub fn is_isolated(&self, now: Time) -> bool {
+        let mut heard = self.last_hellos.values();
+        heard.all(|hello| now.since(hello.heard_at) >= ISOLATION_TIMEOUT)
+    }
+
+    /// The number of relays that are known, this one included, alive or not.
+    pub fn known_count(&self) -> usize {
+        self.known.len() + 1
+    }
+
+    /// Whether the directory's list of relays is contained in what is known.
+    pub fn is_list_complete(&self) -> bool {
+        self.list_read
+    }
+
+    /// The estimated number of relays in the availability zones that match, this one included, if there are as many
+    /// `regions`. A relay that has just started has heard a few of them only, but these state how many they know.
+    pub fn region_size(&self, now: Time, regions: usize, is: impl Fn(&Name) -> bool) -> usize {
+        if self.is_isolated(now) {
+            return 1;
+        }
+        let stated = self.last_hellos.values().map(|hello| hello.relay_count);
+        let known = stated.max().unwrap_or_default().max(self.known_count());
+        let heard = 1 + self.count_recently_heard(now, is);
+        heard.max(known / regions.max(1))
+    }
+
+    /// All known relays, and whether the directory's list is contained in them.
+    pub fn relay_list(&self, own: SocketAddr) -> RelayList {
+        let known = self.known.iter().copied();
+        RelayList {
+            relays: known.chain([own]).collect(),
+            complete: self.list_read,
+        }
+    }
+
+    /// Adds the relays that another relay knows.
+    pub fn merge_list(&mut self, own: SocketAddr, list: RelayList) {
+        self.add_known(own, list.relays);
+        if list.complete {
+            self.set_list_read();
+        }
+    }
+
+    /// A relay that knows more relays than this one, if there is one.
+    pub fn better_informed(&self, now: Time) -> Option<SocketAddr> {
+        let known = self.known_count();
+        let better = self.any_with(now, |hello| {
+            hello.relay_count > known || (hello.list_complete && !self.list_read)
+        });
+        better.or_else(|| self.any_offer(now, |state| state.relay_count as usize > known))
+    }
+
+    /// Any relay that has a configuration, for one that has none.
+    pub fn any_with_config(&self, now: Time) -> Option<SocketAddr> {
+        let relay = self.any_with(now, |hello| hello.version > 0);
+        relay.or_else(|| self.any_offer(now, |state| state.version > 0))
+    }
+
+    /// Any relay that has a list of backend servers, for one that has none.
+    pub fn any_with_servers(&self, now: Time) -> Option<SocketAddr> {
+        let relay = self.any_with(now, |hello| hello.revision.is_known());
+        relay.or_else(|| self.any_offer(now, |state| state.revision.is_known()))
+    }
+
+    fn any_offer(&self, now: Time, has: impl Fn(&StateVersion) -> bool) -> Option<SocketAddr> {
+        let having = self.offers.iter().filter(|(_, (offered_at, state))| {
+            now.since(*offered_at) < ISOLATION_TIMEOUT && has(state)
+        });
+        fastrand::choice(having.map(|(scout, _)| *scout).collect::<Vec<_>>())
+    }
+
+    fn any_with(&self, now: Time, has: impl Fn(&LastHello) -> bool) -> Option<SocketAddr> {
+        let having = self
+            .last_hellos
+            .iter()
+            .filter(|(_, hello)| now.since(hello.heard_at) < ISOLATION_TIMEOUT && has(hello));
+        fastrand::choice(having.map(|(peer, _)| *peer).collect::<Vec<_>>())
+    }
+
     /// The relay with the latest configuration after `version`.
-    pub(crate) fn most_advanced_config(&self, version: u64) -> Option<SocketAddr> {
+    pub fn most_advanced_config(&self, version: u64) -> Option<SocketAddr> {
         self.most_advanced(|hello| hello.version, version)
     }
 
     /// The relay with the latest list of backend servers after `revision`.
-    pub(crate) fn most_advanced_servers(&self, revision: Revision) -> Option<SocketAddr> {
+    pub fn most_advanced_servers(&self, revision: Revision) -> Option<SocketAddr> {
         self.most_advanced(|hello| hello.revision, revision)
     }
 
--- a/lib/src/site.rs
+++ b/lib/src/site.rs
@@ -270,8 +270,9 @@
         wait: Duration,
     ) -> Result<EvacuatedZones>;
 
-    /// Registers the address and role of this process.
-    async fn register(&self, peer: &PeerRecord) -> Result<()>;
+    /// Registers the address and role of this process. `is_new` tells that it was probably never registered, which
+    /// saves a call.
+    async fn register(&self, peer: &PeerRecord, is_new: bool) -> Result<()>;
 
     /// Lists the registered processes. The list may be seconds old.
     async fn peers(&self) -> Result<Vec<PeerRecord>>;
--- a/relay/src/datagram_socket.rs
+++ b/relay/src/datagram_socket.rs
@@ -8,11 +8,15 @@
 use cicada_lib::peer_messages::Datagram;
 use tokio::net::UdpSocket;
 
+use crate::relay_metrics::RelayMetrics;
+
 /// A UDP socket for encoded datagrams. All processes of a deployment use the same port.
 #[derive(Debug)]
 pub(crate) struct DatagramSocket {
     socket: UdpSocket,
     port: u16,
+    // Where sent datagrams are counted, if at all.
+    metrics: Option<RelayMetrics>,
 }
 
 impl DatagramSocket {
@@ -21,9 +25,18 @@
         Ok(DatagramSocket {
             socket: UdpSocket::bind(address).await?,
             port: address.port(),
+            metrics: None,
         })
     }
 
+    /// The same socket, with the datagrams that it sends counted.
+    pub(crate) fn with_metrics(self, metrics: RelayMetrics) -> Self {
+        DatagramSocket {
+            metrics: Some(metrics),
+            ..self
+        }
+    }
+
     /// The datagram address of the process on a host.
     pub(crate) fn address_on(&self, host: IpAddr) -> SocketAddr {
         SocketAddr::new(host, self.port)
@@ -54,6 +67,9 @@
                 return;
             }
         };
+        if let Some(metrics) = &self.metrics {
+            metrics.count_datagrams(datagram.kind(), recipients.len(), bytes.len());
+        }
         for to in recipients {
             if let Err(error) = self.socket.send_to(&bytes, to).await {
                 tracing::debug!(%to, %error, "peers: cannot send a datagram");
--- a/relay/src/directory_watcher.rs
+++ b/relay/src/directory_watcher.rs
@@ -11,14 +11,15 @@
 use cicada_lib::revision::Revision;
 use cicada_lib::site::Directory;
 use cicada_lib::site::DirectoryError;
-use cicada_lib::site::PeerRecord;
 use cicada_lib::site::Result;
 use cicada_lib::site::ServerChanges;
 use cicada_lib::site::ServerListing;
+use cicada_lib::watch_election;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::counted_directory::CountedDirectory;
 use crate::peer_pull;
 use crate::relay::Relay;
 
@@ -36,16 +37,19 @@
 const WATCH_INTERVAL_PER_RELAY: Duration = Duration::from_micros(2_500);
 const MAX_WATCH_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Initial and maximum backoff after a failed call; the backoff is doubled after each failure. The maximum is
-/// meant for a region with few relays and grows with each further `RELAYS_PER_BACKOFF_STEP` relays: together
-/// they notice the store's return as early, with as many calls.
+/// Initial and maximum backoff after a failed call; the backoff is doubled after each failure. That the calls of
+/// all relays together do not grow with their number is up to `watch_election`.
 const MIN_BACKOFF: Duration = Duration::from_millis(40);
 const MAX_BACKOFF: Duration = Duration::from_millis(500);
-const RELAYS_PER_BACKOFF_STEP: u32 = 3;
 
-/// Maximum random delay before a relay takes over the watch of another one. All relays of the region notice
-/// at the same time that the watching relay is gone, and one is enough.
-const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(300);
+/// Interval at which a relay of an unwatched region decides whether to call the directory.
+const TAKEOVER_TICK: Duration = Duration::from_millis(50);
+
+/// How long a relay that has just started waits for the state of other relays. The seeds do not wait.
+const JOIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// After its region was unwatched for this long the directory counts as unreachable to a relay.
+const UNWATCHED_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// After an outage of this length a list may lack servers that are still running: their records have expired,
 /// and are written again as after the directory was restored from an older copy.
@@ -55,13 +59,9 @@
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(400);
 
 /// Interval at which newer state is pulled from other relays, and at which waiting tasks check their
-/// condition.
+/// condition; and the interval while this relay has no state.
 const PULL_INTERVAL: Duration = Duration::from_millis(250);
-
-/// Interval at which the directory's list of relays is read, and the retry interval. Relays also learn of
-/// each other from hellos.
-const PEERS_INTERVAL: Duration = Duration::from_secs(20);
-const PEERS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+const JOIN_PULL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Applies the directory's state to a relay and watches the directory for changes.
 pub struct DirectoryWatcher {
@@ -94,13 +94,15 @@
             relay.set_directory_unreachable(true);
         }
         sleep(self.delay.mul_f64(0.5 + 0.5 * fastrand::f64())).await;
-        self.delay = (self.delay * 2).min(max_backoff(relay));
+        self.delay = (self.delay * 2).min(MAX_BACKOFF);
     }
 }
 
 impl DirectoryWatcher {
     /// Creates a watcher that updates `relay`.
     pub fn new(relay: Arc<Relay>, directory: Arc<dyn Directory>) -> Self {
+        let directory = CountedDirectory::new(directory, relay.metrics().clone());
+        let directory = Arc::new(directory);
         DirectoryWatcher { relay, directory }
     }
 
@@ -110,7 +112,7 @@
             self.watch_config(),
             self.watch_servers(),
             self.watch_evacuations(),
-            self.sync_peers(),
+            self.sync_relays(),
             self.pull_from_peers(),
         );
     }
@@ -124,7 +126,7 @@
         let mut backoff = CallBackoff::new();
         let mut revision: Option<Revision> = None;
         loop {
-            if self.relay.version() > 0 && self.defer_to_watching_relay().await {
+            if self.defer_to_watching_relay().await {
                 revision = None;
                 continue;
             }
@@ -158,20 +160,20 @@
     }
 
     async fn watch_servers(&self) {
+        self.wait_for_peers().await;
         let mut backoff = CallBackoff::new();
         let mut watching = false;
+        let mut unwatched_since = None;
         let mut view = ServerView::default();
         loop {
-            if self.relay.revision().is_known() {
-                watching = self.should_watch(watching).await;
-                // Set only after a successful call: other relays stop watching for this one, which may be
-                // rejected itself.
-                self.relay
-                    .set_watching_directory(watching && view.revision.is_some());
-                if !watching {
-                    view.revision = None;
-                    continue;
-                }
+            watching = self.should_watch(watching, &mut unwatched_since).await;
+            // Set only after a successful call: other relays stop watching for this one, which may be
+            // rejected itself.
+            self.relay
+                .set_watching_directory(watching && view.revision.is_some());
+            if !watching {
+                view.revision = None;
+                continue;
             }
             match self.next_servers(&mut view, &backoff).await {
                 Ok(()) => {
@@ -181,6 +183,8 @@
                 Err(error) => {
                     tracing::info!(%error, "directory: no news of the backend servers");
                     view.revision = None;
+                    // Another relay of the region may reach the directory.
+                    watching = false;
                     self.relay.set_watching_directory(false);
                     backoff.wait_after_failure(&self.relay).await;
                 }
@@ -194,7 +198,7 @@
         if self.relay.is_watching_directory() {
             return false;
         }
-        sleep(PULL_INTERVAL).await;
+        sleep(self.pull_interval()).await;
         true
     }
 
@@ -206,23 +210,52 @@
         }
     }
 
-    /// Whether this relay should watch the directory; `watching` tells whether it does so now. If another
-    /// relay watches, returns false after a pause.
-    async fn should_watch(&self, watching: bool) -> bool {
-        // Without other relays there is no one to coordinate with.
-        let others = self.relay.relays_in_region() > 1;
-        if !watching && others && self.relay.may_watch(watching) {
-            sleep(MAX_TAKEOVER_DELAY.mul_f64(fastrand::f64())).await;
+    /// Waits until this relay has heard of others and had time to pull their state. A relay that all others start from
+    /// does not wait, and one that hears nobody reads who there is.
+    async fn wait_for_peers(&self) {
+        let settings = self.relay.settings();
+        if settings.seeds.is_empty() || settings.seeds.contains(&settings.peer) {
+            return;
+        }
+        let until = Instant::now() + JOIN_TIMEOUT;
+        while Instant::now() < until && !self.relay.has_state() {
+            sleep(JOIN_PULL_INTERVAL).await;
+        }
+        if self.relay.peers().is_isolated(self.relay.now()) {
+            self.list_relays().await;
         }
+    }
+
+    /// Whether this relay should watch the directory; `watching` tells whether it does so now. If another
+    /// relay watches, or it is not this one's turn to try, returns false after a pause.
+    async fn should_watch(&self, watching: bool, unwatched_since: &mut Option<Instant>) -> bool {
         if self.relay.may_watch(watching) {
-            return true;
+            let since = *unwatched_since.get_or_insert_with(Instant::now);
+            let relays = self.relay.relays_in_region();
+            if watching || watch_election::calls_now(TAKEOVER_TICK, relays, fastrand::f64()) {
+                *unwatched_since = None;
+                return true;
+            }
+            if since.elapsed() >= UNWATCHED_TIMEOUT {
+                self.relay.set_directory_unreachable(true);
+            }
+            sleep(TAKEOVER_TICK).await;
+            return false;
         }
+        *unwatched_since = None;
         // The watching relay reaches the directory and passes its state on.
         self.relay.set_directory_unreachable(false);
-        sleep(PULL_INTERVAL).await;
+        sleep(self.pull_interval()).await;
         false
     }
 
+    fn pull_interval(&self) -> Duration {
+        match self.relay.has_state() {
+            true => PULL_INTERVAL,
+            false => JOIN_PULL_INTERVAL,
+        }
+    }
+
     async fn next_servers(&self, view: &mut ServerView, backoff: &CallBackoff) -> Result<()> {
         let Some(after) = view.revision else {
             return self.list_servers(view, backoff).await;
@@ -292,84 +325,60 @@
     }
 
     fn watch_interval(&self) -> Duration {
-        let relays = self.relay.peers().count() as u32;
+        let relays = self.relay.peers().count(self.relay.now()) as u32;
         (WATCH_INTERVAL_PER_RELAY * relays).min(MAX_WATCH_INTERVAL)
     }
 
-    async fn sync_peers(&self) {
-        let own = self.relay.peer_record();
-        let mut eras = self.relay.subscribe_era();
-        let mut registered = false;
-        loop {
-            if !registered {
-                registered = self.register(&own).await;
-            }
-            let pause = match self.directory.peers().await {
-                Ok(peers) => {
-                    let others = peers.into_iter().filter(|p| p.entry).map(|p| p.address);
-                    let mut known = self.relay.peers();
-                    known.add_known(own.address, others);
-                    known.set_list_read();
-                    drop(known);
-                    self.relay.update_entry_shares();
-                    PEERS_INTERVAL
-                }
-                Err(error) => {
-                    tracing::info!(%error, "directory: cannot read the list of relays");
-                    PEERS_RETRY_INTERVAL
-                }
-            };
-            tokio::select! {
-                () = sleep(if registered { pause } else { PEERS_RETRY_INTERVAL }) => {}
-                _ = eras.changed() => {
-                    // The directory may have lost this relay's record, like those of all other relays.
-                    registered = false;
-                    sleep(PEERS_RETRY_INTERVAL.mul_f64(fastrand::f64())).await;
-                }
-            }
-        }
-    }
-
-    async fn register(&self, own: &PeerRecord) -> bool {
-        match self.directory.register(own).await {
-            Ok(()) => true,
-            Err(error) => {
-                tracing::info!(%error, "directory: cannot register this relay");
-                false
-            }
-        }
-    }
-
     /// Pulls state from other relays that is newer than this relay's.
     async fn pull_from_peers(&self) {
         // The versions one round ago. State is pulled only if they have not changed since: a relay with a
         // working watch has caught up by then.
         let (mut version, mut revision) = (0, Revision::default());
         loop {
-            sleep(PULL_INTERVAL).await;
-            let ahead = self
-                .relay
-                .peers()
-                .most_advanced_config(self.relay.version());
-            if let Some(peer) = ahead.filter(|_| self.relay.version() == version) {
-                self.pull_from(peer, &PeerRequest::Config(version)).await;
+            sleep(self.pull_interval()).await;
+            if let Some(peer) = self.config_source(version) {
+                let known = self.relay.version();
+                self.pull_from(peer, &PeerRequest::Config(known)).await;
             }
-            let ahead = self
-                .relay
-                .peers()
-                .most_advanced_servers(self.relay.revision());
-            if let Some(peer) = ahead.filter(|_| self.relay.revision() == revision) {
-                self.pull_from(peer, &PeerRequest::Servers(revision)).await;
+            if let Some(peer) = self.server_source(revision) {
+                let known = self.relay.revision();
+                self.pull_from(peer, &PeerRequest::Servers(known)).await;
             }
             version = self.relay.version();
             revision = self.relay.revision();
         }
     }
 
-    async fn pull_from(&self, peer: SocketAddr, question: &PeerRequest) {
+    /// The relay to pull the configuration from, if that one has a later version and this one still has `before`. A
+    /// relay without one asks any, so that not all of them ask the same.
+    fn config_source(&self, before: u64) -> Option<SocketAddr> {
+        let (now, known) = (self.relay.now(), self.relay.version());
+        let peers = self.relay.peers();
+        match known {
+            0 => peers.any_with_config(now),
+            _ => peers
+                .most_advanced_config(known)
+                .filter(|_| known == before),
+        }
+    }
+
+    /// The same for the list of backend servers.
+    fn server_source(&self, before: Revision) -> Option<SocketAddr> {
+        let (now, known) = (self.relay.now(), self.relay.revision());
+        let peers = self.relay.peers();
+        match known.is_known() {
+            false => peers.any_with_servers(now),
+            true => peers
+                .most_advanced_servers(known)
+                .filter(|_| known == before),
+        }
+    }
+
+    pub(crate) async fn pull_from(&self, peer: SocketAddr, question: &PeerRequest) {
         let before = self.relay.revision();
         match peer_pull::request(peer, question).await {
-            Ok(PeerResponse::Nothing) => {}
+            Ok(PeerResponse::Nothing | PeerResponse::Busy) => {}
+            Ok(PeerResponse::Relays(list)) => self.relay.merge_relays(list),
             Ok(PeerResponse::Config(config)) => {
                 tracing::info!(%peer, version = config.version, "peers: a configuration came from a relay");
                 self.relay.set_config(config);
@@ -388,15 +397,6 @@
     }
 }
 
-/// The maximum backoff. Short for a relay that is not ready yet, since it serves no requests until a call
-/// succeeds.
-fn max_backoff(relay: &Relay) -> Duration {
-    match relay.is_ready() {
-        true => MAX_BACKOFF * (1 + relay.relays_in_region() as u32 / RELAYS_PER_BACKOFF_STEP),
-        false => MAX_BACKOFF,
-    }
-}
-
 /// State of the watch on the backend servers.
 #[derive(Default)]
 struct ServerView {
--- a/relay/src/evacuation_watcher.rs
+++ b/relay/src/evacuation_watcher.rs
@@ -39,7 +39,7 @@
         let mut backoff = CallBackoff::new();
         let mut view = EvacuationView::default();
         loop {
-            if self.relay.evacuated().is_known() && self.defer_to_watching_relay().await {
+            if self.defer_to_watching_relay().await {
                 view.known = None;
                 continue;
             }
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -12,6 +12,7 @@
 use cicada_lib::peer_messages::RelayHello;
 use cicada_lib::peer_messages::ServerUpdate;
 use cicada_lib::peer_messages::Subscription;
+use cicada_lib::state_holders;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -51,9 +52,8 @@
 /// receives.
 const RELAYS_NAMING_NEIGHBOURS: f64 = 3.0;
 
-/// If there are more engines than this in all regions, a relay subscribes only to those of its own region and
-/// to those elsewhere that run requests of its own. To place a stream in another region it probes engines
-/// there.
+/// If there are more engines than this in its own region, or in all regions, a relay subscribes there only to those
+/// that run requests of its own. To place a stream it probes the scouts of others.
 const MAX_SUBSCRIBED_ENGINES: usize = 64;
 
 /// Sends and receives a relay's datagrams.
@@ -66,9 +66,10 @@
 impl PeerNet {
     /// Binds the socket to `peer`. All other processes use the same port.
     pub(crate) async fn bind(relay: Arc<Relay>, peer: SocketAddr) -> std::io::Result<Self> {
+        let socket = DatagramSocket::bind(peer).await?;
         Ok(PeerNet {
+            socket: socket.with_metrics(relay.metrics().clone()),
             relay,
-            socket: DatagramSocket::bind(peer).await?,
             probes: ZoneProbes::default(),
         })
     }
@@ -127,33 +128,36 @@
         self.relay.fleet().remove_silent_engines(now);
         let groups = self.relay.engine_groups();
         let total = groups.iter().map(|group| group.engines.len()).sum();
+        let names_neighbours = self.names_neighbours();
         for group in groups {
-            let engines = self.engines_to_subscribe(&group, total);
-            let neighbours = match group.in_own_region && self.names_neighbours() {
-                true => group
-                    .engines
-                    .iter()
-                    .copied()
-                    .take(MAX_NAMED_NEIGHBOURS)
-                    .collect(),
-                false => Vec::new(),
-            };
-            self.subscribe_to(&group, &engines, neighbours).await;
+            if group.in_own_region && names_neighbours {
+                let neighbours = group.engines.iter().copied().take(MAX_NAMED_NEIGHBOURS);
+                self.subscribe_to(&group, &group.engines, neighbours.collect())
+                    .await;
+            } else {
+                let engines = self.engines_to_subscribe(&group, total);
+                self.subscribe_to(&group, &engines, Vec::new()).await;
+            }
         }
     }
 
-    /// The engines of a group whose reports this relay needs, if `total` engines are known.
+    /// The engines of a group whose reports this relay needs, if `total` engines are known: all of them in a small
+    /// deployment.
     fn engines_to_subscribe(&self, group: &EngineGroup, total: usize) -> Vec<SocketAddr> {
         let mut engines = group.engines.clone();
-        if !group.in_own_region && total > MAX_SUBSCRIBED_ENGINES {
+        let few = match group.in_own_region {
+            true => group.engines.len() <= MAX_SUBSCRIBED_ENGINES,
+            false => total <= MAX_SUBSCRIBED_ENGINES,
+        };
+        if !few {
             let fleet = self.relay.fleet();
-            engines.retain(|engine| fleet.has_open_requests_at(*engine));
+            engines.retain(|engine| fleet.needs_reports_of(*engine));
         }
         engines
     }
 
-    /// Whether this relay names neighbours in this round. Each relay of the region decides at random, so that
-    /// on average `RELAYS_NAMING_NEIGHBOURS` do.
+    /// Whether this relay names neighbours in this round, to all engines of its region. Each relay of the region decides
+    /// at random, so that on average `RELAYS_NAMING_NEIGHBOURS` do.
     fn names_neighbours(&self) -> bool {
         let relays = self.relay.relays_in_region();
         fastrand::f64() * (relays as f64) < RELAYS_NAMING_NEIGHBOURS
@@ -186,34 +190,61 @@
         engines: &[SocketAddr],
         neighbours: Vec<SocketAddr>,
     ) {
-        let datagram = Datagram::Subscribe(Subscription {
+        let subscription = Subscription {
             neighbours,
             health: Some(group.health_path.clone()),
             cold: Some(group.cold_period.as_millis() as u32),
             evacuated: self.relay.evacuated(),
             limited: group.limited_engines.clone(),
-        });
-        let scouts = self.socket.addresses_of(engines);
-        self.socket.send(&datagram, &scouts).await;
+            state: None,
+        };
+        let (holding, others) = match group.in_own_region {
+            true => {
+                let holders = state_holders::holders(&group.engines);
+                engines.iter().partition(|engine| holders.contains(engine))
+            }
+            false => (Vec::new(), engines.to_vec()),
+        };
+        let with_state = Subscription {
+            state: Some(self.relay.state_version()),
+            ..subscription.clone()
+        };
+        for (subscription, engines) in [(with_state, holding), (subscription, others)] {
+            let scouts = self.socket.addresses_of(&engines);
+            let datagram = Datagram::Subscribe(subscription);
+            self.socket.send(&datagram, &scouts).await;
+        }
     }
 
     async fn send_hello(&self) {
         self.relay.record_heartbeat();
         self.relay.update_entry_shares();
-        let datagram = Datagram::Hello(RelayHello {
+        let datagram = self.hello();
+        if self.relay.is_watching_directory() {
+            self.send_to_region(&datagram).await;
+        }
+        self.gossip(&datagram).await;
+    }
+
+    fn hello(&self) -> Datagram {
+        // Each lock is released before the next call.
+        let peers = self.relay.peers();
+        let known_relays = peers.sample_heard(MAX_NAMED_RELAYS);
+        let (relay_count, list_complete) = (peers.known_count() as u32, peers.is_list_complete());
+        drop(peers);
+        Datagram::Hello(RelayHello {
             zone: self.relay.settings().place.zone.clone(),
             watches_directory: self.relay.is_watching_directory(),
+            watchers: self.relay.watch_statements(),
+            relay_count,
+            list_complete,
             version: self.relay.version(),
             revision: self.relay.revision(),
-            known_relays: self.relay.peers().sample_heard(MAX_NAMED_RELAYS),
+            known_relays,
             evacuated: self.relay.evacuated(),
             limits: self.relay.limit_reports(),
             leaving: self.relay.leaving_reports(),
-        });
-        if self.relay.is_watching_directory() {
-            self.send_to_region(&datagram).await;
-        }
-        self.gossip(&datagram).await;
+        })
     }
 
     /// Announces to the relays of the zone which callers this one has rejected: they may retry there.
@@ -227,15 +258,20 @@
 
     async fn send_to_zone(&self, datagram: &Datagram) {
         let own = &self.relay.settings().place.zone;
-        let peers = self.relay.peers().recently_heard_in(|zone| zone == own);
+        let now = self.relay.now();
+        let peers = self
+            .relay
+            .peers()
+            .recently_heard_in(now, |zone| zone == own);
         self.socket.send(datagram, &peers).await;
     }
 
     async fn send_to_region(&self, datagram: &Datagram) {
+        let now = self.relay.now();
         let peers = self
             .relay
             .peers()
-            .recently_heard_in(|zone| self.relay.is_in_own_region(zone));
+            .recently_heard_in(now, |zone| self.relay.is_in_own_region(zone));
         self.socket.send(datagram, &peers).await;
     }
 
@@ -279,7 +315,8 @@
     /// Measures the round trip to each other availability zone.
     async fn send_zone_probes(&mut self) {
         let own = &self.relay.settings().place.zone;
-        let peers = self.relay.peers().sample_other_zones(own);
+        let now = self.relay.now();
+        let peers = self.relay.peers().sample_other_zones(now, own);
         for (peer, zone) in peers {
             let sequence = self.probes.start(self.relay.now(), peer, zone);
             self.socket.send(&Datagram::Ping(sequence), &[peer]).await;
@@ -297,6 +334,7 @@
                     self.relay.fleet().record_round_trip(now, &zone, took);
                 }
             }
+            Ok(Datagram::Hello(hello)) => self.handle_hello(from, hello).await,
             _ => {
                 if let Some(datagram) = self.apply_datagram(bytes, from) {
                     self.gossip(&datagram).await;
@@ -305,6 +343,31 @@
         }
     }
 
+    /// Applies another relay's hello. One that has just started is answered at once: it may know few other relays, and
+    /// would otherwise hear of their state by chance.
+    async fn handle_hello(&self, from: SocketAddr, hello: RelayHello) {
+        self.apply_hello(from, &hello);
+        let starts = hello.version == 0 || !hello.revision.is_known();
+        let knows_more = hello.relay_count < self.relay.peers().known_count() as u32;
+        if starts && (self.relay.has_state() || knows_more) {
+            self.socket.send(&self.hello(), &[from]).await;
+        }
+    }
+
+    fn apply_hello(&self, from: SocketAddr, hello: &RelayHello) {
+        let (now, own) = (self.relay.now(), self.relay.settings().peer);
+        let mut peers = self.relay.peers();
+        peers.record_hello(now, from, hello);
+        peers.add_known(own, hello.known_relays.iter().copied());
+        drop(peers);
+        self.relay.record_watchers(from, hello);
+        self.relay.set_evacuated(&hello.evacuated);
+        self.relay.apply_limit_reports(from, &hello.limits);
+        self.relay.apply_leaving_reports(from, &hello.leaving);
+        self.relay
+            .record_peer_versions(hello.version, hello.revision);
+    }
+
     /// Applies a datagram to the relay's state and returns the datagram to pass on, if any.
     fn apply_datagram(&self, bytes: &[u8], from: SocketAddr) -> Option<Datagram> {
         match peer_messages::decode(bytes) {
@@ -327,6 +390,7 @@
                 self.relay.recent_rejections().merge(now, &returns);
             }
             Ok(Datagram::ServerUpdate(news)) => self.relay.handle_server_news(&news),
+            Ok(Datagram::StateOffer(offer)) => self.relay.record_offer(from, &offer),
             Ok(Datagram::RequestSent(notice)) => self.relay.record_sent_elsewhere(&notice),
             Ok(Datagram::Announcement(here)) if here.address.ip() == from.ip() => {
                 self.relay.handle_announcement(&here);
@@ -339,17 +403,6 @@
             Ok(Datagram::ForwardedAnnouncement(here)) if self.relay.handle_announcement(&here) => {
                 return Some(Datagram::ForwardedAnnouncement(here));
             }
-            Ok(Datagram::Hello(hello)) => {
-                let mut peers = self.relay.peers();
-                peers.record_hello(from, &hello);
-                peers.add_known(self.relay.settings().peer, hello.known_relays);
-                drop(peers);
-                self.relay.set_evacuated(&hello.evacuated);
-                self.relay.apply_limit_reports(from, &hello.limits);
-                self.relay.apply_leaving_reports(from, &hello.leaving);
-                self.relay
-                    .record_peer_versions(hello.version, hello.revision);
-            }
             Ok(_) => {}
             Err(error) => tracing::debug!(%from, %error, "peers: ignored an undecodable datagram"),
         }
--- a/relay/src/peer_pull.rs
+++ b/relay/src/peer_pull.rs
@@ -16,6 +16,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -29,19 +30,30 @@
 const MAX_REQUEST_SIZE: u32 = 1_024;
 const MAX_RESPONSE_SIZE: u32 = 16 * 1_024 * 1_024;
 
+/// Responses that are sent at the same time. After a restart of all relays each would otherwise share its link between
+/// hundreds that ask, and none of them would get its response in time.
+const MAX_CONCURRENT_PULLS: usize = 8;
+
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Serves requests of other relays until the process ends.
-pub(crate) async fn serve(relay: Arc<Relay>, listener: TcpListener) {
+/// What answers requests for state.
+pub(crate) trait StateSource: Send + Sync {
+    /// The response to a request.
+    fn respond(&self, request: &PeerRequest) -> PeerResponse;
+}
+
+/// Serves requests of other processes until this one ends.
+pub(crate) async fn serve(source: Arc<dyn StateSource>, listener: TcpListener) {
+    let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_PULLS));
     loop {
         let Ok((stream, from)) = listener.accept().await else {
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let relay = relay.clone();
+        let (source, permits) = (source.clone(), permits.clone());
         tokio::spawn(async move {
-            let outcome = timeout(REQUEST_TIMEOUT, respond(&relay, stream)).await;
+            let outcome = timeout(REQUEST_TIMEOUT, respond(&*source, &permits, stream)).await;
             match outcome {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => tracing::debug!(%from, %error, "peers: a request failed"),
@@ -67,24 +79,42 @@
         .wrap_err("no response in time")?
 }
 
-async fn respond(relay: &Relay, mut stream: TcpStream) -> eyre::Result<()> {
+async fn respond(
+    source: &dyn StateSource,
+    permits: &Semaphore,
+    mut stream: TcpStream,
+) -> eyre::Result<()> {
     let bytes = read_message(&mut stream, MAX_REQUEST_SIZE).await?;
-    let response = match peer_messages::decode(&bytes)? {
-        PeerRequest::Config(version) if relay.version() > version => {
-            PeerResponse::Config(relay.table().config().clone())
-        }
-        PeerRequest::Servers(revision) if relay.revision() > revision => {
-            let changes = relay.changes_since(revision);
-            changes.map_or_else(
-                || PeerResponse::Servers(relay.listing()),
-                PeerResponse::Changes,
-            )
-        }
-        PeerRequest::Config(_) | PeerRequest::Servers(_) => PeerResponse::Nothing,
+    let request = peer_messages::decode(&bytes)?;
+    let permit = permits.try_acquire();
+    let response = match &permit {
+        Ok(_) => source.respond(&request),
+        Err(_) => PeerResponse::Busy,
     };
     write_message(&mut stream, &peer_messages::encode(&response)?).await
 }
 
+impl StateSource for Relay {
+    fn respond(&self, request: &PeerRequest) -> PeerResponse {
+        match request {
+            PeerRequest::Relays => {
+                PeerResponse::Relays(self.peers().relay_list(self.settings().peer))
+            }
+            PeerRequest::Config(version) if self.version() > *version => {
+                PeerResponse::Config(self.table().config().clone())
+            }
+            PeerRequest::Servers(revision) if self.revision() > *revision => {
+                let changes = self.changes_since(*revision);
+                changes.map_or_else(
+                    || PeerResponse::Servers(self.listing()),
+                    PeerResponse::Changes,
+                )
+            }
+            PeerRequest::Config(_) | PeerRequest::Servers(_) => PeerResponse::Nothing,
+        }
+    }
+}
+
 async fn write_message(stream: &mut TcpStream, bytes: &[u8]) -> eyre::Result<()> {
     stream.write_u32(u32::try_from(bytes.len())?).await?;
     stream.write_all(bytes).await?;
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -22,6 +22,7 @@
 use cicada_lib::peer_messages::RequestSent;
 use cicada_lib::peer_messages::ServerUpdate;
 use cicada_lib::recent_rejections::RecentRejections;
+use cicada_lib::relay_peers::RelayPeers;
 use cicada_lib::residency::AllowedRegions;
 use cicada_lib::retry_window::RetryWindow;
 use cicada_lib::revision::EraTracker;
@@ -30,6 +31,7 @@
 use cicada_lib::stream_admission::RetryPacer;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
+use cicada_lib::watch_election::WatchElection;
 use cicada_lib::workspace_usage::WorkspaceUsage;
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
@@ -42,7 +44,6 @@
 use crate::moved_runs::MovedRuns;
 use crate::peer_net::PeerNet;
 use crate::peer_pull;
-use crate::peers::Peers;
 use crate::relay_metrics::RelayMetrics;
 use crate::relay_settings::Policy;
 use crate::relay_settings::RelaySettings;
@@ -121,7 +122,9 @@
     // Incremented when the list of servers, or what is known of servers that leave, changes.
     pub(crate) leaving_changes: watch::Sender<u64>,
     pub(crate) moved_runs: MovedRuns,
-    pub(crate) peers: Mutex<Peers>,
+    pub(crate) peers: Mutex<RelayPeers>,
+    // The watchers of this relay's region.
+    pub(crate) election: Mutex<WatchElection>,
     // Queues of messages to other processes. `receivers` has the receiving ends until the sending task takes them.
     pub(crate) sent_queue: mpsc::Sender<SentNotice>,
     pub(crate) ended_queue: mpsc::Sender<RequestOutcome>,
@@ -191,6 +194,7 @@
             leaving_changes: watch::Sender::new(0),
             moved_runs: MovedRuns::new(),
             peers: Mutex::default(),
+            election: Mutex::default(),
             revision: Mutex::default(),
             era: watch::Sender::new(EraTracker::default()),
             change_log: Mutex::default(),
@@ -293,9 +297,12 @@
 
     /// Whether the entry takes new connections: it has a configuration and a list of servers, and does not drain.
     pub fn is_ready(&self) -> bool {
-        let has_state =
-            self.table.load().has_config() && self.has_server_list.load(Ordering::Relaxed);
-        has_state && !self.is_draining()
+        self.has_state() && !self.is_draining()
+    }
+
+    /// Whether the entry has a configuration and a list of servers.
+    pub(crate) fn has_state(&self) -> bool {
+        self.table.load().has_config() && self.has_server_list.load(Ordering::Relaxed)
     }
 
     pub(crate) fn settings(&self) -> &RelaySettings {
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -24,6 +24,9 @@
     limited_servers: IntGauge,
     held_bytes: IntGauge,
     leaving: IntCounterVec,
+    directory_calls: IntCounterVec,
+    datagrams: IntCounterVec,
+    datagram_bytes: IntCounterVec,
     rests: IntCounter,
     first_response_time: Histogram,
     move_gap: Histogram,
@@ -75,6 +78,23 @@
                 "Backend servers that this relay learned to be leaving, but for the directory's list",
                 "source",
             )?,
+            directory_calls: IntCounterVec::new(
+                Opts::new(
+                    "relay_directory_calls_total",
+                    "Calls to the directory; a list of several pages counts as one",
+                ),
+                &["call", "outcome"],
+            )?,
+            datagrams: counter(
+                "relay_datagrams_total",
+                "Datagrams sent to other processes",
+                "kind",
+            )?,
+            datagram_bytes: counter(
+                "relay_datagram_bytes_total",
+                "Bytes of these, without headers",
+                "kind",
+            )?,
             rests: IntCounter::new(
                 "relay_rests_total",
                 "Refusals by backend servers that asked this relay for rest",
@@ -93,6 +113,9 @@
         registry.register(Box::new(metrics.load_probes.clone()))?;
         registry.register(Box::new(metrics.first_events.clone()))?;
         registry.register(Box::new(metrics.leaving.clone()))?;
+        registry.register(Box::new(metrics.directory_calls.clone()))?;
+        registry.register(Box::new(metrics.datagrams.clone()))?;
+        registry.register(Box::new(metrics.datagram_bytes.clone()))?;
         registry.register(Box::new(metrics.rests.clone()))?;
         registry.register(Box::new(metrics.open_requests.clone()))?;
         registry.register(Box::new(metrics.limited_servers.clone()))?;
@@ -154,6 +177,20 @@
         self.leaving.with_label_values(&[source]).inc();
     }
 
+    /// Counts a call to the directory by its kind and outcome.
+    pub(crate) fn count_directory_call(&self, call: &str, outcome: &str) {
+        self.directory_calls
+            .with_label_values(&[call, outcome])
+            .inc();
+    }
+
+    /// Counts datagrams of a kind that were sent, and their bytes.
+    pub(crate) fn count_datagrams(&self, kind: &str, datagrams: usize, bytes: usize) {
+        let (count, sum) = (datagrams as u64, (datagrams * bytes) as u64);
+        self.datagrams.with_label_values(&[kind]).inc_by(count);
+        self.datagram_bytes.with_label_values(&[kind]).inc_by(sum);
+    }
+
     /// Counts a refusal that asks for rest.
     pub(crate) fn count_rest(&self) {
         self.rests.inc();
--- a/relay/src/relay_settings.rs
+++ b/relay/src/relay_settings.rs
@@ -22,6 +22,8 @@
     pub ready: SocketAddr,
     /// The entry's availability zone, and the region of each zone.
     pub place: Location,
+    /// Whether the whole deployment starts for the first time, so that nothing is registered yet.
+    pub first_start: bool,
     /// The host's memory in bytes; zero if it is not known.
     pub memory: usize,
     /// Settings that may change while the relay runs.
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -9,7 +9,10 @@
 use std::time::Duration;
 
 use cicada_lib::ids::Name;
+use cicada_lib::peer_messages::RelayHello;
+use cicada_lib::peer_messages::RelayList;
 use cicada_lib::peer_messages::ServerUpdate;
+use cicada_lib::relay_peers::RelayPeers;
 use cicada_lib::revision::EraTracker;
 use cicada_lib::revision::Revision;
 use cicada_lib::route_table::RouteTable;
@@ -17,11 +20,13 @@
 use cicada_lib::site::ServerChanges;
 use cicada_lib::site::ServerListing;
 use cicada_lib::site::SiteConfig;
+use cicada_lib::state_holders::StateOffer;
+use cicada_lib::state_holders::StateVersion;
+use cicada_lib::watch_election::WatchStatement;
 use cicada_lib::zone_evacuation::EvacuatedZones;
 use tokio::sync::watch;
 
 use crate::lock::lock;
-use crate::peers::Peers;
 use crate::relay::Relay;
 
 /// Maximum number of rate-limited engines listed for a group, so that the message fits into one datagram.
@@ -196,9 +201,8 @@
 
     /// Whether this relay may watch the directory on behalf of its region. `watching` tells whether it does so now.
     pub(crate) fn may_watch(&self, watching: bool) -> bool {
-        let own = self.settings.peer;
-        self.peers()
-            .may_watch(own, watching, |zone| self.is_in_own_region(zone))
+        let (now, relays) = (self.now(), self.relays_in_region());
+        lock(&self.election).may_watch(now, self.settings.peer, watching, relays)
     }
 
     /// Whether the availability zone is in this relay's region.
@@ -208,14 +212,53 @@
     }
 
     /// The other relays. The lock is held for microseconds.
-    pub(crate) fn peers(&self) -> MutexGuard<'_, Peers> {
+    pub(crate) fn peers(&self) -> MutexGuard<'_, RelayPeers> {
         lock(&self.peers)
     }
 
-    /// Number of relays in this region that were recently heard from, including this one.
+    /// Whether another relay of this region watches the directory.
+    pub(crate) fn is_region_watched(&self) -> bool {
+        let (now, relays) = (self.now(), self.relays_in_region());
+        lock(&self.election).is_watched(now, self.settings.peer, relays)
+    }
+
+    /// Records what another relay states about itself and about the watchers of its region. If this relay learns from it
+    /// that its region is watched, others that may not know are told at once.
+    pub(crate) fn record_watchers(&self, from: SocketAddr, hello: &RelayHello) {
+        if !self.is_in_own_region(&hello.zone) {
+            return;
+        }
+        let (now, own) = (self.now(), self.settings.peer);
+        let relays = self.relays_in_region();
+        let mut election = lock(&self.election);
+        let before = election.is_watched(now, own, relays);
+        election.record(now, from, hello.watches_directory, Duration::ZERO);
+        for statement in hello.watchers.iter().filter(|s| s.relay != own) {
+            let age = Duration::from_millis(u64::from(statement.age_ms));
+            election.record(now, statement.relay, statement.watches, age);
+        }
+        if !before && election.is_watched(now, own, relays) {
+            self.hello_due.notify_one();
+        }
+    }
+
+    /// What is known of the watchers of this region, to be passed on.
+    pub(crate) fn watch_statements(&self) -> Vec<WatchStatement> {
+        let (now, relays) = (self.now(), self.relays_in_region());
+        lock(&self.election).statements(now, relays)
+    }
+
+    /// Estimated number of relays in this region, including this one; one if this relay hears no other.
     pub(crate) fn relays_in_region(&self) -> usize {
-        let peers = self.peers();
-        1 + peers.count_recently_heard(|zone| self.is_in_own_region(zone))
+        let now = self.now();
+        let regions = self.settings.place.region_count();
+        let near = |zone: &Name| self.is_in_own_region(zone);
+        self.peers().region_size(now, regions, near)
+    }
+
+    /// Estimated number of relays of the deployment, including this one.
+    pub(crate) fn relay_count(&self) -> usize {
+        self.relays_in_region() * self.settings.place.region_count()
     }
 
     /// The evacuated availability zones.
@@ -252,6 +295,40 @@
         }
     }
 
+    /// Which state this relay has.
+    pub(crate) fn state_version(&self) -> StateVersion {
+        StateVersion {
+            version: self.version(),
+            revision: self.revision(),
+            relay_count: self.peers().known_count() as u32,
+        }
+    }
+
+    /// Records a scout's offer of the state that it holds, for a relay that has none.
+    pub(crate) fn record_offer(&self, scout: SocketAddr, offer: &StateOffer) {
+        if self.has_state() && self.peers().is_list_complete() {
+            return;
+        }
+        let now = self.now();
+        self.peers().record_offer(now, scout, offer.state.clone());
+        self.set_evacuated(&offer.evacuated);
+    }
+
+    /// Adds the relays of the directory's list.
+    pub(crate) fn add_listed_relays(&self, relays: impl Iterator<Item = SocketAddr>) {
+        let mut peers = self.peers();
+        peers.add_known(self.settings.peer, relays);
+        peers.set_list_read();
+        drop(peers);
+        self.update_entry_shares();
+    }
+
+    /// Adds the relays that another process knows.
+    pub(crate) fn merge_relays(&self, list: RelayList) {
+        self.peers().merge_list(self.settings.peer, list);
+        self.update_entry_shares();
+    }
+
     /// The record by which other processes find this relay.
     pub(crate) fn peer_record(&self) -> PeerRecord {
         PeerRecord {
--- a/relay/src/run_mover.rs
+++ b/relay/src/run_mover.rs
@@ -66,6 +66,11 @@
         self.lock().insert(report.engine.address, neighbour);
     }
 
+    /// The evacuated availability zones.
+    pub(crate) fn evacuated(&self) -> EvacuatedZones {
+        lock(&self.evacuated).clone()
+    }
+
     /// Applies which availability zones are evacuated, if newer than what is known.
     pub(crate) fn set_evacuated(&self, evacuated: &EvacuatedZones) {
         let change = lock(&self.evacuated).update(evacuated);
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -26,8 +26,10 @@
 use cicada_lib::peer_messages::MovedRun;
 use cicada_lib::peer_messages::ScoutReport;
 use cicada_lib::peer_messages::Subscription;
+use cicada_lib::state_holders::StateOffer;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -35,8 +37,11 @@
 use tokio::time::interval;
 use tokio::time::sleep;
 
+use crate::caller_server;
 use crate::datagram_socket::DatagramSocket;
+use crate::held_state::HeldState;
 use crate::identity::IdentityTracker;
+use crate::peer_pull;
 use crate::run_mover;
 use crate::run_mover::MoveNotice;
 use crate::run_mover::Neighbours;
@@ -68,6 +73,9 @@
 /// and a relay that missed the message would give up the run.
 const RETRANSMIT_DELAYS: [Duration; 2] = [Duration::from_millis(15), Duration::from_millis(60)];
 
+/// Interval between offers of the held state while no relay is heard.
+const OFFER_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Number of past moves that are kept for relays that ask about a run.
 const MAX_REMEMBERED_MOVES: usize = 256;
 
@@ -105,6 +113,11 @@
     pub(crate) last_sent_notice: Instant,
     pub(crate) clock: Clock,
     pub(crate) past_moves: Vec<MovedRun>,
+    pub(crate) held: Arc<HeldState>,
+    // When the held state was last offered.
+    pub(crate) last_offer: Option<Instant>,
+    // Takes connections of relays that pull the held state, until they are served.
+    listener: Option<TcpListener>,
     pub(crate) mover_events: mpsc::Receiver<MoveNotice>,
     pub(crate) mover_events_tx: mpsc::Sender<MoveNotice>,
 }
@@ -142,6 +155,9 @@
             last_sent_notice: now,
             clock: Clock::new(),
             past_moves: Vec::new(),
+            held: Arc::default(),
+            last_offer: None,
+            listener: Some(caller_server::listen(peer)?),
             mover_events,
             mover_events_tx,
         })
@@ -149,6 +165,9 @@
 
     /// Polls the engine and serves subscribers until the process ends.
     pub async fn run(mut self) {
+        if let Some(listener) = self.listener.take() {
+            tokio::spawn(peer_pull::serve(self.held.clone(), listener));
+        }
         let mut polls = interval(POLL_INTERVAL);
         polls.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let socket = self.socket.clone();
@@ -238,6 +257,9 @@
         }
         self.neighbours.set_evacuated(&subscription.evacuated);
         self.neighbours.record_limited(&subscription.limited);
+        if let Some(state) = &subscription.state {
+            self.held.record(from, state);
+        }
         if self.subscribers.insert(from, now).is_some() {
             return;
         }
@@ -254,7 +276,25 @@
         }
     }
 
+    /// Offers the held state to the seeds and the relays heard last, if no relay is heard any more.
+    async fn offer_state(&mut self) {
+        let due = self
+            .last_offer
+            .is_none_or(|at| at.elapsed() >= OFFER_INTERVAL);
+        let Some((state, relays)) = self.held.offer().filter(|_| due) else {
+            return;
+        };
+        self.last_offer = Some(Instant::now());
+        let datagram = Datagram::StateOffer(StateOffer {
+            state,
+            evacuated: self.neighbours.evacuated(),
+        });
+        self.socket.send(&datagram, &self.seeds).await;
+        self.socket.send(&datagram, &relays).await;
+    }
+
     async fn poll(&mut self) {
+        self.offer_state().await;
         self.identity.record_poll(self.clock.now());
         self.subscribers
             .retain(|_, subscribed_at| subscribed_at.elapsed() < SUBSCRIPTION_TTL);
