--- a/lib/tests/relay_sim/mod.rs
+++ b/lib/tests/relay_sim/mod.rs
@@ -20,7 +20,7 @@
 use cicada_lib::zone_evacuation::EvacuatedZones;
 
 /// Regions, and one-way delays within one and between two of them, in milliseconds.
-pub const REGIONS: usize = 3;
+pub(crate) const REGIONS: usize = 3;
 const NEAR_MS: u64 = 1;
 const FAR_MS: u64 = 30;
 
@@ -136,34 +136,34 @@
 
 /// What the simulation counts.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
+pub(crate) struct Counts {
     /// Calls to the directory.
-    pub calls: u64,
+    pub(crate) calls: u64,
     /// Relays that began to watch.
-    pub takeovers: u64,
+    pub(crate) takeovers: u64,
     /// Datagrams between relays, and their bytes.
-    pub datagrams: u64,
+    pub(crate) datagrams: u64,
     /// Bytes of these.
-    pub bytes: u64,
+    pub(crate) bytes: u64,
 }
 
 /// A deployment of relays.
-pub struct Deployment {
+pub(crate) struct Deployment {
     now: u64,
     relays: Vec<Relay>,
     /// Whether the directory answers.
-    pub served: bool,
+    pub(crate) served: bool,
     /// The version that the directory has.
-    pub latest: u64,
+    pub(crate) latest: u64,
     /// What was counted so far.
-    pub counts: Counts,
+    pub(crate) counts: Counts,
     // Datagrams on their way, by the time of their arrival.
     network: BTreeMap<u64, Vec<(usize, usize, RelayHello)>>,
 }
 
 impl Deployment {
     /// All relays start within 0.3 s.
-    pub fn start(relays: usize, seed: u64) -> Self {
+    pub(crate) fn start(relays: usize, seed: u64) -> Self {
         fastrand::seed(seed);
         let relays = (0..relays).map(|n| Relay::new(n, fastrand::u64(..300), fastrand::u64(..400)));
         Deployment {
@@ -177,7 +177,7 @@
     }
 
     /// Kills all relays; they start again after a moment.
-    pub fn kill_all(&mut self) {
+    pub(crate) fn kill_all(&mut self) {
         self.network.clear();
         for relay in &mut self.relays {
             let started = self.now + 500 + fastrand::u64(..300);
@@ -186,7 +186,7 @@
     }
 
     /// Lets scouts offer the state that they hold to the seeds.
-    pub fn offer_state(&mut self) {
+    pub(crate) fn offer_state(&mut self) {
         let (at, version) = (millis(self.now), self.latest);
         let state = StateVersion {
             version,
@@ -199,7 +199,7 @@
     }
 
     /// Runs for so long, or until all relays have the directory's latest state; returns the time that it took.
-    pub fn run_until_all_know(&mut self, limit: Duration) -> Duration {
+    pub(crate) fn run_until_all_know(&mut self, limit: Duration) -> Duration {
         let begun = self.now;
         let until = begun + limit.as_millis() as u64;
         while self.now < until && !self.all_know() {
@@ -209,7 +209,7 @@
     }
 
     /// Runs for so long, and returns what was counted.
-    pub fn run(&mut self, duration: Duration) -> Counts {
+    pub(crate) fn run(&mut self, duration: Duration) -> Counts {
         let before = std::mem::take(&mut self.counts);
         let until = self.now + duration.as_millis() as u64;
         while self.now < until {
@@ -221,12 +221,12 @@
     }
 
     /// Whether all relays have the latest state.
-    pub fn all_know(&self) -> bool {
+    pub(crate) fn all_know(&self) -> bool {
         self.relays.iter().all(|relay| relay.version == self.latest)
     }
 
     /// The fewest relays that any relay knows.
-    pub fn least_known(&self) -> usize {
+    pub(crate) fn least_known(&self) -> usize {
         let known = self.relays.iter().map(|relay| relay.peers.known_count());
         known.min().unwrap_or_default()
     }
