relay: plain names in the state that scouts hold

The copy's type hid the standard trait of its name, and two comments of the scout had been garbled by an earlier rename. No behaviour changes.

--- a/relay/src/held_state.rs
+++ b/relay/src/held_state.rs
@@ -32,17 +32,18 @@
 /// Relays that the state is offered to, besides the seeds: those that subscribed last.
 const MAX_RECENT_RELAYS: usize = 16;
 
-/// State that a scout holds.
+/// The state that a scout holds, and the relays that it was copied from.
 #[derive(Default)]
 pub(crate) struct HeldState {
-    copy: Mutex<Copy>,
+    copy: Mutex<StateCopy>,
     // Whether a pull is under way.
     pulling: AtomicBool,
     relays: Mutex<RecentRelays>,
 }
 
+/// A copy of a relay's state.
 #[derive(Default)]
-struct Copy {
+struct StateCopy {
     config: Option<Arc<SiteConfig>>,
     servers: BTreeMap<Name, ServerRecord>,
     revision: Revision,
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -86,7 +86,7 @@
     pub(crate) engine: EngineLocation,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) socket: Arc<DatagramSocket>,
-    // Relays and neighbours' scouts that handle_subscription to reports, with the time of their last subscription.
+    // Relays and neighbours' scouts that subscribe to reports, with the time of their last subscription.
     pub(crate) subscribers: HashMap<SocketAddr, Instant>,
     // When relays last named each engine of the same service and region.
     pub(crate) neighbour_named_at: HashMap<SocketAddr, Instant>,
@@ -96,8 +96,8 @@
     pub(crate) last_report: Option<ScoutReport>,
     // The engine's response to the last poll, and when it came; `None` if it did not respond or there are no subscribers.
     pub(crate) last_poll: Option<(Time, EngineReport)>,
-    // When the neighbours' reports were last handle_subscription to, or the engine was last announced; `None` before
-    // the first time.
+    // When the neighbours' reports were last subscribed to, or the engine was last announced; `None` before the first
+    // time.
     pub(crate) last_renewal: Option<Instant>,
     // Whether the engine was leaving at the last successful poll.
     pub(crate) leaving: bool,
