relay: a relay that watches reads the list of relays again after it has registered

Cause: both read the list before either had registered, and looked again a second later only. Costs a call of each watcher's start.

--- a/relay/src/relay_registration.rs
+++ b/relay/src/relay_registration.rs
@@ -38,6 +38,10 @@
             }
             if !registered && self.is_directory_served() {
                 registered = self.register().await;
+                // Of two relays that start together, the one that registers later finds the other.
+                if registered && self.relay.is_watching_directory() {
+                    self.list_relays().await;
+                }
             }
             let pause = self.sync_interval().mul_f64(0.5 + 0.5 * fastrand::f64());
             tokio::select! {
