--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -109,7 +109,8 @@
         fs::read_to_string(self.dir.join("log")).unwrap_or_default()
     }
 
-    /// Sends it a signal. It is paused when this returns from [`Signal::Stop`].
+    /// Sends it a signal. It is paused when this returns from [`Signal::Stop`], and has ended after [`Signal::Kill`]: its
+    /// addresses are free then.
     pub fn signal(&mut self, signal: Signal) -> Result<()> {
         // Its id may belong to another process once it has ended.
         ensure!(self.status()?.is_none(), "the process has ended");
@@ -121,6 +122,9 @@
         if signal == Signal::Stop {
             self.wait_stopped()?;
         }
+        if signal == Signal::Kill {
+            self.child.wait()?;
+        }
         Ok(())
     }
 
