--- a/daemon/tests/relay_slow_readers.rs
+++ b/daemon/tests/relay_slow_readers.rs
@@ -6,6 +6,7 @@
 use cicada_standins::caller::Ask;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::headers;
 use cicada_standins::service::Mode;
 use eyre::Result;
 use http::StatusCode;
@@ -70,9 +71,10 @@
     let socket = TcpSocket::new_v4()?;
     socket.set_recv_buffer_size(4_096)?;
     let mut stream = socket.connect(deployment.relays[0].callers).await?;
+    let (id, limit) = (headers::ID, headers::LIMIT);
     let request = format!(
         "GET /slots/{number} HTTP/1.1\r\nhost: rites.example\r\nauthorization: Bearer {KEY}\r\n\
-         x-cicadastream-attempt-id: slow-{number}\r\nx-cicadastream-deadline-ms: 20000\r\n\r\n"
+         {id}: slow-{number}\r\n{limit}: 20000\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).await?;
     Ok(stream)
