relay: log each retry decision and each send after the first

What callers saw: nothing new; repeats beyond the limit left no trace that told why a send was made, what the entry's share was, or how long its process had run. Each decision on a retry now has a line with the cause, the requests and retries of the window, this entry's limit, the number of entries and the time since the process started; each send after the first has one with its kind, also where it takes no retry. New metrics: relay_sends_total{kind}, relay_retry_limit{service,part} and relay_known_entries. What is decided is unchanged.

--- a/lib/src/retry_window.rs
+++ b/lib/src/retry_window.rs
@@ -27,6 +27,17 @@
     pub window: Duration,
 }
 
+/// The use of one service's limit at one entry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Requests in the window.
+    pub requests: usize,
+    /// Retries in the window.
+    pub retries: usize,
+    /// Retries that this entry may make in the window.
+    pub limit: f64,
+}
+
 /// The requests and retries of one service at one entry.
 #[derive(Debug)]
 pub struct RetryWindow {
@@ -56,16 +67,25 @@
     /// that share the slack; while it is unknown this entry has no part of the slack. `reserved`, from 0 to 1,
     /// is the share of the limit to leave for other retries.
     pub fn try_retry(&mut self, now: Time, entries: Option<usize>, reserved: f64) -> bool {
-        self.trim(now);
-        let slack = entries.map_or(0.0, |entries| self.limit.slack / entries.max(1) as f64);
-        let limit = (self.limit.ratio * self.requests.len() as f64 + slack) * SAFETY_FACTOR;
-        if self.retries.len() as f64 + 1.0 > limit * (1.0 - reserved) {
+        let usage = self.usage(now, entries);
+        if usage.retries as f64 + 1.0 > usage.limit * (1.0 - reserved) {
             return false;
         }
         self.retries.push_back(now);
         true
     }
 
+    /// What the limit allows this entry, and what is used.
+    pub fn usage(&mut self, now: Time, entries: Option<usize>) -> RetryUsage {
+        self.trim(now);
+        let slack = entries.map_or(0.0, |entries| self.limit.slack / entries.max(1) as f64);
+        RetryUsage {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+            limit: (self.limit.ratio * self.requests.len() as f64 + slack) * SAFETY_FACTOR,
+        }
+    }
+
     fn trim(&mut self, now: Time) {
         let oldest = now.before(self.limit.window);
         for times in [&mut self.requests, &mut self.retries] {
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -15,6 +15,7 @@
 use crate::exchange::Call;
 use crate::placed_request::PlacedRequest;
 use crate::relay::Relay;
+use crate::retries::RetryCause;
 use crate::send::NoAnswer;
 
 /// Maximum number of servers chosen for one request, since each unreachable one costs the caller time.
@@ -188,15 +189,12 @@
         repeatable && self.sends < call.admitted.route.max_attempts && self.try_retry(relay, call)
     }
 
-    /// Takes one retry if the service's limit allows it, and counts the outcome.
+    /// Takes one retry if the service's limit allows it.
     fn try_retry(&self, relay: &Relay, call: &Call) -> bool {
-        let taken = relay.try_retry(&call.service, self.reserved);
-        let reason = match (taken, self.may_have_run) {
-            (false, _) => "over_bound",
-            (true, true) => "failed",
-            (true, false) => "refused",
+        let cause = match self.may_have_run {
+            true => RetryCause::Failed,
+            false => RetryCause::Refused,
         };
-        relay.metrics().count_retry(reason);
-        taken
+        relay.try_retry(call, cause, self.reserved)
     }
 }
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -5,6 +5,8 @@
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -82,9 +84,16 @@
     // The same by the clock that also advances while the host is suspended.
     deadline: Time,
     clock: Clock,
+    // Times that it was sent to a backend server.
+    sends: AtomicU32,
 }
 
 impl Call {
+    /// Records that the request is sent to a backend server, and returns how often it was sent before.
+    pub(crate) fn record_send(&self) -> u32 {
+        self.sends.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// The time left until the caller's deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.since(self.clock.now())
@@ -235,6 +244,7 @@
         timer_deadline,
         deadline,
         clock: relay.clock(),
+        sends: AtomicU32::new(0),
     })
 }
 
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -35,6 +35,7 @@
 mod relay_registration;
 mod relay_settings;
 mod relay_view;
+mod retries;
 mod run_mover;
 mod run_moves;
 mod scout;
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -324,6 +324,8 @@
     /// Sets the gauges that are read from the state when metrics are asked for.
     pub fn update_gauges(&self) {
         self.metrics.set_held_bytes(self.budget.used());
+        self.metrics.set_known_entries(self.peers().known_count());
+        self.update_retry_gauges();
     }
 
     /// The bytes that may be held for callers.
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use cicada_lib::ids::Name;
+use cicada_lib::retry_window::RetryUsage;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
@@ -16,6 +19,9 @@
     answers: IntCounterVec,
     refusals: IntCounterVec,
     retries: IntCounterVec,
+    sends: IntCounterVec,
+    retry_usage: GaugeVec,
+    known_entries: IntGauge,
     moves: IntCounterVec,
     overdue: IntCounterVec,
     load_probes: IntCounterVec,
@@ -48,6 +54,22 @@
             answers: counter("relay_answers_total", "Answers by outcome", "outcome")?,
             refusals: counter("relay_refusals_total", "Own refusals by reason", "reason")?,
             retries: counter("relay_retries_total", "Further sends by reason", "reason")?,
+            sends: counter(
+                "relay_sends_total",
+                "Requests sent to backend servers, by whether they had been sent before",
+                "kind",
+            )?,
+            retry_usage: GaugeVec::new(
+                Opts::new(
+                    "relay_retry_limit",
+                    "Retries that a service's limit allows this entry in a window, and those used",
+                ),
+                &["service", "part"],
+            )?,
+            known_entries: IntGauge::new(
+                "relay_known_entries",
+                "Entries that share limits, this one included",
+            )?,
             moves: counter("relay_moves_total", "Moves of runs by outcome", "outcome")?,
             overdue: counter(
                 "relay_overdue_total",
@@ -108,6 +130,9 @@
         registry.register(Box::new(metrics.answers.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.sends.clone()))?;
+        registry.register(Box::new(metrics.retry_usage.clone()))?;
+        registry.register(Box::new(metrics.known_entries.clone()))?;
         registry.register(Box::new(metrics.moves.clone()))?;
         registry.register(Box::new(metrics.overdue.clone()))?;
         registry.register(Box::new(metrics.load_probes.clone()))?;
@@ -137,6 +162,28 @@
         self.retries.with_label_values(&[reason]).inc();
     }
 
+    /// Counts a request that is sent to a backend server: `first`, `repeat`, or `moved` if its run continues from memory.
+    pub(crate) fn count_send(&self, kind: &str) {
+        self.sends.with_label_values(&[kind]).inc();
+    }
+
+    /// Sets what a service's retry limit allows this entry, and what is used.
+    pub(crate) fn set_retry_usage(&self, service: &Name, usage: &RetryUsage) {
+        let set = |part, value| {
+            let gauge = self
+                .retry_usage
+                .with_label_values(&[service.as_str(), part]);
+            gauge.set(value);
+        };
+        set("limit", usage.limit);
+        set("used", usage.retries as f64);
+    }
+
+    /// Sets the number of entries that share limits.
+    pub(crate) fn set_known_entries(&self, entries: usize) {
+        self.known_entries.set(entries as i64);
+    }
+
     pub(crate) fn count_move(&self, outcome: &str) {
         self.moves.with_label_values(&[outcome]).inc();
     }
--- a/relay/src/relay_places.rs
+++ b/relay/src/relay_places.rs
@@ -13,7 +13,6 @@
 use cicada_lib::peer_messages::RequestSent;
 use cicada_lib::recent_rejections::RecentRejections;
 use cicada_lib::residency::ANY_REGION;
-use cicada_lib::retry_window::RetryWindow;
 use cicada_lib::server_limit::RequestRate;
 use cicada_lib::site::ServiceSpec;
 use cicada_lib::stream_admission;
@@ -108,33 +107,6 @@
         retry_pacer.retry_delay(now, service, admission, left, fastrand::f64())
     }
 
-    /// Counts a request for the service, which raises the service's retry limit.
-    pub(crate) fn count_request(&self, service: &Name) {
-        let now = self.now();
-        self.with_retry_window(service, |window| window.record_request(now));
-    }
-
-    /// Takes one retry for the service if the limit that all entries share allows it. `reserved`, from 0 to 1, is the
-    /// share of the limit to leave to other retries.
-    pub(crate) fn try_retry(&self, service: &Name, reserved: f64) -> bool {
-        let now = self.now();
-        let entries = self.fleet().entry_shares().count();
-        self.with_retry_window(service, |window| window.try_retry(now, entries, reserved))
-    }
-
-    fn with_retry_window<T>(
-        &self,
-        service: &Name,
-        action: impl FnOnce(&mut RetryWindow) -> T,
-    ) -> T {
-        let mut windows = lock(&self.retry_windows);
-        let limit = self.reloadable().retry_limit;
-        let window = windows
-            .entry(service.clone())
-            .or_insert_with(|| RetryWindow::new(limit));
-        action(window)
-    }
-
     /// Counts a run at the engine to which its scout has moved it. Returns `None` if the run is not permitted there.
     pub(crate) fn place_moved(
         self: &Arc<Self>,
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout_at;
 
 use crate::placed_request::PlacedRequest;
+use crate::retries::RetryCause;
 use crate::send::NoAnswer;
 use crate::stream::DEFAULT_TOKEN_TIME;
 use crate::stream::RunStart;
@@ -229,9 +230,7 @@
     fn start_from_memory(&self, from: SocketAddr, handle: &Name) -> RunStart {
         // Counts against the service's retry limit like any other retry, but is sent even beyond it: otherwise the run
         // would be lost, and its caller would send the whole request again.
-        if !self.relay.try_retry(&self.call.service, 0.0) {
-            self.relay.metrics().count_retry("move_over_bound");
-        }
+        self.relay.try_retry(&self.call, RetryCause::Moved, 0.0);
         RunStart::Moved {
             memory: RunMemory {
                 from,
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -88,6 +88,7 @@
         left,
         ..dispatch.clone()
     };
+    log_send(relay, call, placed, &dispatch);
     let request = call.request(relay, &dispatch);
     let (sent_instant, sent_at) = (Instant::now(), relay.now());
     let give_up_at = progress_deadline.map_or(call.timer_deadline, |progress_deadline| {
@@ -129,6 +130,28 @@
     })
 }
 
+/// Counts the send, and logs it unless it is the request's first.
+fn log_send(relay: &Relay, call: &Call, placed: &PlacedRequest, dispatch: &Dispatch) {
+    let sends_before = call.record_send();
+    let kind = match (&dispatch.memory, sends_before) {
+        (Some(_), _) => "moved",
+        (None, 0) => "first",
+        (None, _) => "repeat",
+    };
+    relay.metrics().count_send(kind);
+    if sends_before > 0 {
+        tracing::info!(
+            id = call.id(),
+            service = %call.service,
+            server = %placed.record.id,
+            kind,
+            sends_before,
+            waited = call.arrived.elapsed().as_millis() as u64,
+            "send: the request is sent once more"
+        );
+    }
+}
+
 /// Builds the entry's own answer if no server gave one. It says "not run" only if no server can have run the request;
 /// the caller may then retry after the `pause`.
 pub(crate) fn build_own_answer(
