lib, relay: an entry's share of the retry limit starts empty

What callers saw: nothing directly; servers that failed or shed got more repeats than the limit allows, when they can least bear it.

Cause: the limit of a window is shared by all entries and was kept in the memory of each process as its retries of the window. A process that is killed or stopped forgets them, and its successor has a whole share again: 0.85 of its part of the slack at once, and of the ratio of its own requests. Two incarnations in one window are enough.

Change: the share is a token bucket that is empty when the process starts, holds at most half of what the limit allows in a window and earns at most the other half within one. Processes that run when a window begins have saved half of the limit at most, and all processes together earn no more than the other half, whatever is restarted. The factor 0.85 gives way to a margin that follows from the window and the longest time between decision and arrival. A moved run is still sent beyond the limit, and now leaves a debt. Where an equal part of the slack is no use, fewer entries have one.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -7,7 +7,7 @@
 use cicada_lib::daemon_settings::Settings;
 use cicada_lib::fleet::Location;
 use cicada_lib::ids::Name;
-use cicada_lib::retry_window::RetryLimit;
+use cicada_lib::retry_share::RetryLimit;
 use cicada_platform::HttpEngines;
 use cicada_platform::PlatformDialect;
 use cicada_platform::StoreDirectory;
--- a/lib/src/entry_shares.rs
+++ b/lib/src/entry_shares.rs
@@ -9,7 +9,9 @@
 
 use std::net::SocketAddr;
 
+use crate::ids::Name;
 use crate::rendezvous::hash_address;
+use crate::rendezvous::hash_name;
 use crate::rendezvous::mix;
 
 /// The entries among which a server's limit is divided.
@@ -44,13 +46,29 @@
     /// Whether this entry is one of the `count` entries selected for the server by rendezvous
     /// hashing.
     pub fn is_selected(&self, server: SocketAddr, count: usize) -> bool {
+        self.is_selected_by(hash_address(server), count)
+    }
+
+    /// This entry's part of a service's retry slack, zero until the others are known. An equal part of less than
+    /// `least` would be of no use, so fewer entries then have a part of that size.
+    pub fn slack_share(&self, service: &Name, slack: f64, least: f64) -> f64 {
+        let Some(count) = self.count() else {
+            return 0.0;
+        };
+        let sharing = ((slack / least) as usize).clamp(1, count);
+        match self.is_selected_by(hash_name(service), sharing) {
+            true => slack / sharing as f64,
+            false => 0.0,
+        }
+    }
+
+    fn is_selected_by(&self, key: u64, count: usize) -> bool {
         let Some(entries) = &self.entries else {
             return false;
         };
-        let server = hash_address(server);
-        let own = mix(entries.own ^ server);
+        let own = mix(entries.own ^ key);
         let ahead = entries.others.iter();
-        let ahead = ahead.filter(|other| mix(**other ^ server) > own);
+        let ahead = ahead.filter(|other| mix(**other ^ key) > own);
         ahead.count() < count
     }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -91,7 +91,7 @@
 pub mod residency;
 pub mod retry_after;
 pub mod retry_budget;
-pub mod retry_window;
+pub mod retry_share;
 pub mod revision;
 pub mod roster;
 pub mod round_trips;
--- a/lib/src/retry_share.rs
+++ b/lib/src/retry_share.rs
@@ -1,20 +1,29 @@
-//! A limit on retries over a sliding window, shared by all entries without coordination.
+//! One entry's share of a limit on repeated sends that all entries share without coordination.
 //!
 //! Load pattern: servers fail or shed requests while they are full, and each failure causes a retry. If
-//! every entry had the whole limit for itself, the sum would multiply the overload.
+//! every entry had the whole limit for itself, the sum would multiply the overload. Meanwhile entries are killed and
+//! started again, one after the other or all together, and what a process has spent ends with it.
 //!
-//! The limit is a share of a service's requests in the window plus a fixed slack. An entry uses the share of
-//! its own requests, and an equal part of the slack: it divides the slack by the number of entries that it
-//! has ever heard of, so that the sum stays within the limit without any messages.
+//! The limit on the retries in a window is a ratio of the service's requests plus a fixed slack. An entry's share is the
+//! ratio of its own requests, and an equal part of the slack. The share is a token bucket that holds at most half of
+//! what the limit allows in a window, earns at most the other half within a window, and is empty when the process
+//! starts. The retries of any window are therefore within the limit, however often entries were restarted in it: those
+//! that were running when it began had half of the limit saved, and all together earn no more than the other half.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::time::Time;
 
-/// The share of the limit that is used. The servers have sliding windows too, and count an arrival a round
-/// trip after it was sent.
-const SAFETY_FACTOR: f64 = 0.85;
+/// The part of the limit that can be saved up. The rest is earned within a window.
+const SAVED_PART: f64 = 0.5;
+
+/// The smallest part of the slack by which an entry can save up a whole retry.
+pub const MIN_SLACK_SHARE: f64 = 1.0 / SAVED_PART;
+
+/// Longest time from the decision to retry until the request reaches the server: a connection attempt that fails just
+/// before its timeout, with the round trips of a second region.
+const MAX_SEND_DELAY: Duration = Duration::from_secs(1);
 
 /// The limit on the retries of all entries together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -27,71 +36,97 @@
     pub window: Duration,
 }
 
-/// The use of one service's limit at one entry.
+/// The state of an entry's share of one service's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryUsage {
     /// Requests in the window.
     pub requests: usize,
-    /// Retries in the window.
-    pub retries: usize,
-    /// Retries that this entry may make in the window.
-    pub limit: f64,
+    /// Retries that may be made now; negative after more runs were moved than the share allows.
+    pub level: f64,
+    /// Retries that can be saved up.
+    pub capacity: f64,
 }
 
-/// The requests and retries of one service at one entry.
+/// An entry's share of one service's limit.
 #[derive(Debug)]
-pub struct RetryWindow {
+pub struct RetryShare {
     limit: RetryLimit,
-    // Both in chronological order, with no entry older than the window.
+    // From minus the capacity, which is what a window earns, to the capacity.
+    level: f64,
+    refilled_at: Time,
+    // In chronological order, with none older than the window.
     requests: VecDeque<Time>,
-    retries: VecDeque<Time>,
 }
 
-impl RetryWindow {
-    /// Creates an empty window.
+impl RetryShare {
+    /// Creates a share that was empty when the process started.
     pub fn new(limit: RetryLimit) -> Self {
-        RetryWindow {
+        RetryShare {
             limit,
+            level: 0.0,
+            refilled_at: Time::ZERO,
             requests: VecDeque::new(),
-            retries: VecDeque::new(),
         }
     }
 
-    /// Records a request for the service.
-    pub fn record_request(&mut self, now: Time) {
-        self.trim(now);
+    /// Changes the limit. What was earned so far is kept as far as the new limit lets it be saved up.
+    pub fn set_limit(&mut self, limit: RetryLimit) {
+        self.limit = limit;
+    }
+
+    /// Records a request for the service, which earns a part of a retry. `slack` is this entry's part of the slack.
+    pub fn record_request(&mut self, now: Time, slack: f64) {
+        self.refill(now, slack);
         self.requests.push_back(now);
+        self.earn(self.limit.ratio, slack);
     }
 
-    /// Takes one retry if the limit allows it, and returns whether it did. `entries` is the number of entries
-    /// that share the slack; while it is unknown this entry has no part of the slack. `reserved`, from 0 to 1,
-    /// is the share of the limit to leave for other retries.
-    pub fn try_retry(&mut self, now: Time, entries: Option<usize>, reserved: f64) -> bool {
-        let usage = self.usage(now, entries);
-        if usage.retries as f64 + 1.0 > usage.limit * (1.0 - reserved) {
+    /// Takes one retry if the share allows it, and returns whether it did. `slack` is this entry's part of the slack.
+    pub fn try_retry(&mut self, now: Time, slack: f64) -> bool {
+        self.refill(now, slack);
+        if self.level < 1.0 {
             return false;
         }
-        self.retries.push_back(now);
+        self.level -= 1.0;
         true
     }
 
-    /// What the limit allows this entry, and what is used.
-    pub fn usage(&mut self, now: Time, entries: Option<usize>) -> RetryUsage {
-        self.trim(now);
-        let slack = entries.map_or(0.0, |entries| self.limit.slack / entries.max(1) as f64);
+    /// Takes one retry even if the share does not allow it. The debt delays further retries, for a window at most.
+    pub fn force_retry(&mut self, now: Time, slack: f64) {
+        self.refill(now, slack);
+        self.level = (self.level - 1.0).max(-self.capacity(slack));
+    }
+
+    /// The current state. `slack` is this entry's part of the slack.
+    pub fn usage(&mut self, now: Time, slack: f64) -> RetryUsage {
+        self.refill(now, slack);
         RetryUsage {
             requests: self.requests.len(),
-            retries: self.retries.len(),
-            limit: (self.limit.ratio * self.requests.len() as f64 + slack) * SAFETY_FACTOR,
+            level: self.level,
+            capacity: self.capacity(slack),
         }
     }
 
-    fn trim(&mut self, now: Time) {
+    fn refill(&mut self, now: Time, slack: f64) {
         let oldest = now.before(self.limit.window);
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|at| *at < oldest) {
-                times.pop_front();
-            }
+        while self.requests.front().is_some_and(|at| *at < oldest) {
+            self.requests.pop_front();
         }
+        let windows = now.since(self.refilled_at).as_secs_f64() / self.limit.window.as_secs_f64();
+        self.refilled_at = self.refilled_at.max(now);
+        self.earn(slack * windows, slack);
+    }
+
+    /// Adds what `allowed` retries of the limit earn.
+    fn earn(&mut self, allowed: f64, slack: f64) {
+        let window = self.limit.window.as_secs_f64();
+        // Sends of a longer time than the window can arrive within one.
+        let margin = window / (window + MAX_SEND_DELAY.as_secs_f64());
+        let earned = allowed * (1.0 - SAVED_PART) * margin;
+        self.level = (self.level + earned).min(self.capacity(slack));
+    }
+
+    fn capacity(&self, slack: f64) -> f64 {
+        (self.limit.ratio * self.requests.len() as f64 + slack) * SAVED_PART
     }
 }
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -32,8 +32,6 @@
 
 /// The sends of one request.
 pub(crate) struct Attempts {
-    // Share of the service's retry limit that this request leaves to other retries, from 0 to 1.
-    reserved: f64,
     // Servers that refused the request or gave no answer; never chosen again.
     tried: Vec<ServerKey>,
     // Servers that ran the request and failed; chosen again only if there is no other.
@@ -52,11 +50,9 @@
 }
 
 impl Attempts {
-    /// Creates a record without sends. `reserved`, from 0 to 1, is the share of the service's retry limit to leave to
-    /// other retries.
-    pub(crate) fn new(reserved: f64) -> Self {
+    /// Creates a record without sends.
+    pub(crate) fn new() -> Self {
         Attempts {
-            reserved,
             tried: Vec::new(),
             failed: Vec::new(),
             servers_chosen: 0,
@@ -195,6 +191,6 @@
             true => RetryCause::Failed,
             false => RetryCause::Refused,
         };
-        relay.try_retry(call, cause, self.reserved)
+        relay.try_retry(call, cause)
     }
 }
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -32,9 +32,6 @@
 /// Maximum size of a buffered answer's body.
 const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
-/// Share of a service's retry limit that repeats of failed calls leave to calls that a server turned away.
-const RESERVED_RETRIES: f64 = 0.2;
-
 /// A backend server's complete answer.
 pub(crate) struct BufferedAnswer {
     status: StatusCode,
@@ -80,7 +77,7 @@
 }
 
 async fn run(relay: &Arc<Relay>, call: &Call, disconnected: &AtomicBool) -> Response<ResponseBody> {
-    let mut attempts = Attempts::new(RESERVED_RETRIES);
+    let mut attempts = Attempts::new();
     let mut failure: Option<BufferedAnswer> = None;
     while !disconnected.load(Ordering::Relaxed) {
         let Ok(placed) = attempts.place(relay, call, 0, None).await else {
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -24,7 +24,7 @@
 use cicada_lib::recent_rejections::RecentRejections;
 use cicada_lib::relay_peers::RelayPeers;
 use cicada_lib::residency::AllowedRegions;
-use cicada_lib::retry_window::RetryWindow;
+use cicada_lib::retry_share::RetryShare;
 use cicada_lib::revision::EraTracker;
 use cicada_lib::revision::Revision;
 use cicada_lib::route_table::RouteTable;
@@ -107,7 +107,7 @@
     pub(crate) freeze_detector: Mutex<FreezeDetector>,
     pub(crate) table: ArcSwap<RouteTable>,
     pub(crate) fleet: Mutex<Fleet>,
-    pub(crate) retry_windows: Mutex<HashMap<Name, RetryWindow>>,
+    pub(crate) retry_shares: Mutex<HashMap<Name, RetryShare>>,
     pub(crate) retry_pacer: Mutex<RetryPacer>,
     pub(crate) recent_rejections: Mutex<RecentRejections>,
     // Recent use of each service by each workspace.
@@ -183,7 +183,7 @@
             clock,
             freeze_detector: Mutex::new(FreezeDetector::new(clock.now())),
             table: ArcSwap::default(),
-            retry_windows: Mutex::default(),
+            retry_shares: Mutex::default(),
             retry_pacer: Mutex::default(),
             recent_rejections: Mutex::default(),
             workspace_usage: Mutex::default(),
@@ -245,8 +245,8 @@
     pub fn apply_reloaded(&self, reloadable: ReloadableSettings) {
         let before = self.reloadable.swap(Arc::new(reloadable));
         if before.retry_limit != reloadable.retry_limit {
-            let mut windows = lock(&self.retry_windows);
-            windows.clear();
+            let mut shares = lock(&self.retry_shares);
+            shares.clear();
         }
     }
 
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cicada_lib::ids::Name;
-use cicada_lib::retry_window::RetryUsage;
+use cicada_lib::retry_share::RetryUsage;
 use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
@@ -61,8 +61,8 @@
             )?,
             retry_usage: GaugeVec::new(
                 Opts::new(
-                    "relay_retry_limit",
-                    "Retries that a service's limit allows this entry in a window, and those used",
+                    "relay_retry_share",
+                    "Retries that a service's limit allows this entry now, and those that can be saved up",
                 ),
                 &["service", "part"],
             )?,
@@ -167,7 +167,7 @@
         self.sends.with_label_values(&[kind]).inc();
     }
 
-    /// Sets what a service's retry limit allows this entry, and what is used.
+    /// Sets the state of a service's retry share.
     pub(crate) fn set_retry_usage(&self, service: &Name, usage: &RetryUsage) {
         let set = |part, value| {
             let gauge = self
@@ -175,8 +175,8 @@
                 .with_label_values(&[service.as_str(), part]);
             gauge.set(value);
         };
-        set("limit", usage.limit);
-        set("used", usage.retries as f64);
+        set("capacity", usage.capacity);
+        set("level", usage.level);
     }
 
     /// Sets the number of entries that share limits.
--- a/relay/src/relay_settings.rs
+++ b/relay/src/relay_settings.rs
@@ -5,7 +5,7 @@
 
 use cicada_lib::fleet::Location;
 use cicada_lib::ids::Name;
-use cicada_lib::retry_window::RetryLimit;
+use cicada_lib::retry_share::RetryLimit;
 
 /// Settings of an entry.
 #[derive(Clone, Debug)]
--- a/relay/src/retries.rs
+++ b/relay/src/retries.rs
@@ -1,7 +1,9 @@
 //! The limit on repeated sends, which all entries share: takes retries, and logs and counts each decision.
 
 use cicada_lib::ids::Name;
-use cicada_lib::retry_window::RetryWindow;
+use cicada_lib::retry_share;
+use cicada_lib::retry_share::RetryShare;
+use cicada_lib::retry_share::RetryUsage;
 use cicada_lib::time::Time;
 
 use crate::exchange::Call;
@@ -15,8 +17,6 @@
     Failed,
     /// A server stated that it did not run it.
     Refused,
-    /// Its run continues from memory after a move.
-    Moved,
 }
 
 impl RetryCause {
@@ -24,7 +24,6 @@
         match self {
             RetryCause::Failed => "failed",
             RetryCause::Refused => "refused",
-            RetryCause::Moved => "moved",
         }
     }
 }
@@ -33,60 +32,78 @@
     /// Counts a request for the service, which raises the service's retry limit.
     pub(crate) fn count_request(&self, service: &Name) {
         let now = self.now();
-        self.with_retry_window(service, |window| window.record_request(now));
+        self.with_retry_share(service, |share, slack| share.record_request(now, slack));
     }
 
-    /// Takes one retry for the call's service if the limit that all entries share allows it. `reserved`, from 0 to 1,
-    /// is the share of the limit to leave to other retries.
-    pub(crate) fn try_retry(&self, call: &Call, cause: RetryCause, reserved: f64) -> bool {
+    /// Takes one retry for the call's service if the limit that all entries share allows it.
+    pub(crate) fn try_retry(&self, call: &Call, cause: RetryCause) -> bool {
         let now = self.now();
-        let entries = self.fleet().entry_shares().count();
-        let (taken, usage) = self.with_retry_window(&call.service, |window| {
-            let taken = window.try_retry(now, entries, reserved);
-            (taken, window.usage(now, entries))
+        let (taken, usage) = self.with_retry_share(&call.service, |share, slack| {
+            let taken = share.try_retry(now, slack);
+            (taken, share.usage(now, slack))
         });
-        let reason = match (taken, cause) {
-            (true, cause) => cause.as_str(),
-            (false, RetryCause::Moved) => "move_over_bound",
-            (false, _) => "over_bound",
+        let (reason, decision) = match taken {
+            true => (cause.as_str(), "retry: allowed"),
+            false => ("over_bound", "retry: denied"),
         };
         self.metrics().count_retry(reason);
+        self.log_retry(call, cause.as_str(), &usage, decision);
+        taken
+    }
+
+    /// Takes one retry for a run that continues from memory, even beyond the limit: it would be lost otherwise, and its
+    /// caller would send the whole request again.
+    pub(crate) fn force_retry(&self, call: &Call) {
+        let now = self.now();
+        let usage = self.with_retry_share(&call.service, |share, slack| {
+            share.force_retry(now, slack);
+            share.usage(now, slack)
+        });
+        if usage.level < 0.0 {
+            self.metrics().count_retry("move_over_bound");
+        }
+        self.log_retry(call, "moved", &usage, "retry: taken by a move");
+    }
+
+    fn log_retry(&self, call: &Call, cause: &str, usage: &RetryUsage, decision: &str) {
         tracing::info!(
             id = call.id(),
             service = %call.service,
-            cause = cause.as_str(),
+            cause,
             requests = usage.requests,
-            retries = usage.retries,
-            limit = usage.limit,
-            entries,
-            up = now.since(Time::ZERO).as_millis() as u64,
-            "{}",
-            if taken { "retry: allowed" } else { "retry: denied" }
+            level = usage.level,
+            capacity = usage.capacity,
+            entries = self.fleet().entry_shares().count(),
+            up = self.now().since(Time::ZERO).as_millis() as u64,
+            "{decision}"
         );
-        taken
     }
 
-    /// Sets the gauges of what each service's retry limit allows this entry, and of what is used.
+    /// Sets the gauges of each service's retry share.
     pub(crate) fn update_retry_gauges(&self) {
         let now = self.now();
-        let entries = self.fleet().entry_shares().count();
-        let mut windows = lock(&self.retry_windows);
-        for (service, window) in windows.iter_mut() {
-            let usage = window.usage(now, entries);
-            self.metrics().set_retry_usage(service, &usage);
+        let services: Vec<Name> = lock(&self.retry_shares).keys().cloned().collect();
+        for service in services {
+            let usage = self.with_retry_share(&service, |share, slack| share.usage(now, slack));
+            self.metrics().set_retry_usage(&service, &usage);
         }
     }
 
-    fn with_retry_window<T>(
+    /// Passes the service's retry share on, with this entry's part of the slack.
+    fn with_retry_share<T>(
         &self,
         service: &Name,
-        action: impl FnOnce(&mut RetryWindow) -> T,
+        action: impl FnOnce(&mut RetryShare, f64) -> T,
     ) -> T {
-        let mut windows = lock(&self.retry_windows);
         let limit = self.reloadable().retry_limit;
-        let window = windows
+        let fleet = self.fleet();
+        let entries = fleet.entry_shares();
+        let slack = entries.slack_share(service, limit.slack, retry_share::MIN_SLACK_SHARE);
+        drop(fleet);
+        let mut shares = lock(&self.retry_shares);
+        let share = shares
             .entry(service.clone())
-            .or_insert_with(|| RetryWindow::new(limit));
-        action(window)
+            .or_insert_with(|| RetryShare::new(limit));
+        action(share, slack)
     }
 }
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -19,7 +19,6 @@
 use tokio::time::timeout_at;
 
 use crate::placed_request::PlacedRequest;
-use crate::retries::RetryCause;
 use crate::send::NoAnswer;
 use crate::stream::DEFAULT_TOKEN_TIME;
 use crate::stream::RunStart;
@@ -228,9 +227,7 @@
 
     /// Builds the start of a run from the memory that the engine at `from` holds.
     fn start_from_memory(&self, from: SocketAddr, handle: &Name) -> RunStart {
-        // Counts against the service's retry limit like any other retry, but is sent even beyond it: otherwise the run
-        // would be lost, and its caller would send the whole request again.
-        self.relay.try_retry(&self.call, RetryCause::Moved, 0.0);
+        self.relay.force_retry(&self.call);
         RunStart::Moved {
             memory: RunMemory {
                 from,
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -37,9 +37,6 @@
 use crate::send::send;
 use crate::stream_run::Run;
 
-/// Share of a service's retry limit that streams leave to moves of runs.
-const MOVE_RESERVE: f64 = 0.35;
-
 /// A drain is in its early phase while more than this fraction of the grace period is left.
 const EARLY_DRAIN_FRACTION: f64 = 0.7;
 
@@ -67,7 +64,7 @@
         return LocalResponse::NotRun(RETRY_ELSEWHERE).into_response();
     }
     let tokens = expected_tokens(&call);
-    let mut attempts = Attempts::new(MOVE_RESERVE);
+    let mut attempts = Attempts::new();
     let mut failure: Option<Response<ResponseBody>> = None;
     let admission = admission_request(relay, &call);
     loop {
