relay: a changed retry limit keeps what was spent under the one before

What callers saw: nothing directly; each change of the limit's settings let all relays repeat a whole share again.

Cause: the same class as at a restart, within one process: apply_reloaded discarded all that was counted when the limit changed.

Change: the limit is set in the shares that exist; a lower one cuts what is saved up, a higher one is earned from then on.

--- a/lib/tests/retry_share.rs
+++ b/lib/tests/retry_share.rs
@@ -210,6 +210,22 @@
     assert!(share.try_retry(later, slack));
 }
 
+/// Guards against a changed limit that renews what was spent under the one before.
+#[test]
+fn a_changed_limit_renews_nothing() {
+    let mut share = RetryShare::new(LIMIT);
+    let now = Time::from_millis(20_000);
+    while share.try_retry(now, LIMIT.slack) {}
+    let larger = RetryLimit {
+        slack: LIMIT.slack * 2.0,
+        ..LIMIT
+    };
+    for limit in [larger, LIMIT] {
+        share.set_limit(limit);
+        assert!(!share.try_retry(now, limit.slack));
+    }
+}
+
 /// Guards against an entry that uses the whole slack before it knows of the other entries.
 #[test]
 fn an_entry_that_knows_no_others_has_no_share_of_the_slack() {
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -241,13 +241,10 @@
         &self.moved_runs
     }
 
-    /// Applies changed settings. If the retry limit changes, the requests and retries counted so far are discarded.
+    /// Applies changed settings.
     pub fn apply_reloaded(&self, reloadable: ReloadableSettings) {
-        let before = self.reloadable.swap(Arc::new(reloadable));
-        if before.retry_limit != reloadable.retry_limit {
-            let mut shares = lock(&self.retry_shares);
-            shares.clear();
-        }
+        self.reloadable.store(Arc::new(reloadable));
+        self.set_retry_limit(reloadable.retry_limit);
     }
 
     pub(crate) fn reloadable(&self) -> ReloadableSettings {
--- a/relay/src/retries.rs
+++ b/relay/src/retries.rs
@@ -2,6 +2,7 @@
 
 use cicada_lib::ids::Name;
 use cicada_lib::retry_share;
+use cicada_lib::retry_share::RetryLimit;
 use cicada_lib::retry_share::RetryShare;
 use cicada_lib::retry_share::RetryUsage;
 use cicada_lib::time::Time;
@@ -29,6 +30,12 @@
 }
 
 impl Relay {
+    /// Changes the limit of all services. What has been earned and taken so far still counts.
+    pub(crate) fn set_retry_limit(&self, limit: RetryLimit) {
+        let mut shares = lock(&self.retry_shares);
+        shares.values_mut().for_each(|share| share.set_limit(limit));
+    }
+
     /// Counts a request for the service, which raises the service's retry limit.
     pub(crate) fn count_request(&self, service: &Name) {
         let now = self.now();
