relay: a run that is moved takes no retry

Cause: a run that continues from memory took a retry, and went on without one where none was left. It is the same run.

Change: moves take nothing from the share.

--- a/daemon/tests/relay_retry_limit.rs
+++ b/daemon/tests/relay_retry_limit.rs
@@ -9,6 +9,7 @@
 use cicada_standins::caller::Ask;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::engine::Trouble;
 use cicada_standins::retry_check::Excess;
 use cicada_standins::retry_check::RepeatLimit;
 use cicada_standins::service::Mode;
@@ -43,6 +44,9 @@
 /// Upper bound of a wait for a condition that normally holds within moments. It asserts no speed.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// Number of runs that are moved: more than the share of a window allows retries.
+const MOVED_RUNS: usize = 8;
+
 /// Services in the relays' zone; each fails every request.
 const SERVICES: [&str; 2] = ["a", "a"];
 
@@ -159,3 +163,56 @@
     }
     Ok(())
 }
+
+/// Guards against runs that are moved and leave no retry for a stream whose engine fails.
+#[tokio::test(flavor = "multi_thread")]
+async fn moved_runs_leave_the_retries_to_others() -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let mut deployment = Deployment::start(daemon, 1, 1, 0).await?;
+    deployment.set(0, SLACK_SETTING, "retry_slack = 8\nretry_window = 1\n")?;
+    deployment.relays[0].process.signal(Signal::Hangup)?;
+    let relay = deployment.relays[0].callers;
+    let streams: Vec<_> = (0..MOVED_RUNS)
+        .map(|number| {
+            let ask = Ask::stream(&format!("draft-{number}"), KEY, 500, 400);
+            tokio::spawn(async move { ask.send(relay).await })
+        })
+        .collect();
+    wait_until("the runs have begun", || {
+        deployment.engines[0].engine.running() == MOVED_RUNS
+    })
+    .await?;
+    for _ in 0..2 {
+        deployment.add_engine()?;
+    }
+    // Wait until the scouts know each other.
+    sleep(Duration::from_millis(1_500)).await;
+    deployment.leave(0, Duration::from_secs(4));
+    wait_until("the runs have moved", || {
+        let others = deployment.engines[1..].iter();
+        others.map(|host| host.engine.running()).sum::<usize>() == MOVED_RUNS
+    })
+    .await?;
+    for host in &deployment.engines[1..] {
+        host.engine.set_trouble(Trouble::Fail);
+    }
+    let question = Ask::question("question", KEY, 500, 4);
+    question.send(relay).await?;
+    let arrivals = deployment.engines.iter();
+    let arrivals = arrivals.flat_map(|host| host.engine.requests());
+    let sends = arrivals.filter(|(_, id)| id == "question").count();
+    assert_eq!(sends, 2, "{}", deployment.relays[0].process.log());
+    streams.iter().for_each(|stream| stream.abort());
+    Ok(())
+}
+
+async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> Result<()> {
+    let started = Instant::now();
+    while started.elapsed() < PATIENCE {
+        if condition() {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    eyre::bail!("timed out waiting until {what}")
+}
--- a/lib/src/retry_share.rs
+++ b/lib/src/retry_share.rs
@@ -41,7 +41,7 @@
 pub struct RetryUsage {
     /// Requests in the window.
     pub requests: usize,
-    /// Retries that may be made now; negative after more runs were moved than the share allows.
+    /// Retries that may be made now.
     pub level: f64,
     /// Retries that can be saved up.
     pub capacity: f64,
@@ -51,7 +51,7 @@
 #[derive(Debug)]
 pub struct RetryShare {
     limit: RetryLimit,
-    // From minus the capacity, which is what a window earns, to the capacity.
+    // From zero to the capacity.
     level: f64,
     refilled_at: Time,
     // In chronological order, with none older than the window.
@@ -91,12 +91,6 @@
         true
     }
 
-    /// Takes one retry even if the share does not allow it. The debt delays further retries, for a window at most.
-    pub fn force_retry(&mut self, now: Time, slack: f64) {
-        self.refill(now, slack);
-        self.level = (self.level - 1.0).max(-self.capacity(slack));
-    }
-
     /// The current state. `slack` is this entry's part of the slack.
     pub fn usage(&mut self, now: Time, slack: f64) -> RetryUsage {
         self.refill(now, slack);
--- a/relay/src/retries.rs
+++ b/relay/src/retries.rs
@@ -4,7 +4,6 @@
 use cicada_lib::retry_share;
 use cicada_lib::retry_share::RetryLimit;
 use cicada_lib::retry_share::RetryShare;
-use cicada_lib::retry_share::RetryUsage;
 use cicada_lib::time::Time;
 
 use crate::exchange::Call;
@@ -54,36 +53,18 @@
             false => ("over_bound", "retry: denied"),
         };
         self.metrics().count_retry(reason);
-        self.log_retry(call, cause.as_str(), &usage, decision);
-        taken
-    }
-
-    /// Takes one retry for a run that continues from memory, even beyond the limit: it would be lost otherwise, and its
-    /// caller would send the whole request again.
-    pub(crate) fn force_retry(&self, call: &Call) {
-        let now = self.now();
-        let usage = self.with_retry_share(&call.service, |share, slack| {
-            share.force_retry(now, slack);
-            share.usage(now, slack)
-        });
-        if usage.level < 0.0 {
-            self.metrics().count_retry("move_over_bound");
-        }
-        self.log_retry(call, "moved", &usage, "retry: taken by a move");
-    }
-
-    fn log_retry(&self, call: &Call, cause: &str, usage: &RetryUsage, decision: &str) {
         tracing::info!(
             id = call.id(),
             service = %call.service,
-            cause,
+            cause = cause.as_str(),
             requests = usage.requests,
             level = usage.level,
             capacity = usage.capacity,
             entries = self.fleet().entry_shares().count(),
-            up = self.now().since(Time::ZERO).as_millis() as u64,
+            up = now.since(Time::ZERO).as_millis() as u64,
             "{decision}"
         );
+        taken
     }
 
     /// Sets the gauges of each service's retry share.
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -227,7 +227,6 @@
 
     /// Builds the start of a run from the memory that the engine at `from` holds.
     fn start_from_memory(&self, from: SocketAddr, handle: &Name) -> RunStart {
-        self.relay.force_retry(&self.call);
         RunStart::Moved {
             memory: RunMemory {
                 from,
