lib: an entry that has just started sends nothing to cold servers for a second

What callers saw: nothing; a cold server can get twice what it tolerates when entries are killed and back within the second.

What an entry sent to a cold server is counted over 1.1 s, and a new process counts from zero.

Change: no cold server is chosen in the first 1.1 s of a process. Found by reading, not seen with processes. Test: entries_restarted_within_a_second_keep_to_the_rate_of_a_cold_server, failed before.

--- a/lib/src/cold_start.rs
+++ b/lib/src/cold_start.rs
@@ -5,7 +5,7 @@
 //!
 //! So each entry keeps to a fixed share of the tolerated rate, see `entry_shares`. If the rate is below one request
 //! per second and entry, only the entries drawn for the server send to it. An entry that does not know the other
-//! entries yet sends nothing.
+//! entries yet sends nothing, nor does one whose former process may have sent its share a moment ago.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 
 /// Window over which sends are counted: one second plus 100 ms for differences in network delay, by which sends can
 /// arrive closer together than they were sent.
-const WINDOW: Duration = Duration::from_millis(1_100);
+pub(crate) const WINDOW: Duration = Duration::from_millis(1_100);
 
 figure_type! {
     /// Cold-start limits of a service's servers.
--- a/lib/src/fleet_choice.rs
+++ b/lib/src/fleet_choice.rs
@@ -9,6 +9,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use crate::cold_start;
 use crate::cold_start::ColdStart;
 use crate::copy_type;
 use crate::fleet::ExpectedLoad;
@@ -262,11 +263,15 @@
     }
 
     /// Whether the server is cold and this entry has used up its share of the tolerated rate.
-    fn has_used_cold_share(&self, now: Time, server: &Server, cold_start: &ColdStart) -> bool {
-        if !cold_start.is_limited() || server.cold.remaining(now, cold_start.period).is_zero() {
+    fn has_used_cold_share(&self, now: Time, server: &Server, limits: &ColdStart) -> bool {
+        if !limits.is_limited() || server.cold.remaining(now, limits.period).is_zero() {
             return false;
         }
-        let share = cold_start.share(&self.entry_shares, server.record.address);
+        // What a former process of this entry has sent is not known.
+        if now.since(Time::ZERO) < cold_start::WINDOW {
+            return true;
+        }
+        let share = limits.share(&self.entry_shares, server.record.address);
         server.cold.recent_sends(now) >= share
     }
 
--- a/lib/tests/cold_start.rs
+++ b/lib/tests/cold_start.rs
@@ -297,3 +297,35 @@
         TestResult::from_bool(all > 0 && all as f64 <= rate)
     }
 }
+
+/// Guards against overload of a cold server by entries that forget, when they are restarted, what they sent it.
+#[test]
+fn entries_restarted_within_a_second_keep_to_the_rate_of_a_cold_server() {
+    let rate = 31.0;
+    let start = ColdStart {
+        period: Duration::from_secs(5),
+        rate,
+    };
+    let cold = record(WARM_SERVERS, start.period);
+    let need_service = Name::new("llm");
+    let need = PlacementRequest::new(&need_service, 2_500, 2_900);
+    let entries = 5;
+    // Entries that have run for a while, and their successors in the same second.
+    let clocks = [Time::from_millis(60_000), Time::from_millis(300)];
+    let mut sent = 0;
+    for clock in clocks {
+        for number in 0..entries {
+            let mut fleet = fleet(number, entries);
+            fleet.replace_servers(clock, std::slice::from_ref(&cold));
+            while let Ok(key) = fleet.choose(clock, &need, &spec(start.clone())) {
+                fleet.record_sent(clock, key, &need);
+                sent += 1;
+            }
+        }
+    }
+    assert!(sent > 0 && sent <= max_arrivals(rate), "{sent} in a second");
+    let mut restarted = fleet(0, entries);
+    let later = Time::from_millis(1_200);
+    restarted.replace_servers(later, std::slice::from_ref(&cold));
+    assert!(restarted.choose(later, &need, &spec(start)).is_ok());
+}
