relay: a relay that has just started asks engines for their identifiers

Cause: the list has the former incarnations until their entries lapse, and scouts that have just started cannot tell. The first request to each engine is turned away (421), and going on to another one takes a retry, which a relay that has just started has not earned. Before, it took retries that its former process may have spent.

Change: in the first 5 s of a process an engine that neither has named itself nor was named by its scout is asked by a health call before the first request. An engine that is another incarnation gets nothing, and nothing is spent. Test: a_relay_that_has_just_started_sends_nothing_to_former_incarnations, two misdirected requests before.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -630,3 +630,31 @@
     }
     bail!("{}", deployment.relays[0].process.log())
 }
+
+/// Guards against requests to former incarnations after engines, scouts and relays were all killed: each would be turned
+/// away, and a relay that has just started has no retry to send it on.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_has_just_started_sends_nothing_to_former_incarnations() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 2, 0).await?;
+    for (number, host) in deployment.engines.iter_mut().enumerate() {
+        host.scout.signal(Signal::Kill)?;
+        host.server.down().await;
+        host.engine.begin_life(&format!("e-second-{number}"));
+        host.server.up()?;
+    }
+    deployment.relays[0].process.signal(Signal::Kill)?;
+    deployment.relays[0].process.wait_end(PATIENCE).await?;
+    deployment.restart_relay(0)?;
+    deployment.wait_ready(0).await?;
+    let relay = deployment.relays[0].callers;
+    for number in 0..3 {
+        let ask = Ask::stream(&format!("draft-{number}"), KEY, 500, 5);
+        let response = ask.send(relay).await?;
+        assert_eq!(response.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(response.headers.contains_key("retry-after"));
+    }
+    let hosts = deployment.engines.iter();
+    let misdirected: u64 = hosts.map(|host| host.engine.misdirected()).sum();
+    assert_eq!(misdirected, 0, "{}", deployment.relays[0].process.log());
+    Ok(())
+}
--- a/lib/src/fleet_news.rs
+++ b/lib/src/fleet_news.rs
@@ -37,8 +37,12 @@
         let Some(key) = self.key_at(here.address) else {
             return false;
         };
-        let record = &self.servers[key].record;
-        if record.id == *id || record.service != here.service {
+        let server = &mut self.servers[key];
+        if server.record.id == *id {
+            server.confirmed = true;
+            return false;
+        }
+        if server.record.service != here.service {
             return false;
         }
         self.incarnations.record_observed(now, here.address, id);
@@ -46,6 +50,18 @@
         true
     }
 
+    /// Records that the server has named the incarnation that is known.
+    pub fn confirm(&mut self, key: ServerKey) {
+        if let Some(server) = self.servers.get_mut(key) {
+            server.confirmed = true;
+        }
+    }
+
+    /// Whether the server or its scout has named the incarnation that is known.
+    pub fn is_confirmed(&self, key: ServerKey) -> bool {
+        self.servers.get(key).is_some_and(|server| server.confirmed)
+    }
+
     /// The key of the engine to which a scout has moved a run. Scouts know engines that this entry does
     /// not: such an engine gets only this run until the list has it. `None` if a server at the address was
     /// removed from the list: it may be that engine.
@@ -171,6 +187,7 @@
         if let Some(key) = self.ids.get(id) {
             let server = &mut self.servers[*key];
             server.observed_since = Some(now);
+            server.confirmed = true;
             server.report = report;
         }
     }
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -141,6 +141,8 @@
     pub(crate) record: ServerRecord,
     // Whether the list has it or, until then, its scout has announced it.
     pub(crate) listed: bool,
+    // Whether it or its scout has named this incarnation to this process.
+    pub(crate) confirmed: bool,
     // When another source than the list named it; `None` once the list has it.
     pub(crate) observed_since: Option<Time>,
     // `None` until any source tells that it is leaving. Never reset.
@@ -219,6 +221,7 @@
         Server {
             record,
             listed: false,
+            confirmed: false,
             observed_since: None,
             leaving: None,
             open_requests: 0,
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -21,6 +21,7 @@
 mod freeze_recovery;
 mod held_state;
 mod identity;
+mod incarnation_check;
 mod load_probes;
 mod lock;
 mod moved_runs;
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -38,7 +38,8 @@
     Refused,
     /// The server could not be reached, so nothing was sent.
     Unreached,
-    /// The server stopped taking work while the connection was opened, so nothing was sent.
+    /// The server stopped taking work while the connection was opened, or another one answered there, so nothing was
+    /// sent.
     Withdrawn,
     /// The address belongs to another server now, which did not run the request.
     Elsewhere,
@@ -62,6 +63,11 @@
     prepared: Option<OpenConnection>,
     progress_deadline: Option<Instant>,
 ) -> Result<StartedAnswer, NoAnswer> {
+    // A run that continues from memory at the server can go nowhere else.
+    let may_go_elsewhere = dispatch.memory.is_none();
+    if may_go_elsewhere && !relay.is_expected_incarnation(call, placed).await {
+        return Err(NoAnswer::Withdrawn);
+    }
     let opened = match prepared {
         Some(opened) => opened,
         None => match timeout_at(
@@ -75,8 +81,7 @@
             Ok(Ok(opened)) => opened,
         },
     };
-    // A run that continues from memory at the server can go nowhere else.
-    if dispatch.memory.is_none() && !placed.may_be_sent() {
+    if may_go_elsewhere && !placed.may_be_sent() {
         return Err(NoAnswer::Withdrawn);
     }
     // If the host was suspended while the connection was opened, the deadline may have passed without a timeout.
