relay: a retry share is not created with a limit that was replaced meanwhile

The limit was read before the lock on the shares was taken: with more than one traffic thread, a share that is created while the settings change could keep the old limit. Found by reading. An equal part of the slack is no longer drawn by hashing, which took time with each request.

--- a/lib/src/entry_shares.rs
+++ b/lib/src/entry_shares.rs
@@ -56,7 +56,8 @@
             return 0.0;
         };
         let sharing = ((slack / least) as usize).clamp(1, count);
-        match self.is_selected_by(hash_name(service), sharing) {
+        let has_share = sharing == count || self.is_selected_by(hash_name(service), sharing);
+        match has_share {
             true => slack / sharing as f64,
             false => 0.0,
         }
--- a/relay/src/retries.rs
+++ b/relay/src/retries.rs
@@ -83,12 +83,13 @@
         service: &Name,
         action: impl FnOnce(&mut RetryShare, f64) -> T,
     ) -> T {
+        let mut shares = lock(&self.retry_shares);
+        // Read under the lock, so that no share is created with a limit that was replaced meanwhile.
         let limit = self.reloadable().retry_limit;
         let fleet = self.fleet();
         let entries = fleet.entry_shares();
         let slack = entries.slack_share(service, limit.slack, retry_share::MIN_SLACK_SHARE);
         drop(fleet);
-        let mut shares = lock(&self.retry_shares);
         let share = shares
             .entry(service.clone())
             .or_insert_with(|| RetryShare::new(limit));
