--- a/relay/src/incarnation_check.rs
+++ b/relay/src/incarnation_check.rs
@@ -20,12 +20,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 
 impl Relay {
-    /// Whether the engine is the incarnation that was chosen, as far as it is known or the engine tells in time.
-    pub(crate) async fn is_expected_incarnation(
-        &self,
-        call: &Call,
-        placed: &PlacedRequest,
-    ) -> bool {
+    /// Asks the engine for its identifier, unless it is certain. Returns `false` if it is another incarnation than the
+    /// one that was chosen, which nothing may be sent to.
+    pub(crate) async fn confirm_incarnation(&self, call: &Call, placed: &PlacedRequest) -> bool {
         let up = self.now().since(Time::ZERO);
         let is_certain = up >= STALE_LIST_TIME || self.fleet().is_confirmed(placed.key);
         if call.spec.engine.is_none() || is_certain {
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -65,7 +65,7 @@
 ) -> Result<StartedAnswer, NoAnswer> {
     // A run that continues from memory at the server can go nowhere else.
     let may_go_elsewhere = dispatch.memory.is_none();
-    if may_go_elsewhere && !relay.is_expected_incarnation(call, placed).await {
+    if may_go_elsewhere && !relay.confirm_incarnation(call, placed).await {
         return Err(NoAnswer::Withdrawn);
     }
     let opened = match prepared {
