lib, relay: relays of a deployment that starts for the first time have their share at once

Cause: a share that starts empty bounds what a former process may have spent. At the first start there is none.

Change: with [platform] first_start the share is filled as soon as the relay has a part of the slack.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -71,6 +71,7 @@
         .wrap_err("an address cannot be listened on; see [relay] listen and ready")?;
     tracing::info!(
         name = settings.text("process", "name"),
+        first_start = settings.text("platform", "first_start"),
         "process: relay started"
     );
     let mut reload = Reload::new(file, settings.clone());
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -186,7 +186,7 @@
     key("platform", "hosts_poll", Kind::Millis { min: 200, max: 60_000 }, "5000", "How often the list of hosts is read: by two processes of each availability zone from the platform, by the others from those. The list itself lags by seconds, and processes tell of their own leaving."),
     key("platform", "config_wait", Kind::Millis { min: 200, max: 60_000 }, "5000", "How long one watch on the configuration waits; each counts as one call. Only two processes of an availability zone watch."),
     key("platform", "seeds", Kind::Addresses, "", "Processes, as IP addresses and ports with commas between, that are asked for the list of hosts while the platform does not answer and none is known yet."),
-    key("platform", "first_start", Kind::Choice(&["true", "false"]), "false", "Whether the whole deployment starts for the first time. A relay that registers then saves a call."),
+    key("platform", "first_start", Kind::Choice(&["true", "false"]), "false", "Whether the whole deployment starts for the first time. A relay that registers then saves a call, and has its whole share of the limit on retries at once. Not to be set when a process is started again."),
     key("entry", "listen", Kind::OptionalAddress, "", "Where callers are served. Needed by an entry."),
     key("entry", "max_body", Kind::Count { min: 1_024, max: 16_777_216 }, "1048576", "Largest request body, in bytes."),
     key("entry", "send_time", Kind::Millis { min: 100, max: 600_000 }, "10000", "Time for a caller to send a whole request."),
--- a/lib/src/retry_share.rs
+++ b/lib/src/retry_share.rs
@@ -56,6 +56,8 @@
     refilled_at: Time,
     // In chronological order, with none older than the window.
     requests: VecDeque<Time>,
+    // Whether the share is to be filled as soon as this entry has a part of the slack.
+    fills: bool,
 }
 
 impl RetryShare {
@@ -66,6 +68,15 @@
             level: 0.0,
             refilled_at: Time::ZERO,
             requests: VecDeque::new(),
+            fills: false,
+        }
+    }
+
+    /// Fills the share, for a process that has no predecessor: nothing can have been spent before it.
+    pub fn with_full(self) -> Self {
+        RetryShare {
+            fills: true,
+            ..self
         }
     }
 
@@ -108,6 +119,10 @@
         }
         let windows = now.since(self.refilled_at).as_secs_f64() / self.limit.window.as_secs_f64();
         self.refilled_at = self.refilled_at.max(now);
+        if self.fills && slack > 0.0 {
+            self.fills = false;
+            self.level = self.capacity(slack);
+        }
         self.earn(slack * windows, slack);
     }
 
--- a/lib/tests/retry_share.rs
+++ b/lib/tests/retry_share.rs
@@ -197,6 +197,21 @@
     assert!(first.since(Time::ZERO) < Duration::from_secs(2));
 }
 
+/// Guards against a deployment whose relays, started for the first time, send no refused request on.
+#[test]
+fn a_process_without_a_predecessor_retries_at_once() {
+    let mut share = RetryShare::new(LIMIT).with_full();
+    let now = Time::from_millis(100);
+    share.record_request(now, 0.0);
+    assert!(!share.try_retry(now, 0.0));
+    let retries = (0..100).filter(|_| share.try_retry(now, LIMIT.slack));
+    let retries = retries.count() as f64;
+    assert!(
+        retries > 1.0 && retries <= LIMIT.slack / 2.0 + 1.0,
+        "{retries}"
+    );
+}
+
 /// Guards against a changed limit that renews what was spent under the one before.
 #[test]
 fn a_changed_limit_renews_nothing() {
--- a/relay/src/retries.rs
+++ b/relay/src/retries.rs
@@ -90,9 +90,13 @@
         let entries = fleet.entry_shares();
         let slack = entries.slack_share(service, limit.slack, retry_share::MIN_SLACK_SHARE);
         drop(fleet);
-        let share = shares
-            .entry(service.clone())
-            .or_insert_with(|| RetryShare::new(limit));
+        let share =
+            shares
+                .entry(service.clone())
+                .or_insert_with(|| match self.settings.first_start {
+                    true => RetryShare::new(limit).with_full(),
+                    false => RetryShare::new(limit),
+                });
         action(share, slack)
     }
 }
