tests, stand-ins: one piece each for the relays' limit, for what was sent, and for waiting

The test of the retry limit and the soak each had the limit of the relays' settings and the rule by which a request counts as sent, two test files the same wait for a condition, and two tests the same check at their end. The stand-ins have the limit beside the setting that they write, and the tests call it. Nothing that is decided, checked or expected changes; no source of the daemon is touched.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -7,6 +7,7 @@
 use cicada_standins::caller::Heard;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::deployment::wait_until;
 use cicada_standins::headers;
 use cicada_standins::service::Mode;
 use eyre::Result;
@@ -51,17 +52,6 @@
     tokio::spawn(async move { ask.send(relay).await })
 }
 
-async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> Result<()> {
-    let started = Instant::now();
-    while started.elapsed() < PATIENCE {
-        if condition() {
-            return Ok(());
-        }
-        sleep(Duration::from_millis(10)).await;
-    }
-    bail!("timed out waiting until {what}")
-}
-
 /// An engine announces its shutdown while streams run on it. Its scout copies and stops each run, and the relays
 /// continue the runs at the other engine. The callers must get every event exactly once.
 #[tokio::test(flavor = "multi_thread")]
--- a/daemon/tests/relay_retry_limit.rs
+++ b/daemon/tests/relay_retry_limit.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use cicada_standins::caller::Ask;
+use cicada_standins::caller::was_sent;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::deployment::REPEAT_LIMIT;
+use cicada_standins::deployment::SLACK_SETTING;
+use cicada_standins::deployment::wait_until;
 use cicada_standins::engine::Trouble;
-use cicada_standins::retry_check::Excess;
-use cicada_standins::retry_check::RepeatLimit;
 use cicada_standins::service::Mode;
 use eyre::Result;
 use testutils::cluster::Signal;
@@ -20,15 +22,7 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
-/// The limit in the relays' settings.
-const LIMIT: RepeatLimit = RepeatLimit {
-    ratio: 0.1,
-    slack: 32.0,
-    window: Duration::from_secs(10),
-};
-
-/// The setting of the slack, and one that differs slightly.
-const SLACK_SETTING: &str = "retry_slack = 32\n";
+/// A setting of the slack that differs slightly.
 const LOWER_SLACK_SETTING: &str = "retry_slack = 31\n";
 
 /// How long callers send requests: longer than the window.
@@ -76,7 +70,7 @@
         requests.spawn(async move {
             let at = Instant::now();
             let outcome = ask.send(relay).await;
-            if !outcome.is_err_and(|error| is_connection_error(&error)) {
+            if was_sent(&outcome) {
                 sent.lock().unwrap().push(at);
             }
         });
@@ -86,10 +80,6 @@
     requests.join_all().await;
 }
 
-fn is_connection_error(error: &eyre::Report) -> bool {
-    error.downcast_ref::<std::io::Error>().is_some()
-}
-
 /// Starts callers at all relays, and returns when they send.
 fn start_callers(deployment: &Deployment) -> (JoinSet<()>, SendTimes) {
     let sent = SendTimes::default();
@@ -102,11 +92,15 @@
     (callers, sent)
 }
 
-fn worst_excess(deployment: &Deployment, sent: &SendTimes) -> Option<Excess> {
+/// Waits for the callers to end, and checks what the services received.
+async fn assert_limit_kept(deployment: &Deployment, callers: JoinSet<()>, sent: &SendTimes) {
+    callers.join_all().await;
     let services = deployment.services.iter();
     let arrivals: Vec<_> = services.flat_map(|(s, _)| s.arrivals_by_id()).collect();
     assert!(!arrivals.is_empty());
-    LIMIT.worst_excess(&sent.lock().unwrap(), &arrivals)
+    if let Some(excess) = REPEAT_LIMIT.worst_excess(&sent.lock().unwrap(), &arrivals) {
+        panic!("{excess}");
+    }
 }
 
 async fn assert_limit_kept_across_restarts(signal: Signal, interval: Duration) -> Result<()> {
@@ -123,10 +117,7 @@
             deployment.restart_relay(relay)?;
         }
     }
-    callers.join_all().await;
-    if let Some(excess) = worst_excess(&deployment, &sent) {
-        panic!("{excess}");
-    }
+    assert_limit_kept(&deployment, callers, &sent).await;
     Ok(())
 }
 
@@ -157,10 +148,7 @@
         }
         settings = (settings.1, settings.0);
     }
-    callers.join_all().await;
-    if let Some(excess) = worst_excess(&deployment, &sent) {
-        panic!("{excess}");
-    }
+    assert_limit_kept(&deployment, callers, &sent).await;
     Ok(())
 }
 
@@ -205,14 +193,3 @@
     streams.iter().for_each(|stream| stream.abort());
     Ok(())
 }
-
-async fn wait_until(what: &str, mut condition: impl FnMut() -> bool) -> Result<()> {
-    let started = Instant::now();
-    while started.elapsed() < PATIENCE {
-        if condition() {
-            return Ok(());
-        }
-        sleep(Duration::from_millis(10)).await;
-    }
-    eyre::bail!("timed out waiting until {what}")
-}
