lib, relay: how an answer's body was delimited and ended is logged and counted

The log of a stream that reached its caller as complete after a crash of its engine said neither how its answer was framed nor what followed its last event, so the hypotheses of docs/incidents/broken-answers.md could not be told apart. 'stream: ended' and the new 'stream: its connection broke' now have the framing, the bytes of a partial event and whether a move was in progress; relay_body_ends_total counts ends by framing. No decision changes.

--- a/relay/src/events.rs
+++ b/relay/src/events.rs
@@ -54,6 +54,11 @@
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
+    /// Bytes received after the last whole event.
+    pub(crate) fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Identifier of the last whole event; empty if there is none.
     pub(crate) fn last_id(&self) -> &Name {
         &self.last_id
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -189,7 +189,10 @@
     loop {
         match timeout_at(call.timer_deadline, answered.body.frame()).await {
             Err(_) => return Err(NoAnswer::TimeOver),
-            Ok(Some(Err(_))) => return Err(NoAnswer::Unknown),
+            Ok(Some(Err(_))) => {
+                relay.metrics().count_body_end(answered.framing, "broken");
+                return Err(NoAnswer::Unknown);
+            }
             Ok(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     let too_large = whole.len() + data.len() > MAX_ANSWER_BYTES;
@@ -202,6 +205,7 @@
             Ok(None) => break,
         }
     }
+    relay.metrics().count_body_end(answered.framing, "regular");
     drop(answered.connection);
     Ok(BufferedAnswer {
         status: answered.parts.status,
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cicada_lib::body_end::Framing;
 use cicada_lib::ids::Name;
 use cicada_lib::retry_share::RetryUsage;
 use prometheus::GaugeVec;
@@ -17,6 +18,7 @@
 #[derive(Clone, Debug)]
 pub struct RelayMetrics {
     answers: IntCounterVec,
+    body_ends: IntCounterVec,
     refusals: IntCounterVec,
     retries: IntCounterVec,
     sends: IntCounterVec,
@@ -52,6 +54,13 @@
     pub fn new(registry: &Registry) -> prometheus::Result<Self> {
         let metrics = RelayMetrics {
             answers: counter("relay_answers_total", "Answers by outcome", "outcome")?,
+            body_ends: IntCounterVec::new(
+                Opts::new(
+                    "relay_body_ends_total",
+                    "Ends of the bodies of backend servers' answers, by what delimits the body",
+                ),
+                &["framing", "end"],
+            )?,
             refusals: counter("relay_refusals_total", "Own refusals by reason", "reason")?,
             retries: counter("relay_retries_total", "Further sends by reason", "reason")?,
             sends: counter(
@@ -128,6 +137,7 @@
             move_gap: histogram("relay_move_gap_seconds", "Pause of a stream by a move")?,
         };
         registry.register(Box::new(metrics.answers.clone()))?;
+        registry.register(Box::new(metrics.body_ends.clone()))?;
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.sends.clone()))?;
@@ -154,6 +164,12 @@
         self.answers.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts the end of an answer's body.
+    pub(crate) fn count_body_end(&self, framing: Framing, end: &str) {
+        let labels = [framing.as_str(), end];
+        self.body_ends.with_label_values(&labels).inc();
+    }
+
     pub(crate) fn count_refusal(&self, reason: &str) {
         self.refusals.with_label_values(&[reason]).inc();
     }
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -3,12 +3,14 @@
 
 use std::time::Duration;
 
+use cicada_lib::body_end::Framing;
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::server_statement::Speaker;
 use cicada_lib::site::CallKind;
 use http::Response;
 use http::response::Parts;
+use http_body::Body;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -28,6 +30,7 @@
 pub(crate) struct StartedAnswer {
     pub(crate) parts: Parts,
     pub(crate) body: Incoming,
+    pub(crate) framing: Framing,
     pub(crate) connection: Connection,
 }
 
@@ -128,9 +131,11 @@
     if parts.status.is_success() && !head.signed {
         return Err(NoAnswer::Unknown);
     }
+    let framing = Framing::of(&parts.headers, body.size_hint().exact());
     Ok(StartedAnswer {
         parts,
         body,
+        framing,
         connection: answer.connection,
     })
 }
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cicada_lib::body_end::Framing;
 use cicada_lib::dialect::Copied;
 use cicada_lib::dialect::MoveError;
 use cicada_lib::dialect::MoveStep;
@@ -45,6 +46,8 @@
     pub(crate) attempts: Attempts,
     // `None` after the run has stopped at one engine and before it has started at the next.
     pub(crate) source: Option<(Incoming, Connection)>,
+    // How the body at the present engine, or at the last one, is delimited.
+    pub(crate) framing: Framing,
     pub(crate) events: EventSplitter,
     pub(crate) sender: EventSender,
     // When the first and the latest event arrived; until the first event, when the answer began.
@@ -121,6 +124,7 @@
             tokens,
             attempts,
             source: Some((answered.body, answered.connection)),
+            framing: answered.framing,
             events,
             sender,
             first_event_at: now,
@@ -162,6 +166,9 @@
                 .as_millis() as u64,
             longest = self.longest_gap.as_millis() as u64,
             waited,
+            framing = %self.framing,
+            partial = self.events.partial_bytes(),
+            moving = self.moving.is_some(),
             "stream: ended"
         );
         match ending {
@@ -189,8 +196,13 @@
                         return end;
                     }
                 }
-                Wake::End => return StreamEnd::Complete,
+                Wake::End => {
+                    self.relay.metrics().count_body_end(self.framing, "regular");
+                    return StreamEnd::Complete;
+                }
                 Wake::Lost => {
+                    self.relay.metrics().count_body_end(self.framing, "broken");
+                    self.log_broken();
                     if !self.recover_from_loss().await && !self.restart(NoAnswer::Unknown).await {
                         return StreamEnd::Lost;
                     }
@@ -212,6 +224,18 @@
         }
     }
 
+    fn log_broken(&self) {
+        tracing::info!(
+            id = self.call.id(),
+            server = %self.placed.record.id,
+            framing = %self.framing,
+            events = self.events.count(),
+            partial = self.events.partial_bytes(),
+            moving = self.moving.is_some(),
+            "stream: its connection broke"
+        );
+    }
+
     async fn next_wake(&mut self, leaving: &mut watch::Receiver<u64>) -> Wake {
         let check_move = self.placed.leaving_since().is_some() && self.moving.is_none();
         let deadline = self.progress_deadline();
@@ -350,6 +374,7 @@
     pub(crate) fn continue_with(&mut self, paused_since: Instant, answered: StartedAnswer) {
         self.placed.record_first_event();
         self.source = Some((answered.body, answered.connection));
+        self.framing = answered.framing;
         self.paused_since = Some(paused_since);
         self.started_at = Instant::now();
     }
