tests, stand-ins: a stream cut inside an event is passed on as complete, red

Reproduces the incident with real processes: engines of the stand-in delimit their streams by a length, by chunks or by the end of the connection, and break them off by a crash, a close or a reset, before the head, inside an event or between events.

--- /dev/null
+++ b/daemon/tests/relay_broken_streams.rs
@@ -0,0 +1,140 @@
+//! Streams that end in every way, as seen by callers: one that was broken off must not look complete.
+
+use std::path::Path;
+
+use cicada_standins::caller::Ask;
+use cicada_standins::caller::Heard;
+use cicada_standins::deployment::Deployment;
+use cicada_standins::deployment::KEY;
+use cicada_standins::engine::Break;
+use cicada_standins::engine::Cause;
+use cicada_standins::engine::Framing;
+use cicada_standins::engine::Place;
+use cicada_standins::engine::Trouble;
+use eyre::Result;
+use eyre::WrapErr;
+use eyre::ensure;
+
+/// Number of events of a stream.
+const EVENTS: u64 = 12;
+
+/// Events before a break in the middle of a stream.
+const SOME: u64 = 5;
+
+const ID: &str = "stream";
+
+/// How the stream of a case is delimited and ends, and whether it may be resumed in another run.
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    framing: Framing,
+    cause: Cause,
+    place: Place,
+    resumable: bool,
+}
+
+impl Case {
+    /// Every combination of these framings, causes and places, on both kinds of routes.
+    fn all(framings: &[Framing], causes: &[Cause], places: &[Place]) -> Vec<Case> {
+        let mut cases = Vec::new();
+        for framing in framings {
+            for cause in causes {
+                for place in places {
+                    cases.extend([false, true].map(|resumable| Case {
+                        framing: *framing,
+                        cause: *cause,
+                        place: *place,
+                        resumable,
+                    }));
+                }
+            }
+        }
+        cases
+    }
+
+    /// The events of the engine's answer if it is complete: its end is marked as its framing asks, by an engine that
+    /// lives on, and is between two events.
+    fn complete_after(&self) -> Option<u64> {
+        let marked = match self.framing {
+            Framing::Length => false,
+            Framing::Chunks => self.cause == Cause::Ended,
+            Framing::Close => matches!(self.cause, Cause::Ended | Cause::Closed),
+        };
+        match self.place {
+            Place::After(events) => marked.then_some(events),
+            Place::Head | Place::Inside(_) => None,
+        }
+    }
+
+    /// Sends a stream that ends so, and checks what its caller got.
+    async fn check(&self) -> Result<()> {
+        let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+        let deployment = Deployment::start(daemon, 1, 2, 0).await?;
+        let Case { cause, place, .. } = *self;
+        for host in &deployment.engines {
+            host.engine.set_framing(self.framing);
+            host.engine
+                .set_trouble(Trouble::Break(Break { place, cause }));
+        }
+        let ask = match self.resumable {
+            true => Ask::question(ID, KEY, 100, EVENTS as u32),
+            false => Ask::stream(ID, KEY, 100, EVENTS as u32),
+        };
+        let relay = deployment.relays[0].callers;
+        let heard = ask.send(relay).await?;
+        let engines = deployment.engines.iter();
+        let runs = engines.map(|host| host.engine.arrivals().len()).sum();
+        let log = deployment.relays[0].process.log();
+        self.judge(&heard, runs)
+            .wrap_err_with(|| format!("{self:?}\n{log}"))
+    }
+
+    fn judge(&self, heard: &Heard, runs: usize) -> Result<()> {
+        let events = heard.events(ID)?;
+        let got = events.len() as u64;
+        ensure!(
+            events.into_iter().eq(1..=got),
+            "events are missing or out of order"
+        );
+        let text = std::str::from_utf8(&heard.body)?;
+        ensure!(
+            text.is_empty() || text.ends_with("\n\n"),
+            "a part of an event: {text:?}"
+        );
+        let (whole, expected) = match (self.complete_after(), self.resumable) {
+            (Some(made), _) => (true, (made, 1)),
+            (None, true) => (true, (EVENTS, 2)),
+            (None, false) => (false, (got, 1)),
+        };
+        ensure!(heard.whole_success() == whole, "complete: {}", !whole);
+        ensure!((got, runs) == expected, "{got} events of {runs} runs");
+        Ok(())
+    }
+}
+
+/// Checks all cases, and fails with those that went wrong.
+async fn check_all(cases: &[Case]) -> Result<()> {
+    let mut failed = Vec::new();
+    for case in cases {
+        if let Err(error) = case.check().await {
+            failed.push(format!("{error:#}"));
+        }
+    }
+    ensure!(
+        failed.is_empty(),
+        "{} of {} cases:\n{}",
+        failed.len(),
+        cases.len(),
+        failed.join("\n")
+    );
+    Ok(())
+}
+
+/// Guards against a stream that ends in the middle of an event and is passed on as complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_cut_inside_an_event_is_not_complete() -> Result<()> {
+    let causes = [Cause::Crash, Cause::Closed, Cause::Ended];
+    let place = [Place::Inside(SOME)];
+    let mut cases = Case::all(&[Framing::Close], &causes, &place);
+    cases.extend(Case::all(&[Framing::Chunks], &[Cause::Ended], &place));
+    check_all(&cases).await
+}
--- a/lib/testutils/src/http_server.rs
+++ b/lib/testutils/src/http_server.rs
@@ -1,5 +1,6 @@
 //! A small HTTP server whose connections can all be cut at once, as when a process dies.
 
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -26,6 +27,9 @@
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 
+use crate::raw_answer::BodyFraming;
+use crate::raw_answer::RawAnswer;
+
 /// The body of an answer. An error cuts its connection before the body's end.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -33,6 +37,8 @@
 pub enum Reply {
     /// It is answered.
     Answer(Response<Body>),
+    /// It is answered with a framing of the handler's choice, and the connection ends.
+    Raw(RawAnswer),
     /// The connection is closed without an answer.
     Cut,
 }
@@ -71,6 +77,7 @@
     pub fn with_header(self, name: &'static str, value: impl ToString) -> Self {
         match self {
             Reply::Cut => Reply::Cut,
+            Reply::Raw(raw) => Reply::Raw(raw.with_header(name, &value.to_string())),
             Reply::Answer(mut response) => {
                 if let Ok(value) = value.to_string().parse() {
                     response.headers_mut().insert(name, value);
@@ -81,6 +88,16 @@
     }
 }
 
+impl Reply {
+    /// The same answer with this framing.
+    pub fn with_framing(self, framing: BodyFraming) -> Self {
+        match self {
+            Reply::Answer(response) => Reply::Raw(RawAnswer::new(response, framing)),
+            Reply::Raw(_) | Reply::Cut => self,
+        }
+    }
+}
+
 /// A request whose body has been read.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -242,21 +259,36 @@
 
 async fn serve(stream: TcpStream, handler: Arc<dyn Handler>) {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| answer(handler.clone(), request));
+    let raw = RawSlot::default();
+    let service = {
+        let raw = raw.clone();
+        service_fn(move |request| Box::pin(answer(handler.clone(), raw.clone(), request)))
+    };
+    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     // An error here is a connection that the peer closed, or one that was to be cut.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let _ = poll_fn(|cx| connection.poll_without_shutdown(cx)).await;
+    let raw = raw.lock().unwrap_or_else(PoisonError::into_inner).take();
+    if let Some(raw) = raw {
+        raw.write(connection.into_parts().io.into_inner()).await;
+    }
 }
 
+/// The answer that is to be written by hand once the library has let go of the connection.
+type RawSlot = Arc<Mutex<Option<RawAnswer>>>;
+
 async fn answer(
     handler: Arc<dyn Handler>,
+    slot: RawSlot,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, ConnectionCut> {
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| ConnectionCut)?.to_bytes();
     match handler.handle(Call { head, body }).await {
         Reply::Answer(response) => Ok(response),
+        Reply::Raw(raw) => {
+            *slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(raw);
+            Err(ConnectionCut)
+        }
         Reply::Cut => Err(ConnectionCut),
     }
 }
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod proxy;
 pub mod proxy_admin;
 pub mod rate;
+pub mod raw_answer;
 pub mod service;
 pub mod site;
 pub mod token_text;
