lib, relay: the splitting of streams into events is a module of its own

It decides from bytes alone, so it belongs beside the other decision modules, where it can be tested without a process. No behaviour changes.

--- a/relay/src/events.rs
+++ b/lib/src/event_splitter.rs
@@ -1,15 +1,17 @@
 //! Splits a stream of server-sent events into whole events as its bytes arrive.
+//!
+//! Load pattern: streams whose engine dies, or whose run moves to another engine, in the middle of an event.
 
+use crate::ids::Name;
 use bytes::Bytes;
 use bytes::BytesMut;
-use cicada_lib::ids::Name;
 
 /// Maximum size of an event. No engine sends a longer one.
-pub(crate) const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Buffers the bytes of an event stream, and returns them in pieces that end after a whole event.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     // Starts at an event boundary.
     buffer: BytesMut,
     last_id: Name,
@@ -18,7 +20,7 @@
 
 impl EventSplitter {
     /// Creates a splitter for the events that follow the one with the identifier `last_id`.
-    pub(crate) fn after(last_id: Name) -> Self {
+    pub fn after(last_id: Name) -> Self {
         EventSplitter {
             last_id,
             ..EventSplitter::default()
@@ -26,7 +28,7 @@
     }
 
     /// Appends received bytes, and returns all events that are now complete as one piece.
-    pub(crate) fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
         while let Some(length) = event_length(&self.buffer[end..]) {
@@ -40,32 +42,32 @@
     }
 
     /// Takes the remaining bytes of a stream that ended regularly: those after the last blank line.
-    pub(crate) fn take_remainder(&mut self) -> Bytes {
+    pub fn take_remainder(&mut self) -> Bytes {
         self.buffer.split().freeze()
     }
 
     /// Discards a partial event, which another server sends again as a whole.
-    pub(crate) fn discard_partial(&mut self) {
+    pub fn discard_partial(&mut self) {
         self.buffer.clear();
     }
 
     /// Whether the partial event exceeds the maximum size.
-    pub(crate) fn is_partial_too_long(&self) -> bool {
+    pub fn is_partial_too_long(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
     }
 
     /// Bytes received after the last whole event.
-    pub(crate) fn partial_bytes(&self) -> usize {
+    pub fn partial_bytes(&self) -> usize {
         self.buffer.len()
     }
 
     /// Identifier of the last whole event; empty if there is none.
-    pub(crate) fn last_id(&self) -> &Name {
+    pub fn last_id(&self) -> &Name {
         &self.last_id
     }
 
     /// Number of whole events so far.
-    pub(crate) fn count(&self) -> u64 {
+    pub fn count(&self) -> u64 {
         self.count
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod engine_http;
 pub mod engine_load_tracker;
 pub mod entry_shares;
+pub mod event_splitter;
 pub mod failure_rate;
 pub mod fair_queue;
 pub mod fleet;
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -16,7 +16,6 @@
 mod engine_reports;
 mod evacuation_watcher;
 mod event_queue;
-mod events;
 mod exchange;
 mod freeze_recovery;
 mod held_state;
