lib, relay: a stream that ends in the middle of an event is broken off

Cause: the relay asked the framing alone whether an answer was complete. A body with neither length nor chunks ends regularly whenever its connection is closed, and the kernel closes it for a process that dies. The bytes after the last blank line were sent on as 'what followed the last event', and the answer was then ended by its last chunk: the relay vouched for what it did not know.

Ruled out: that the relay saw the break and its caller did not; its own word was 'complete'.

Change: BodyEnd (lib/src/body_end.rs) is the one place that says whether a body is complete, from how its bytes stopped and from where its content stands. A stream that stops in an event is handled like a lost connection: the run is followed if it was moved, resumed at another engine after its last whole event if the route allows it, and otherwise ended so that no caller takes it for complete. Blank lines and comments after the last event are no part of another; lines may end with CR, LF or both, however packets cut them.

Why it works: an event is only dispatched by its blank line, so a stream that has begun another one has not said all that it was to say, whatever marks the end of its bytes.

--- a/lib/src/body_end.rs
+++ b/lib/src/body_end.rs
@@ -1,4 +1,7 @@
-//! How the body of a backend server's answer is delimited, and how it ended.
+//! How the body of a backend server's answer is delimited, and whether it ended complete.
+//!
+//! Failure: a server dies or stops a run while it answers. What the caller gets must not look complete unless the
+//! server's answer was, by its framing and by its content.
 
 use std::fmt;
 
@@ -19,6 +22,60 @@
     }
 }
 
+copy_type! {
+    /// How the bytes of a body stopped.
+    pub enum Stop {
+        /// As the framing announces the end.
+        Announced,
+        /// By an error: the connection was reset, or was closed before the announced end.
+        Failed,
+    }
+
+    /// Where in its content a body stopped.
+    pub enum Position {
+        /// Between two events, or before the first one.
+        Boundary,
+        /// In the middle of an event.
+        InsideEvent,
+    }
+
+    /// Whether the body of an answer is complete.
+    pub enum BodyEnd {
+        /// The server ended its answer.
+        Complete,
+        /// The answer was broken off.
+        Broken(BreakReason),
+    }
+
+    /// Why an answer counts as broken off.
+    pub enum BreakReason {
+        /// The connection failed before the announced end.
+        Connection,
+        /// The stream ends in the middle of an event.
+        InsideEvent,
+    }
+}
+
+impl BodyEnd {
+    /// Whether a body that stopped so, at this position, is complete.
+    pub fn of(stop: Stop, position: Position) -> Self {
+        match (stop, position) {
+            (Stop::Failed, _) => BodyEnd::Broken(BreakReason::Connection),
+            (Stop::Announced, Position::InsideEvent) => BodyEnd::Broken(BreakReason::InsideEvent),
+            (Stop::Announced, Position::Boundary) => BodyEnd::Complete,
+        }
+    }
+
+    /// Label in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            BodyEnd::Complete => "complete",
+            BodyEnd::Broken(BreakReason::Connection) => "connection",
+            BodyEnd::Broken(BreakReason::InsideEvent) => "inside_event",
+        }
+    }
+}
+
 impl Framing {
     /// The framing of a body by the headers of its answer, and its exact length if the reader knows it from the head.
     pub fn of(headers: &HeaderMap, exact_length: Option<u64>) -> Self {
--- a/lib/src/event_splitter.rs
+++ b/lib/src/event_splitter.rs
@@ -2,6 +2,7 @@
 //!
 //! Load pattern: streams whose engine dies, or whose run moves to another engine, in the middle of an event.
 
+use crate::body_end::Position;
 use crate::ids::Name;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -31,17 +32,40 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.buffer.extend_from_slice(bytes);
         let mut end = 0;
-        while let Some(length) = event_length(&self.buffer[end..]) {
-            if let Some(id) = event_id(&self.buffer[end..end + length]) {
+        while let Some(length) = event_length(&self.buffer[end..], false) {
+            let event = &self.buffer[end..end + length];
+            if let Some(id) = event_id(event) {
                 self.last_id = id;
             }
-            self.count += 1;
+            // A blank line alone is no event. It may be the LF of an event that was forwarded at its CR.
+            if !matches!(event, b"\n" | b"\r" | b"\r\n") {
+                self.count += 1;
+            }
             end += length;
         }
         (end > 0).then(|| self.buffer.split_to(end).freeze())
     }
 
-    /// Takes the remaining bytes of a stream that ended regularly: those after the last blank line.
+    /// Where the stream stands if no more bytes follow. Blank lines and comments after the last event are not part of
+    /// another one.
+    pub fn position_at_end(&self) -> Position {
+        let mut rest = &self.buffer[..];
+        if let Some(length) = event_length(rest, true) {
+            rest = &rest[length..];
+        }
+        while let Some((line, length)) = first_line(rest, true) {
+            if !line.is_empty() && !line.starts_with(b":") {
+                return Position::InsideEvent;
+            }
+            rest = &rest[length..];
+        }
+        match rest.is_empty() {
+            true => Position::Boundary,
+            false => Position::InsideEvent,
+        }
+    }
+
+    /// Takes the remaining bytes of a stream that is complete.
     pub fn take_remainder(&mut self) -> Bytes {
         self.buffer.split().freeze()
     }
@@ -72,26 +96,39 @@
     }
 }
 
-/// Returns the length of the first event, including the blank line that ends it.
-fn event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let blank = matches!(&bytes[line_start..index], b"" | b"\r");
-        if blank {
-            return Some(index + 1);
+/// Returns the length of the first event, including the blank line that ends it. `is_end` is whether no bytes follow.
+fn event_length(bytes: &[u8], is_end: bool) -> Option<usize> {
+    let mut end = 0;
+    loop {
+        let (line, length) = first_line(&bytes[end..], is_end)?;
+        end += length;
+        if line.is_empty() {
+            return Some(end);
         }
-        line_start = index + 1;
     }
-    None
+}
+
+/// Returns the first line without its end, and its length with it. A line ends with LF, CR or both. A CR at the very end
+/// may be followed by an LF, which does not matter after a blank line.
+fn first_line(bytes: &[u8], is_end: bool) -> Option<(&[u8], usize)> {
+    let end = bytes
+        .iter()
+        .position(|byte| matches!(byte, b'\n' | b'\r'))?;
+    let line = &bytes[..end];
+    match (bytes[end], bytes.get(end + 1)) {
+        (b'\r', None) if !is_end && !line.is_empty() => None,
+        (b'\r', Some(b'\n')) => Some((line, end + 2)),
+        _ => Some((line, end + 1)),
+    }
 }
 
 fn event_id(event: &[u8]) -> Option<Name> {
-    let line = event
-        .split(|byte| *byte == b'\n')
-        .find_map(|line| line.strip_prefix(b"id:"))?;
-    let text = std::str::from_utf8(line).ok()?;
-    Some(Name::new(text.trim()))
+    let mut rest = event;
+    while let Some((line, length)) = first_line(rest, true) {
+        if let Some(id) = line.strip_prefix(b"id:") {
+            return Some(Name::new(std::str::from_utf8(id).ok()?.trim()));
+        }
+        rest = &rest[length..];
+    }
+    None
 }
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -36,6 +36,7 @@
 mod relay_settings;
 mod relay_view;
 mod retries;
+mod run_end;
 mod run_mover;
 mod run_moves;
 mod scout;
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -190,7 +190,9 @@
         match timeout_at(call.timer_deadline, answered.body.frame()).await {
             Err(_) => return Err(NoAnswer::TimeOver),
             Ok(Some(Err(_))) => {
-                relay.metrics().count_body_end(answered.framing, "broken");
+                relay
+                    .metrics()
+                    .count_body_end(answered.framing, "connection");
                 return Err(NoAnswer::Unknown);
             }
             Ok(Some(Ok(frame))) => {
@@ -205,7 +207,7 @@
             Ok(None) => break,
         }
     }
-    relay.metrics().count_body_end(answered.framing, "regular");
+    relay.metrics().count_body_end(answered.framing, "complete");
     drop(answered.connection);
     Ok(BufferedAnswer {
         status: answered.parts.status,
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use cicada_lib::body_end::Framing;
+use cicada_lib::body_end::Stop;
 use cicada_lib::dialect::Copied;
 use cicada_lib::dialect::MoveError;
 use cicada_lib::dialect::MoveStep;
@@ -82,8 +83,7 @@
     CallerGone,
     TimeOver,
     Data(Bytes),
-    End,
-    Lost,
+    BodyEnded(Stop),
     ConsiderMove,
     NoProgress,
     MoveStepDone(Result<Copied, MoveError>),
@@ -167,8 +167,6 @@
             longest = self.longest_gap.as_millis() as u64,
             waited,
             framing = %self.framing,
-            partial = self.events.partial_bytes(),
-            moving = self.moving.is_some(),
             "stream: ended"
         );
         match ending {
@@ -196,15 +194,9 @@
                         return end;
                     }
                 }
-                Wake::End => {
-                    self.relay.metrics().count_body_end(self.framing, "regular");
-                    return StreamEnd::Complete;
-                }
-                Wake::Lost => {
-                    self.relay.metrics().count_body_end(self.framing, "broken");
-                    self.log_broken();
-                    if !self.recover_from_loss().await && !self.restart(NoAnswer::Unknown).await {
-                        return StreamEnd::Lost;
+                Wake::BodyEnded(stop) => {
+                    if let Some(end) = self.handle_body_end(stop).await {
+                        return end;
                     }
                 }
                 Wake::ConsiderMove => self.consider_move(),
@@ -224,18 +216,6 @@
         }
     }
 
-    fn log_broken(&self) {
-        tracing::info!(
-            id = self.call.id(),
-            server = %self.placed.record.id,
-            framing = %self.framing,
-            events = self.events.count(),
-            partial = self.events.partial_bytes(),
-            moving = self.moving.is_some(),
-            "stream: its connection broke"
-        );
-    }
-
     async fn next_wake(&mut self, leaving: &mut watch::Receiver<u64>) -> Wake {
         let check_move = self.placed.leaving_since().is_some() && self.moving.is_none();
         let deadline = self.progress_deadline();
@@ -255,8 +235,8 @@
             biased;
             () = self.sender.closed() => Wake::CallerGone,
             frame = frame => match frame {
-                None => Wake::End,
-                Some(Err(_)) => Wake::Lost,
+                None => Wake::BodyEnded(Stop::Announced),
+                Some(Err(_)) => Wake::BodyEnded(Stop::Failed),
                 Some(Ok(frame)) => Wake::Data(frame.into_data().unwrap_or_default()),
             },
             outcome = moving => Wake::MoveStepDone(outcome),
@@ -323,7 +303,7 @@
 
     /// Starts a new run at another engine, after the last event. The previous engine has died or hangs, and the memory
     /// of its run is lost. Returns `false` if the stream cannot be resumed.
-    async fn restart(&mut self, no_answer: NoAnswer) -> bool {
+    pub(crate) async fn restart(&mut self, no_answer: NoAnswer) -> bool {
         self.moving = None;
         // Closing the connection cancels the run at its engine.
         self.source = None;
