lib, relay: a stream that only its connection ends is complete where its engine is there

What callers saw: a 200, framed as complete, that lacked its last events: the engine had crashed between two events, and its answer had neither a length nor chunks.

Cause: such a body has one mark of its end, the close of the connection, and the kernel makes it for a process that dies. Ruled out: that the transport tells the two apart; the connection ends by a FIN in both.

Change: the end is 'unconfirmed', and the relay asks the one thing that tells more: whether the port still accepts connections. A dead process's port refuses them. If it does, or if no answer comes in 150 ms and three round trips, the answer is broken off by 'server_gone'. Only the end of such a body waits for it; events, lengths and chunks wait for nothing.

Cost: a connection for each answer that only its connection ends, and one round trip before the mark of its end. An engine that ends its process within that round trip after a whole answer loses it.

--- a/lib/src/body_end.rs
+++ b/lib/src/body_end.rs
@@ -43,6 +43,8 @@
     pub enum BodyEnd {
         /// The server ended its answer.
         Complete,
+        /// The connection was closed, by the server at the end of its answer or because the server died.
+        Unconfirmed,
         /// The answer was broken off.
         Broken(BreakReason),
     }
@@ -53,16 +55,28 @@
         Connection,
         /// The stream ends in the middle of an event.
         InsideEvent,
+        /// The server is gone, and nothing but its connection marked the end.
+        ServerGone,
     }
 }
 
 impl BodyEnd {
     /// Whether a body that stopped so, at this position, is complete.
-    pub fn of(stop: Stop, position: Position) -> Self {
-        match (stop, position) {
-            (Stop::Failed, _) => BodyEnd::Broken(BreakReason::Connection),
-            (Stop::Announced, Position::InsideEvent) => BodyEnd::Broken(BreakReason::InsideEvent),
-            (Stop::Announced, Position::Boundary) => BodyEnd::Complete,
+    pub fn of(framing: Framing, stop: Stop, position: Position) -> Self {
+        match (stop, position, framing) {
+            (Stop::Failed, _, _) => BodyEnd::Broken(BreakReason::Connection),
+            (_, Position::InsideEvent, _) => BodyEnd::Broken(BreakReason::InsideEvent),
+            (_, Position::Boundary, Framing::Close) => BodyEnd::Unconfirmed,
+            (_, Position::Boundary, Framing::Length | Framing::Chunks) => BodyEnd::Complete,
+        }
+    }
+
+    /// Settles an unconfirmed end by whether the server still accepts connections.
+    pub fn confirm(self, is_server_there: bool) -> Self {
+        match (self, is_server_there) {
+            (BodyEnd::Unconfirmed, true) => BodyEnd::Complete,
+            (BodyEnd::Unconfirmed, false) => BodyEnd::Broken(BreakReason::ServerGone),
+            (settled, _) => settled,
         }
     }
 
@@ -70,8 +84,10 @@
     pub fn as_str(self) -> &'static str {
         match self {
             BodyEnd::Complete => "complete",
+            BodyEnd::Unconfirmed => "unconfirmed",
             BodyEnd::Broken(BreakReason::Connection) => "connection",
             BodyEnd::Broken(BreakReason::InsideEvent) => "inside_event",
+            BodyEnd::Broken(BreakReason::ServerGone) => "server_gone",
         }
     }
 }
--- a/lib/tests/body_end.rs
+++ b/lib/tests/body_end.rs
@@ -1,6 +1,10 @@
 //! Tests of how bodies are delimited.
 
+use cicada_lib::body_end::BodyEnd;
+use cicada_lib::body_end::BreakReason;
 use cicada_lib::body_end::Framing;
+use cicada_lib::body_end::Position;
+use cicada_lib::body_end::Stop;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::header::TRANSFER_ENCODING;
@@ -22,3 +26,32 @@
     assert_eq!(framing(&[], None), Framing::Close);
     assert_eq!(framing(&["chunked, gzip"], None), Framing::Close);
 }
+
+#[test]
+fn an_end_that_only_the_connection_marks_needs_a_server_that_is_there() {
+    let end = |framing, position| BodyEnd::of(framing, Stop::Announced, position);
+    for framing in [Framing::Length, Framing::Chunks] {
+        let complete = end(framing, Position::Boundary);
+        assert_eq!(complete, BodyEnd::Complete);
+        assert_eq!(complete.confirm(false), BodyEnd::Complete);
+    }
+    let unconfirmed = end(Framing::Close, Position::Boundary);
+    assert_eq!(unconfirmed.confirm(true), BodyEnd::Complete);
+    let gone = BodyEnd::Broken(BreakReason::ServerGone);
+    assert_eq!(unconfirmed.confirm(false), gone);
+}
+
+#[test]
+fn what_was_broken_off_stays_so_whatever_is_known_of_the_server() {
+    for framing in [Framing::Length, Framing::Chunks, Framing::Close] {
+        let inside = BodyEnd::of(framing, Stop::Announced, Position::InsideEvent);
+        let failed = BodyEnd::of(framing, Stop::Failed, Position::Boundary);
+        for (end, reason) in [
+            (inside, BreakReason::InsideEvent),
+            (failed, BreakReason::Connection),
+        ] {
+            assert_eq!(end.confirm(true), BodyEnd::Broken(reason));
+            assert_eq!(end.confirm(false), BodyEnd::Broken(reason));
+        }
+    }
+}
--- a/lib/testutils/src/http_server.rs
+++ b/lib/testutils/src/http_server.rs
@@ -244,6 +244,8 @@
 async fn accept(listener: TcpListener, handler: Arc<dyn Handler>) {
     // Dropped with this task, which ends all connections.
     let mut connections = JoinSet::new();
+    // Dropped before the connections: a peer that sees one of them end finds the port closed.
+    let listener = listener;
     loop {
         tokio::select! {
             accepted = listener.accept() => {
--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -3,29 +3,29 @@
 use cicada_lib::body_end::BodyEnd;
 use cicada_lib::body_end::Stop;
 
+use crate::placed_request::PlacedRequest;
 use crate::send::NoAnswer;
 use crate::stream_run::Run;
 use crate::stream_run::StreamEnd;
+use crate::upstream;
 
 impl Run {
     /// Handles the end of the body. Returns how the stream ends; `None` if it goes on at an engine.
     pub(crate) async fn handle_body_end(&mut self, stop: Stop) -> Option<StreamEnd> {
-        let end = BodyEnd::of(stop, self.events.position_at_end());
+        let end = BodyEnd::of(self.framing, stop, self.events.position_at_end());
+        let end = confirm_end(end, &self.placed).await;
         self.record_body_end(end);
-        match end {
-            BodyEnd::Complete => Some(StreamEnd::Complete),
-            BodyEnd::Broken(_) => {
-                let goes_on =
-                    self.recover_from_loss().await || self.restart(NoAnswer::Unknown).await;
-                (!goes_on).then_some(StreamEnd::Lost)
-            }
+        if end == BodyEnd::Complete {
+            return Some(StreamEnd::Complete);
         }
+        let goes_on = self.recover_from_loss().await || self.restart(NoAnswer::Unknown).await;
+        (!goes_on).then_some(StreamEnd::Lost)
     }
 
     fn record_body_end(&self, end: BodyEnd) {
         let why = end.as_str();
         self.relay.metrics().count_body_end(self.framing, why);
-        if let BodyEnd::Broken(_) = end {
+        if end != BodyEnd::Complete {
             tracing::info!(
                 id = self.call.id(),
                 server = %self.placed.record.id,
@@ -39,3 +39,15 @@
         }
     }
 }
+
+/// Settles the end of a body that nothing but its connection marked: the port of a server whose process has died refuses
+/// connections. Costs one round trip, and only such a body's end waits for it.
+pub(crate) async fn confirm_end(end: BodyEnd, placed: &PlacedRequest) -> BodyEnd {
+    match end {
+        BodyEnd::Unconfirmed => {
+            let is_there = upstream::accepts(placed.record.address, placed.round_trip()).await;
+            end.confirm(is_there)
+        }
+        settled => settled,
+    }
+}
--- a/relay/src/upstream.rs
+++ b/relay/src/upstream.rs
@@ -28,6 +28,9 @@
 /// Timeout for opening a connection, to which three round trips are added.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Timeout for asking whether a server is there, to which three round trips are added.
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// TCP user timeout: a server that acknowledges nothing for this long counts as unreachable.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -89,6 +92,12 @@
     Ok(OpenConnection { sender, connection })
 }
 
+/// Whether the server accepts connections. One that does not answer in time does not count as there.
+pub(crate) async fn accepts(server: SocketAddr, round_trip: Duration) -> bool {
+    let limit = ACCEPT_TIMEOUT + round_trip * 3;
+    matches!(timeout(limit, TcpStream::connect(server)).await, Ok(Ok(_)))
+}
+
 impl OpenConnection {
     /// Sends the request, and returns when the head of the answer has arrived.
     pub(crate) async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Answer, SendError> {
