relay: a stream whose engine dies during the relay's own move ends at once

What callers saw: an open stream without events until their deadline (18.5 s after the engine had died in the test). Found while looking for other places that misread the end of a stream.

Cause: when the stream broke while the last step of a move was under way, the relay waited for the step's outcome. If the step failed, finish_move_step() answered 'go on', which is right only while there is a stream to go on with. The run then had no source, and tried to move away from a dead engine until it had failed eight times.

Evidence: the new test was red before, its log has 'move: a step failed' eight times and then 'stream: ended word=time_over waited=20001'.

Change: follow_stop() says what became of a run whose stream has stopped: it goes on, it is lost, or no move of it is known. A step that failed leaves the last, unless the scout has moved the run, so that the run is resumed where the route allows it and otherwise ends. A partial event is discarded where a stream goes on, not before it is known whether it does.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -648,3 +648,35 @@
     assert_eq!(misdirected, 0, "{}", deployment.relays[0].process.log());
     Ok(())
 }
+
+/// Guards against a stream that stays open until its deadline because its engine dies while the relay moves its run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_engine_dies_during_its_move_ends_at_once() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 2, 0).await?;
+    let stream = start_stream(&deployment, 0, "draft", 400);
+    let engines: Vec<_> = deployment
+        .engines
+        .iter()
+        .map(|host| host.engine.clone())
+        .collect();
+    let running = || engines.iter().position(|engine| engine.running() == 1);
+    wait_until("the run has begun", || running().is_some()).await?;
+    let engine = running().unwrap_or_default();
+    // The relay moves the runs of an engine whose scout is silent.
+    deployment.engines[engine].scout.signal(Signal::Stop)?;
+    sleep(Duration::from_millis(1_500)).await;
+    engines[engine].set_last_copy(Duration::from_secs(2));
+    deployment.leave(engine, Duration::from_secs(4));
+    wait_until("the run is stopped", || engines[engine].copies() == 1).await?;
+    deployment.engines[engine].server.down().await;
+    let died = Instant::now();
+    let response = stream.await??;
+    let log = deployment.relays[0].process.log();
+    assert!(!response.whole, "{log}");
+    assert!(
+        died.elapsed() < Duration::from_secs(2),
+        "{:?}\n{log}",
+        died.elapsed()
+    );
+    Ok(())
+}
--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -4,6 +4,7 @@
 use cicada_lib::body_end::Stop;
 
 use crate::placed_request::PlacedRequest;
+use crate::run_moves::Followed;
 use crate::send::NoAnswer;
 use crate::stream_run::Run;
 use crate::stream_run::StreamEnd;
@@ -18,7 +19,8 @@
         if end == BodyEnd::Complete {
             return Some(StreamEnd::Complete);
         }
-        let goes_on = self.recover_from_loss().await || self.restart(NoAnswer::Unknown).await;
+        let goes_on =
+            self.follow_stop().await == Followed::GoesOn || self.restart(NoAnswer::Unknown).await;
         (!goes_on).then_some(StreamEnd::Lost)
     }
 
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -40,6 +40,17 @@
 /// How long to wait for events of a stopped run that are still in transit.
 const TAIL_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// What became of a run whose stream has stopped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Followed {
+    /// It was moved, and its stream goes on.
+    GoesOn,
+    /// It was moved, and could not be resumed.
+    Lost,
+    /// No move of it is known.
+    NotMoved,
+}
+
 impl Run {
     /// Starts a move if the engine is draining and the run is not about to end.
     pub(crate) fn consider_move(&mut self) {
@@ -236,34 +247,38 @@
         }
     }
 
-    /// Handles a broken stream, which is expected while a move stops the run. Returns `false` if the run is lost.
-    pub(crate) async fn recover_from_loss(&mut self) -> bool {
-        let stopping = self
-            .moving
-            .as_ref()
-            .is_some_and(|m| m.step == MoveStep::Stop);
+    /// Handles a stream that has stopped, which is expected while the run is moved.
+    pub(crate) async fn follow_stop(&mut self) -> Followed {
         self.source = None;
-        self.events.discard_partial();
-        if !stopping {
-            return self.follow_move().await;
-        }
-        let Some(moving) = &mut self.moving else {
-            return false;
+        let stopping = |moving: &PendingMove| moving.step == MoveStep::Stop;
+        let Some(moving) = self.moving.as_mut().filter(|moving| stopping(moving)) else {
+            return self.follow_scout().await;
         };
-        match timeout(self.call.time_left(), moving.outcome.as_mut()).await {
-            Ok(outcome) => self.finish_move_step(outcome).await,
-            Err(_) => false,
+        let outcome = timeout(self.call.time_left(), moving.outcome.as_mut()).await;
+        let outcome = outcome.unwrap_or_else(|_| Err(MoveError::Lost("the time is up".into())));
+        match outcome {
+            Err(
+                MoveError::NoRoom(None) | MoveError::NoRun | MoveError::Busy | MoveError::Lost(_),
+            ) => {
+                // Logs and counts the failure. The scout may have moved the run.
+                self.finish_move_step(outcome).await;
+                self.follow_scout().await
+            }
+            stopped => match self.finish_move_step(stopped).await {
+                true => Followed::GoesOn,
+                false => Followed::Lost,
+            },
         }
     }
 
-    /// Resumes a run whose stream was cut off, if a scout has moved it. Returns `false` if not, or if the run is lost.
-    async fn follow_move(&mut self) -> bool {
+    /// Resumes a run whose stream has stopped, if a scout has moved it.
+    async fn follow_scout(&mut self) -> Followed {
         let Some(id) = self.call.head.id.clone() else {
-            return false;
+            return Followed::NotMoved;
         };
         let engine = self.placed.record.address;
         let Some(moved) = self.relay.moved_runs().wait(&id, engine).await else {
-            return false;
+            return Followed::NotMoved;
         };
         tracing::info!(id = self.call.id(), from = %engine, to = ?moved.target, "move: the run goes on elsewhere");
         let MovedRun { target, handle, .. } = moved;
@@ -288,9 +303,13 @@
         if let Some(target) = &target {
             self.relay.announce_sent(target, self.call.head.id.as_ref());
         }
-        match target {
+        let resumed = match target {
             Some(target) => self.resume_at(target, &handle).await,
             None => self.resume_at_source(&handle).await,
+        };
+        match resumed {
+            true => Followed::GoesOn,
+            false => Followed::Lost,
         }
     }
 
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -353,6 +353,7 @@
     /// Continues with the answer of the engine at which the run was resumed, and records since when it was paused.
     pub(crate) fn continue_with(&mut self, paused_since: Instant, answered: StartedAnswer) {
         self.placed.record_first_event();
+        self.events.discard_partial();
         self.source = Some((answered.body, answered.connection));
         self.framing = answered.framing;
         self.paused_since = Some(paused_since);
