lib, relay: a run that is stopped by a move goes on without chunks

What callers saw: a 200, framed as complete, that lacked its last events: 98 of 250 in the test. Its engine left, the scout moved the run, and the relay did not follow it, because the answer had neither a length nor chunks.

Cause: an engine ends the stream of a run that it stops 'without its end'. Such an answer has no other end than its connection, so that the stop looks like the regular end, and it comes between two events. The relay looked for a move only where the connection had failed. Asking whether the engine is there does not help: it is, it holds the copy.

Change: an unconfirmed end is first held against what is known of moves: one under way here, one that a scout has announced, an engine that leaves. Only then the relay waits for news, as it does for a broken stream (260 ms, or 1.7 s if a scout has announced the copy), and the end is 'moved' or stays unconfirmed. A run that ends by itself at a leaving engine is complete; the mark of its end then comes up to 260 ms late, its events do not.

--- a/daemon/tests/relay_broken_streams.rs
+++ b/daemon/tests/relay_broken_streams.rs
@@ -1,11 +1,13 @@
 //! Streams that end in every way, as seen by callers: one that was broken off must not look complete.
 
 use std::path::Path;
+use std::time::Duration;
 
 use cicada_standins::caller::Ask;
 use cicada_standins::caller::Heard;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::deployment::wait_until;
 use cicada_standins::engine::Break;
 use cicada_standins::engine::Cause;
 use cicada_standins::engine::Framing;
@@ -14,6 +16,8 @@
 use eyre::Result;
 use eyre::WrapErr;
 use eyre::ensure;
+use testutils::cluster::Signal;
+use tokio::time::sleep;
 
 /// Number of events of a stream.
 const EVENTS: u64 = 12;
@@ -175,3 +179,80 @@
 {
     check_framing(Framing::Close).await
 }
+
+/// Runs a stream of so many events in an answer that only its connection ends, and has its engine leave meanwhile. The
+/// scout moves the run, or the relay if the scout stands still.
+async fn assert_goes_on_when_moved(events: u32, scout_stopped: bool) -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let mut deployment = Deployment::start(daemon, 1, 2, 0).await?;
+    for host in &deployment.engines {
+        host.engine.set_framing(Framing::Close);
+    }
+    let relay = deployment.relays[0].callers;
+    let ask = Ask::stream(ID, KEY, 1_000, events);
+    let stream = tokio::spawn(async move { ask.send(relay).await });
+    let engines: Vec<_> = deployment
+        .engines
+        .iter()
+        .map(|host| host.engine.clone())
+        .collect();
+    let running = || engines.iter().position(|engine| engine.running() == 1);
+    wait_until("the run has begun", || running().is_some()).await?;
+    // The scouts get to know each other.
+    sleep(Duration::from_millis(1_500)).await;
+    let engine = running().unwrap_or_default();
+    if scout_stopped {
+        deployment.engines[engine].scout.signal(Signal::Stop)?;
+        sleep(Duration::from_millis(1_000)).await;
+    }
+    // The stream ends while the last part of the copy is on its way.
+    engines[engine].set_last_copy(Duration::from_millis(200));
+    deployment.leave(engine, Duration::from_secs(3));
+    let heard = stream.await??;
+    let log = deployment.relays[0].process.log();
+    ensure!(heard.whole_success(), "{log}");
+    let all: Vec<u64> = (1..=u64::from(events)).collect();
+    ensure!(heard.events(ID)? == all, "{:?}\n{log}", heard.events(ID)?);
+    let arrivals: Vec<_> = engines
+        .iter()
+        .flat_map(|engine| engine.arrivals())
+        .collect();
+    let resumed = arrivals.iter().filter(|arrival| arrival.resumed).count();
+    ensure!(arrivals.len() - resumed == 1, "{arrivals:?}\n{log}");
+    Ok(())
+}
+
+/// Guards against a run that is stopped by a move, in an answer that only its connection ends, and that is passed on as
+/// complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_that_a_scout_moves_goes_on_without_chunks() -> Result<()> {
+    assert_goes_on_when_moved(250, false).await
+}
+
+/// Guards against the same if the relay moves the run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_that_a_relay_moves_goes_on_without_chunks() -> Result<()> {
+    assert_goes_on_when_moved(300, true).await
+}
+
+/// Guards against a stream that is taken for a moved one because its engine leaves. No other engine is there to move to.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_that_ends_at_a_leaving_engine_is_complete_without_chunks() -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let deployment = Deployment::start(daemon, 1, 1, 0).await?;
+    let engine = &deployment.engines[0].engine;
+    engine.set_framing(Framing::Close);
+    let relay = deployment.relays[0].callers;
+    let ask = Ask::stream(ID, KEY, 100, 80);
+    let stream = tokio::spawn(async move { ask.send(relay).await });
+    wait_until("the run has begun", || engine.running() == 1).await?;
+    deployment.leave(0, Duration::from_secs(10));
+    let heard = stream.await??;
+    let log = deployment.relays[0].process.log();
+    ensure!(
+        heard.whole_success() && heard.events(ID)?.len() == 80,
+        "{log}"
+    );
+    ensure!(engine.arrivals().len() == 1, "{log}");
+    Ok(())
+}
--- a/lib/src/body_end.rs
+++ b/lib/src/body_end.rs
@@ -55,6 +55,8 @@
         Connection,
         /// The stream ends in the middle of an event.
         InsideEvent,
+        /// The run was stopped to go on at another engine.
+        Moved,
         /// The server is gone, and nothing but its connection marked the end.
         ServerGone,
     }
@@ -71,6 +73,14 @@
         }
     }
 
+    /// Settles an unconfirmed end if the run was moved.
+    pub fn after_move(self, was_moved: bool) -> Self {
+        match (self, was_moved) {
+            (BodyEnd::Unconfirmed, true) => BodyEnd::Broken(BreakReason::Moved),
+            (end, _) => end,
+        }
+    }
+
     /// Settles an unconfirmed end by whether the server still accepts connections.
     pub fn confirm(self, is_server_there: bool) -> Self {
         match (self, is_server_there) {
@@ -87,6 +97,7 @@
             BodyEnd::Unconfirmed => "unconfirmed",
             BodyEnd::Broken(BreakReason::Connection) => "connection",
             BodyEnd::Broken(BreakReason::InsideEvent) => "inside_event",
+            BodyEnd::Broken(BreakReason::Moved) => "moved",
             BodyEnd::Broken(BreakReason::ServerGone) => "server_gone",
         }
     }
--- a/lib/tests/body_end.rs
+++ b/lib/tests/body_end.rs
@@ -55,3 +55,16 @@
         }
     }
 }
+
+#[test]
+fn an_end_that_only_the_connection_marks_may_be_that_of_a_moved_run() {
+    let boundary = |framing| BodyEnd::of(framing, Stop::Announced, Position::Boundary);
+    let moved = boundary(Framing::Close).after_move(true);
+    assert_eq!(moved.confirm(true), BodyEnd::Broken(BreakReason::Moved));
+    let stayed = boundary(Framing::Close).after_move(false);
+    assert_eq!(stayed.confirm(true), BodyEnd::Complete);
+    assert_eq!(
+        boundary(Framing::Chunks).after_move(true),
+        BodyEnd::Complete
+    );
+}
--- a/relay/src/moved_runs.rs
+++ b/relay/src/moved_runs.rs
@@ -73,6 +73,12 @@
         }
     }
 
+    /// Whether a scout has announced that it copies the run, or that it has moved it.
+    pub(crate) fn is_moving(&self, id: &Name) -> bool {
+        let announced = lock(&self.local).get(id).is_some_and(|run| run.moving);
+        announced || lock(&self.moved).contains_key(id)
+    }
+
     /// Opens a connection to the engine that a run is about to move to, one `round_trip` away, if its stream is here.
     /// Opened only after the move, the connection would lengthen the gap that the caller sees.
     pub(crate) fn preconnect(&self, moving: &MovedRun, round_trip: Duration) {
--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -13,14 +13,23 @@
 impl Run {
     /// Handles the end of the body. Returns how the stream ends; `None` if it goes on at an engine.
     pub(crate) async fn handle_body_end(&mut self, stop: Stop) -> Option<StreamEnd> {
-        let end = BodyEnd::of(self.framing, stop, self.events.position_at_end());
-        let end = confirm_end(end, &self.placed).await;
+        let mut end = BodyEnd::of(self.framing, stop, self.events.position_at_end());
+        // Such an end is also how an engine ends the stream of a run that it stops for a move.
+        let may_be_stopped = end == BodyEnd::Unconfirmed && self.expects_stop();
+        let mut followed = Followed::NotMoved;
+        if may_be_stopped {
+            followed = self.follow_stop().await;
+            end = end.after_move(followed != Followed::NotMoved);
+        }
+        end = confirm_end(end, &self.placed).await;
         self.record_body_end(end);
         if end == BodyEnd::Complete {
             return Some(StreamEnd::Complete);
         }
-        let goes_on =
-            self.follow_stop().await == Followed::GoesOn || self.restart(NoAnswer::Unknown).await;
+        if !may_be_stopped {
+            followed = self.follow_stop().await;
+        }
+        let goes_on = followed == Followed::GoesOn || self.restart(NoAnswer::Unknown).await;
         (!goes_on).then_some(StreamEnd::Lost)
     }
 
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -247,6 +247,17 @@
         }
     }
 
+    /// Whether the run may be stopped for a move now: the relay or a scout is at it, or the engine leaves.
+    pub(crate) fn expects_stop(&self) -> bool {
+        let engine = self.call.spec.engine.as_ref();
+        let supported = engine.is_some_and(|engine| engine.supports_moves);
+        let announced = |id| self.relay.moved_runs().is_moving(id);
+        supported
+            && (self.moving.is_some()
+                || self.placed.leaving_since().is_some()
+                || self.call.head.id.as_ref().is_some_and(announced))
+    }
+
     /// Handles a stream that has stopped, which is expected while the run is moved.
     pub(crate) async fn follow_stop(&mut self) -> Followed {
         self.source = None;
