relay: a stream is complete for its caller only where the relay says so

What callers saw: a 200, framed as complete, that lacked its last events, where an engine sent an event of more than 1 MiB: 5 of 12 in the test.

The queue between a run and its caller's connection took its sender's end for the end of the stream; only some of the ways to end a stream queued an abort first. The event that is too long ended as 'caller_gone', which queues none. So would a task that ends without a word.

Evidence: the new test was red before, 'stream: ended word=caller_gone events=5', and the caller had the last chunk.

Change: the queue has an explicit end. EventSender::complete() is called in one place, after the engine's answer was found complete; a sender that is dropped aborts the stream, whatever the reason. The too long event has its own word, event_too_long. What follows the last event and cannot be queued because its caller reads too slowly now ends as aborted too.

--- a/daemon/tests/relay_broken_streams.rs
+++ b/daemon/tests/relay_broken_streams.rs
@@ -256,3 +256,18 @@
     ensure!(engine.arrivals().len() == 1, "{log}");
     Ok(())
 }
+
+/// Guards against a stream that the relay gives up, here for an event without end, and ends as complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_with_an_endless_event_is_not_complete() -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let deployment = Deployment::start(daemon, 1, 1, 0).await?;
+    let engine = &deployment.engines[0].engine;
+    engine.set_trouble(Trouble::EndlessEventAfter(SOME));
+    let ask = Ask::stream(ID, KEY, 100, EVENTS as u32);
+    let heard = ask.send(deployment.relays[0].callers).await?;
+    let log = deployment.relays[0].process.log();
+    ensure!(!heard.whole_success(), "{log}");
+    ensure!(heard.events(ID)?.len() as u64 == SOME, "{log}");
+    Ok(())
+}
--- a/relay/src/event_queue.rs
+++ b/relay/src/event_queue.rs
@@ -59,16 +59,23 @@
     }
 }
 
-/// The end at which events are queued.
+/// What is queued for a caller.
+enum Piece {
+    Events(Bytes),
+    /// The stream is complete.
+    End,
+}
+
+/// The end at which events are queued. Unless the stream is completed, dropping it aborts the stream.
 pub(crate) struct EventSender {
     shared: Arc<Shared>,
-    events: mpsc::UnboundedSender<Result<Bytes, StreamAborted>>,
+    pieces: mpsc::UnboundedSender<Piece>,
 }
 
 /// The end at which the caller's connection reads them.
 pub(crate) struct EventReceiver {
     shared: Arc<Shared>,
-    events: mpsc::UnboundedReceiver<Result<Bytes, StreamAborted>>,
+    pieces: mpsc::UnboundedReceiver<Piece>,
 }
 
 /// Creates the queue of a stream.
@@ -80,11 +87,11 @@
     let (sender, receiver) = mpsc::unbounded_channel();
     let sender = EventSender {
         shared: shared.clone(),
-        events: sender,
+        pieces: sender,
     };
     let receiver = EventReceiver {
         shared,
-        events: receiver,
+        pieces: receiver,
     };
     (sender, receiver)
 }
@@ -94,38 +101,41 @@
     pub(crate) async fn send(&self, bytes: Bytes) -> Result<(), QueueError> {
         while !self.shared.try_hold(bytes.len()) {
             tokio::select! {
-                () = self.events.closed() => return Err(QueueError::CallerGone),
+                () = self.pieces.closed() => return Err(QueueError::CallerGone),
                 read = timeout(STALL_TIMEOUT, self.shared.read.notified()) => {
                     read.map_err(|_| QueueError::TooSlow)?;
                 }
             }
         }
-        let sent = self.events.send(Ok(bytes));
+        let sent = self.pieces.send(Piece::Events(bytes));
         sent.map_err(|_| QueueError::CallerGone)
     }
 
-    /// Ends the stream before its last event, after what is queued.
-    pub(crate) fn abort(&self) {
+    /// Ends the stream as complete, after what is queued.
+    pub(crate) fn complete(self) {
         // The send fails only if the caller is gone.
-        drop(self.events.send(Err(StreamAborted)));
+        drop(self.pieces.send(Piece::End));
     }
 
     /// Waits until the caller has closed the connection.
     pub(crate) async fn closed(&self) {
-        self.events.closed().await;
+        self.pieces.closed().await;
     }
 }
 
 impl EventReceiver {
-    /// Polls for the next events.
+    /// Polls for the next events. A stream whose sender is dropped without completing it ends with an error.
     pub(crate) fn poll_recv(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, StreamAborted>>> {
-        let polled = self.events.poll_recv(cx);
-        if let Poll::Ready(Some(Ok(bytes))) = &polled {
-            self.shared.release(bytes.len());
-        }
-        polled
+        self.pieces.poll_recv(cx).map(|piece| match piece {
+            Some(Piece::Events(bytes)) => {
+                self.shared.release(bytes.len());
+                Some(Ok(bytes))
+            }
+            Some(Piece::End) => None,
+            None => Some(Err(StreamAborted)),
+        })
     }
 }
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -95,6 +95,7 @@
     Complete,
     CallerGone,
     CallerTooSlow,
+    EventTooLong,
     TimeOver,
     Lost,
 }
@@ -148,6 +149,7 @@
             StreamEnd::Complete => "complete",
             StreamEnd::CallerGone => "caller_gone",
             StreamEnd::CallerTooSlow => "caller_too_slow",
+            StreamEnd::EventTooLong => "event_too_long",
             StreamEnd::TimeOver => "time_over",
             StreamEnd::Lost => "lost",
         };
@@ -169,17 +171,12 @@
             framing = %self.framing,
             "stream: ended"
         );
-        match ending {
-            StreamEnd::Complete => {
-                self.placed.record_success();
-                let rest = self.events.take_remainder();
-                if !rest.is_empty() {
-                    let sent = self.sender.send(rest).await;
-                    tracing::trace!(?sent, "stream: what followed the last event");
-                }
+        if let StreamEnd::Complete = ending {
+            self.placed.record_success();
+            let rest = self.events.take_remainder();
+            if rest.is_empty() || self.sender.send(rest).await.is_ok() {
+                self.sender.complete();
             }
-            StreamEnd::CallerGone => {}
-            StreamEnd::CallerTooSlow | StreamEnd::TimeOver | StreamEnd::Lost => self.sender.abort(),
         }
     }
 
@@ -252,7 +249,7 @@
     pub(crate) async fn forward(&mut self, data: &[u8]) -> Result<(), StreamEnd> {
         let Some(whole) = self.events.push(data) else {
             return match self.events.is_partial_too_long() {
-                true => Err(StreamEnd::CallerGone),
+                true => Err(StreamEnd::EventTooLong),
                 false => Ok(()),
             };
         };
