relay: a broken stream is reset for a caller that knows no chunks

What callers saw: a caller of HTTP/1.0 got 200 and the events up to the break, and then the regular end of its connection, which is all that marks the end of an answer for it.

Cause: to end a stream as broken the relay leaves out the last chunk and closes the connection.

Evidence: the new test was red before: read_to_end() ended with Ok(277) after 5 of 12 events, for an engine that answered in chunks too.

Change: a connection notes that its response has no other end than its own. If such a response was aborted, or is still open when the connection is given up (a caller that reads nothing), closing the connection resets it. Callers of HTTP/1.1 see no change: what was sent before the break still reaches them, which a reset does not promise.

--- a/daemon/tests/relay_broken_streams.rs
+++ b/daemon/tests/relay_broken_streams.rs
@@ -13,10 +13,14 @@
 use cicada_standins::engine::Framing;
 use cicada_standins::engine::Place;
 use cicada_standins::engine::Trouble;
+use cicada_standins::headers;
 use eyre::Result;
 use eyre::WrapErr;
 use eyre::ensure;
 use testutils::cluster::Signal;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// Number of events of a stream.
@@ -271,3 +275,42 @@
     ensure!(heard.events(ID)?.len() as u64 == SOME, "{log}");
     Ok(())
 }
+
+/// Guards against a broken stream that looks complete to a caller of HTTP/1.0, whose answers end with their connection.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_is_reset_for_a_caller_without_chunks() -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    for (broken, framing) in [
+        (true, Framing::Chunks),
+        (true, Framing::Close),
+        (false, Framing::Close),
+    ] {
+        let deployment = Deployment::start(daemon, 1, 1, 0).await?;
+        let engine = &deployment.engines[0].engine;
+        engine.set_framing(framing);
+        if broken {
+            let place = Place::Inside(SOME);
+            let cause = Cause::Crash;
+            engine.set_trouble(Trouble::Break(Break { place, cause }));
+        }
+        let mut stream = TcpStream::connect(deployment.relays[0].callers).await?;
+        let request = format!(
+            "POST /drafts/new HTTP/1.0\r\nHost: rites.example\r\nAuthorization: Bearer {KEY}\r\n{}: {ID}\r\n\
+             {}: 100,{}\r\n{}: m\r\nContent-Length: 0\r\n\r\n",
+            headers::ID,
+            headers::COUNTS,
+            EVENTS * 4,
+            headers::MODEL
+        );
+        stream.write_all(request.as_bytes()).await?;
+        let mut answer = Vec::new();
+        let end = stream.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer);
+        ensure!(answer.starts_with("HTTP/1.0 200"), "{answer}");
+        ensure!(!answer.to_lowercase().contains("chunked"), "{answer}");
+        ensure!(end.is_err() == broken, "{framing:?}: {end:?}\n{answer}");
+        let events = answer.matches("\n\n").count() as u64;
+        ensure!(events == if broken { SOME } else { EVENTS }, "{answer}");
+    }
+    Ok(())
+}
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -11,6 +11,7 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http::header;
 use http_body::Body;
 use http_body::Frame;
@@ -34,7 +35,7 @@
 pub(crate) struct ResponseBody {
     source: BodySource,
     // Counts the response as open until its body is dropped.
-    _guard: Option<OpenResponseGuard>,
+    guard: Option<OpenResponseGuard>,
     // Counts the bytes of a complete body as held until then.
     _held: Option<HeldBytes>,
 }
@@ -49,7 +50,7 @@
     pub(crate) fn full(bytes: Bytes) -> Self {
         ResponseBody {
             source: BodySource::Full(bytes),
-            _guard: None,
+            guard: None,
             _held: None,
         }
     }
@@ -58,7 +59,7 @@
     pub(crate) fn from_events(events: EventReceiver) -> Self {
         ResponseBody {
             source: BodySource::Events(events),
-            _guard: None,
+            guard: None,
             _held: None,
         }
     }
@@ -74,7 +75,7 @@
     /// Attaches the guard that counts the response as open until its body is sent or dropped.
     pub(crate) fn with_guard(self, guard: OpenResponseGuard) -> Self {
         ResponseBody {
-            _guard: Some(guard),
+            guard: Some(guard),
             ..self
         }
     }
@@ -94,9 +95,14 @@
                 let piece = rest.split_to(rest.len().min(MAX_PIECE_BYTES));
                 Poll::Ready(Some(Ok(Frame::data(piece))))
             }
-            BodySource::Events(events) => events
-                .poll_recv(cx)
-                .map(|piece| piece.map(|piece| piece.map(Frame::data))),
+            BodySource::Events(events) => {
+                let polled = events.poll_recv(cx);
+                if let (Poll::Ready(Some(Err(StreamAborted))), Some(guard)) = (&polled, &self.guard)
+                {
+                    guard.activity.response_aborted();
+                }
+                polled.map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
         }
     }
 
@@ -119,9 +125,9 @@
 }
 
 impl OpenResponseGuard {
-    /// Records the start of a request on the connection.
-    pub(crate) fn new(activity: Arc<ConnectionActivity>, open: IntGauge) -> Self {
-        activity.request_started();
+    /// Records the start of a request on the connection, in this version of HTTP.
+    pub(crate) fn new(activity: Arc<ConnectionActivity>, version: Version, open: IntGauge) -> Self {
+        activity.request_started(version);
         open.inc();
         OpenResponseGuard { activity, open }
     }
--- a/relay/src/caller_io.rs
+++ b/relay/src/caller_io.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use http::Version;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -39,6 +40,10 @@
     idle_since: Instant,
     // Since when the caller accepts no more bytes.
     unread_since: Option<Instant>,
+    // Whether a response has no other end than that of the connection: its caller knows no chunks.
+    ends_response: bool,
+    // Whether a response was broken off. No other one follows it.
+    aborted: bool,
 }
 
 /// The timeout for which a connection is closed.
@@ -61,6 +66,8 @@
                 head_since: None,
                 idle_since: Instant::now(),
                 unread_since: None,
+                ends_response: false,
+                aborted: false,
             }),
             changed: Notify::new(),
         }
@@ -71,9 +78,10 @@
         self.changed.notified().await;
     }
 
-    /// Records that the head of a request is complete.
-    pub(crate) fn request_started(&self) {
+    /// Records that the head of a request in this version of HTTP is complete.
+    pub(crate) fn request_started(&self, version: Version) {
         let mut state = self.lock();
+        state.ends_response = version < Version::HTTP_11;
         state.open_requests += 1;
         state.head_since = None;
     }
@@ -86,6 +94,17 @@
         self.changed.notify_one();
     }
 
+    /// Records that the response is broken off.
+    pub(crate) fn response_aborted(&self) {
+        self.lock().aborted = true;
+    }
+
+    /// Whether the end of the connection would complete a response that is not complete.
+    fn must_reset(&self) -> bool {
+        let state = self.lock();
+        state.ends_response && (state.aborted || state.open_requests > 0)
+    }
+
     /// Returns when the connection times out if nothing arrives or is accepted, and by which timeout. `None` while a
     /// request is open and the caller reads its response.
     pub(crate) fn next_timeout(
@@ -143,6 +162,17 @@
     }
 }
 
+impl Drop for CallerIo {
+    fn drop(&mut self) {
+        // Closing with this option resets the connection.
+        if self.activity.must_reset()
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            tracing::warn!(%error, "callers: a broken response may look complete, its connection could not be reset");
+        }
+    }
+}
+
 impl AsyncRead for CallerIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -156,7 +156,8 @@
     activity: Arc<ConnectionActivity>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let open = OpenResponseGuard::new(activity, relay.metrics().open_requests().clone());
+    let open_requests = relay.metrics().open_requests().clone();
+    let open = OpenResponseGuard::new(activity, request.version(), open_requests);
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     let mut response = match read_call(&relay, request).await {
         Ok(call) => handle(&relay, call).await,
