relay: a plain answer that only its connection ends needs a server that is there

What callers saw: a 200 with the first half of its body and a length that fits it: the server had crashed, and its answer had neither a length nor chunks.

Cause: plain answers are buffered and sent on with a length. For a body that ends with its connection the relay vouched for bytes of which it cannot know whether they are all; the half of a truncated answer was marked as the whole.

Evidence: an_answer_cut_by_a_crash_is_not_complete and the row of the table for such answers were red before, 'GET /sl' of 'GET /slots/1 0'. With a length or chunks all 16 cases passed before.

Change: plain answers and the failures of engines are read in one place (whole_body.rs), which settles the end as streams do: BodyEnd, and for an end that only the connection marks, whether the server is still there. If not, the send is 'unknown': a call that may be repeated goes to another server within the retry limit, one that may not ends as 502. Bodies of engines' failures are now counted against the memory for callers as well. A server that lives on and closes such an answer early cannot be told from one that has ended it; its answer is passed on, as its protocol says.

--- a/daemon/tests/relay_broken_streams.rs
+++ b/daemon/tests/relay_broken_streams.rs
@@ -3,15 +3,15 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cicada_standins::breaks::Break;
+use cicada_standins::breaks::Cause;
+use cicada_standins::breaks::Framing;
+use cicada_standins::breaks::Place;
 use cicada_standins::caller::Ask;
 use cicada_standins::caller::Heard;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
 use cicada_standins::deployment::wait_until;
-use cicada_standins::engine::Break;
-use cicada_standins::engine::Cause;
-use cicada_standins::engine::Framing;
-use cicada_standins::engine::Place;
 use cicada_standins::engine::Trouble;
 use cicada_standins::headers;
 use eyre::Result;
--- a/lib/src/body_end.rs
+++ b/lib/src/body_end.rs
@@ -33,7 +33,7 @@
 
     /// Where in its content a body stopped.
     pub enum Position {
-        /// Between two events, or before the first one.
+        /// Between two events, before the first one, or in a content without events.
         Boundary,
         /// In the middle of an event.
         InsideEvent,
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -46,6 +46,7 @@
 mod stream;
 mod stream_run;
 mod upstream;
+mod whole_body;
 mod zone_probes;
 
 pub use directory_watcher::DirectoryWatcher;
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -5,17 +5,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
-use bytes::BytesMut;
-use cicada_lib::byte_budget::HeldBytes;
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::retry_after;
-use http::HeaderMap;
 use http::Response;
-use http::StatusCode;
-use http_body_util::BodyExt;
-use tokio::time::timeout_at;
 
 use crate::answer::LocalResponse;
 use crate::answer::ResponseBody;
@@ -28,20 +21,11 @@
 use crate::send::NoAnswer;
 use crate::send::build_own_answer;
 use crate::send::send;
-
-/// Maximum size of a buffered answer's body.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
-
-/// A backend server's complete answer.
-pub(crate) struct BufferedAnswer {
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Bytes,
-    held: HeldBytes,
-}
+use crate::whole_body::BufferedAnswer;
 
 impl BufferedAnswer {
-    fn response(self) -> Response<ResponseBody> {
+    /// Builds the response to the caller.
+    pub(crate) fn response(self) -> Response<ResponseBody> {
         let body = ResponseBody::full(self.body).with_held(self.held);
         let mut response = Response::new(body);
         *response.status_mut() = self.status;
@@ -183,36 +167,6 @@
         left: call.time_left(),
         ..Dispatch::default()
     };
-    let mut answered = send(relay, call, placed, &dispatch, None, None).await?;
-    let mut whole = BytesMut::new();
-    let mut held = relay.budget().holder();
-    loop {
-        match timeout_at(call.timer_deadline, answered.body.frame()).await {
-            Err(_) => return Err(NoAnswer::TimeOver),
-            Ok(Some(Err(_))) => {
-                relay
-                    .metrics()
-                    .count_body_end(answered.framing, "connection");
-                return Err(NoAnswer::Unknown);
-            }
-            Ok(Some(Ok(frame))) => {
-                if let Ok(data) = frame.into_data() {
-                    let too_large = whole.len() + data.len() > MAX_ANSWER_BYTES;
-                    if too_large || held.grow(data.len()).is_err() {
-                        return Err(NoAnswer::TooLarge);
-                    }
-                    whole.extend_from_slice(&data);
-                }
-            }
-            Ok(None) => break,
-        }
-    }
-    relay.metrics().count_body_end(answered.framing, "complete");
-    drop(answered.connection);
-    Ok(BufferedAnswer {
-        status: answered.parts.status,
-        headers: answered.parts.headers,
-        body: whole.freeze(),
-        held,
-    })
+    let answered = send(relay, call, placed, &dispatch, None, None).await?;
+    answered.read_whole(relay, call, placed).await
 }
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -17,7 +17,6 @@
 use cicada_lib::stream_admission::AdmissionRequest;
 use http::Response;
 use http::response::Parts;
-use http_body_util::BodyExt;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -111,7 +110,7 @@
                 return start_stream(relay, call, placed, answered, tokens, attempts);
             }
             Ok(answered) => {
-                failure = Some(relay_failure(&call, placed, answered).await);
+                failure = Some(relay_failure(relay, &call, placed, answered).await);
                 SendFailure::ServerFailed
             }
             Err(no_answer) => {
@@ -308,6 +307,7 @@
 
 /// Relays an answer that is not a stream: the engine ran the request and failed.
 async fn relay_failure(
+    relay: &Relay,
     call: &Call,
     placed: PlacedRequest,
     answered: StartedAnswer,
@@ -315,12 +315,10 @@
     placed.record_failure(false);
     let status = answered.parts.status.as_u16();
     tracing::info!(id = call.id(), server = %placed.record.id, status, "stream: failed by the server");
-    let bytes = match timeout_at(call.timer_deadline, answered.body.collect()).await {
-        Ok(Ok(whole)) => whole.to_bytes(),
-        _ => return LocalResponse::Failed.into_response(),
-    };
-    drop(answered.connection);
-    response_from(&answered.parts, ResponseBody::full(bytes))
+    match answered.read_whole(relay, call, &placed).await {
+        Ok(whole) => whole.response(),
+        Err(_) => LocalResponse::Failed.into_response(),
+    }
 }
 
 fn start_stream(
