soak, stand-ins: answers break off in every framing, and a part must not look complete

Why the soak missed the incident: its engines answered in chunks alone, its faults cut a stream between two events alone, and its callers checked that the events they got were in order, not that an answer which looked complete had all of them. Half a plain answer would have passed as well.

Half of the streams may be resumed. Ends that cannot be told from a regular one are not drawn (a server that lives on and closes an answer that only its connection ends between two events).

--- a/daemon/tests/relay_soak.rs
+++ b/daemon/tests/relay_soak.rs
@@ -4,16 +4,16 @@
 use std::time::Duration;
 
 use cicada_standins::soak;
-use cicada_standins::soak::Size;
+use cicada_standins::soak::Plan;
 use eyre::Result;
 
 /// Duration of a soak run, and of one whose faults take longer.
 const DURATION: Duration = Duration::from_secs(8);
 const LONG_DURATION: Duration = Duration::from_secs(16);
 
-async fn assert_guarantees_hold(seed: u64, duration: Duration) -> Result<()> {
+async fn assert_guarantees_hold(plan: Plan) -> Result<()> {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
-    let report = soak::run(daemon, Size::default(), seed, duration).await?;
+    let report = soak::run(daemon, plan).await?;
     assert!(!report.faults.is_empty());
     assert!(
         report.broken.is_empty(),
@@ -33,18 +33,24 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_1_keeps_all_guarantees() -> Result<()> {
-    assert_guarantees_hold(1, DURATION).await
+    assert_guarantees_hold(Plan::new(1, DURATION)).await
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_2_keeps_all_guarantees() -> Result<()> {
-    assert_guarantees_hold(2, DURATION).await
+    assert_guarantees_hold(Plan::new(2, DURATION)).await
 }
 
 /// Guards against relays that are all restarted while the store is away and take over an outdated configuration.
 #[tokio::test(flavor = "multi_thread")]
 async fn seed_623_keeps_all_guarantees() -> Result<()> {
-    assert_guarantees_hold(623, LONG_DURATION).await
+    assert_guarantees_hold(Plan::new(623, LONG_DURATION)).await
+}
+
+/// Guards against answers that were broken off and look complete.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_3_keeps_all_guarantees_while_answers_break_off() -> Result<()> {
+    assert_guarantees_hold(Plan::new(3, LONG_DURATION).with_breaks()).await
 }
 
 #[test]
--- a/lib/testutils/src/http_server.rs
+++ b/lib/testutils/src/http_server.rs
@@ -186,6 +186,11 @@
         }
     }
 
+    /// Whether it accepts connections.
+    pub fn is_up(&self) -> bool {
+        self.accepting().is_some()
+    }
+
     /// Accepts connections again.
     pub fn up(&self) -> io::Result<()> {
         let listener = bind(self.addr)?.listen(BACKLOG)?;
