lib: a plain service's answer that only its connection ends needs a peer that is there

What callers saw: callers of the product's own entries got half an answer of a plain service as the whole, with a length, if the service had crashed and its answer had neither a length nor chunks.

Streams of engines were safe there: they ask for a last line.

Change: the same rule as in the relay, BodyEnd, decides. A peer that accepts no connections any more has not ended its answer: the call is lost, which means that it may have run, and is never told as 'not run'.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -17,6 +17,7 @@
 use http::request;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -24,8 +25,14 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use thiserror::Error;
+use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::body_end::BodyEnd;
+use crate::body_end::Framing;
+use crate::body_end::Position;
+use crate::body_end::Stop;
+
 /// What went wrong with a call over HTTP.
 #[derive(Debug, Error)]
 pub(crate) enum CallError {
@@ -212,6 +219,7 @@
     /// The whole of an answer.
     pub(crate) async fn whole(&self, response: Response<Incoming>) -> Result<Response<Bytes>> {
         let (parts, body) = response.into_parts();
+        let framing = Framing::of(&parts.headers, body.size_hint().exact());
         let mut chunks = Chunks::new(body, self.limits.silence);
         let mut bytes = BytesMut::new();
         while let Some(chunk) = chunks.next().await? {
@@ -223,9 +231,24 @@
             }
             bytes.extend_from_slice(&chunk);
         }
+        let end = BodyEnd::of(framing, Stop::Announced, Position::Boundary);
+        if end == BodyEnd::Unconfirmed
+            && end.confirm(self.is_peer_there().await) != BodyEnd::Complete
+        {
+            return Err(CallError::Lost(
+                "the peer is gone, and nothing but its connection marked the end of the answer"
+                    .into(),
+            ));
+        }
         Ok(Response::from_parts(parts, bytes.freeze()))
     }
 
+    /// Whether the peer accepts connections.
+    async fn is_peer_there(&self) -> bool {
+        let connecting = TcpStream::connect(self.addr);
+        matches!(timeout(self.limits.connect, connecting).await, Ok(Ok(_)))
+    }
+
     /// The lines of an answer that comes bit by bit.
     pub(crate) fn lines(&self, response: Response<Incoming>) -> Lines {
         Lines {
--- a/lib/testutils/tests/lost_connections.rs
+++ b/lib/testutils/tests/lost_connections.rs
@@ -266,3 +266,31 @@
     assert!(stream.next().await.is_some_and(is_lost));
     Ok(())
 }
+
+/// Guards against an answer that only its connection ends, whose server has died, and that is taken for whole.
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_needs_a_server_that_is_there() -> Result<()> {
+    for dies in [true, false] {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let service = HttpService::with_limits(listener.local_addr()?, limits());
+        let serving = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await?;
+            let mut request = [0; 1_024];
+            let _ = stream.read(&mut request).await?;
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhalf of it")
+                .await?;
+            // The port of a process that dies is closed with its connections.
+            let listener = (!dies).then_some(listener);
+            drop(stream);
+            eyre::Ok(listener)
+        });
+        let answer = service.call(&call("POST")).await;
+        match dies {
+            true => assert!(is_lost(answer)),
+            false => assert_eq!(answer?.body, "half of it"),
+        }
+        drop(serving.await??);
+    }
+    Ok(())
+}
