daemon: settings that were read while their file was written are read again

What could be seen: a relay that keeps the first half of a settings file in force, here retry_slack = 3 of '31', for good. Found by reading, as another place that takes the end of the bytes for the end of what was said.

Cause: a change was noticed by the file's time alone, which was taken before the file was read (at a start: after). If the rest is written within the resolution of that time, nothing ever shows that there is more.

Evidence: the new test writes a prefix, waits until it is read, writes the rest and gives the file the time that it had: red before, after 20 s without a second reading.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -28,6 +28,7 @@
 
 use crate::metrics::Metrics;
 use crate::reload;
+use crate::reload::Look;
 use crate::reload::Reload;
 use crate::status;
 use crate::status::ProcessState;
@@ -79,8 +80,15 @@
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            _ = hup.recv() => reload.look(true, |new| relay.apply_reloaded(reloadable_settings(new))),
-            _ = looks.tick() => reload.look(false, |new| relay.apply_reloaded(reloadable_settings(new))),
+            _ = hup.recv() => {
+                reload.look(true, |new| relay.apply_reloaded(reloadable_settings(new)));
+            }
+            _ = looks.tick() => {
+                let look = reload.look(false, |new| relay.apply_reloaded(reloadable_settings(new)));
+                if look == Look::Again {
+                    looks.reset_after(reload::SETTLE);
+                }
+            }
         }
     }
     cicada_relay::drain(relay).await;
--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -680,3 +680,28 @@
     );
     Ok(())
 }
+
+/// Guards against settings that were read while their file was being written, and that stay in force because the rest
+/// came within the resolution of the file's time.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_settings_file_that_was_read_half_is_read_again() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 0, 1).await?;
+    let lines = |deployment: &Deployment| {
+        let log = deployment.relays[0].process.log();
+        log.matches("the settings were read again").count()
+    };
+    let file = deployment.relays[0].process.config_file();
+    let whole = std::fs::read_to_string(&file)?.replace("retry_slack = 32", "retry_slack = 31");
+    let half = whole
+        .split_inclusive("retry_slack = 3")
+        .next()
+        .unwrap_or_default();
+    std::fs::write(&file, half)?;
+    let written = std::fs::metadata(&file)?.modified()?;
+    wait_until("the first half is read", || lines(&deployment) == 1).await?;
+    std::fs::write(&file, &whole)?;
+    let file = std::fs::File::options().write(true).open(&file)?;
+    file.set_modified(written)?;
+    wait_until("the whole file is read", || lines(&deployment) == 2).await?;
+    Ok(())
+}
--- a/lib/testutils/src/cluster.rs
+++ b/lib/testutils/src/cluster.rs
@@ -93,9 +93,14 @@
         Ok(Process { child, dir })
     }
 
+    /// The file that it was started with.
+    pub fn config_file(&self) -> PathBuf {
+        self.dir.join("cicada.ini")
+    }
+
     /// Replaces the file that it was started with.
     pub fn write_config(&self, config: &str) -> Result<()> {
-        fs::write(self.dir.join("cicada.ini"), config)?;
+        fs::write(self.config_file(), config)?;
         Ok(())
     }
 
