lib, relay: relays that start while the store is away take the latest state that scouts hold

Cause: what was handed over for safekeeping grew old and was handed back as current. Relays give their state to three scouts of a region, and to others when engines come and go; a scout that no relay counts on any more kept its copy, and offered it whenever it had heard no state for a second. A relay took the first offer it heard, and neither it nor the scouts that held version 4 corrected that: a holder that hears of older state said nothing.

Change: three parts. A relay says in each subscription whether it counts on the scout; one that did and does no more has the scout give its copy up. A relay without state collects offers for 400 ms, longer than the interval between a scout's offers, and takes the latest; it goes on to take later ones. A scout that hears of state older than its copy offers the copy to that relay at once.

Relays that start during an outage serve 0.4 s later. What remains: if all true holders die with the relays and an outdated copy alone is left on a scout that heard of no relay's change of mind, a starting relay cannot know.

--- a/lib/src/relay_peers.rs
+++ b/lib/src/relay_peers.rs
@@ -36,6 +36,9 @@
 /// Silence of all other relays from which this one counts as cut off from them: several hellos.
 const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long offers of scouts are collected before one is taken: longer than the interval of a scout's offers.
+const OFFER_COLLECTION_TIME: Duration = Duration::from_millis(400);
+
 /// Number of relays of the local region that receive each hello of the watching relay. In a larger region
 /// they are sampled.
 const REGION_FANOUT: usize = watch_election::DIRECTLY_TOLD;
@@ -59,6 +62,7 @@
     last_hellos: HashMap<SocketAddr, LastHello>,
     // Scouts that offered the state that they hold, and when.
     offers: HashMap<SocketAddr, (Time, StateVersion)>,
+    first_offer_at: Option<Time>,
     // Whether the directory's list has been read.
     list_read: bool,
     // Whether `known` has grown or become complete since it was last taken.
@@ -105,6 +109,7 @@
 
     /// Records that a scout offers the state that it holds.
     pub fn record_offer(&mut self, now: Time, scout: SocketAddr, state: StateVersion) {
+        self.first_offer_at.get_or_insert(now);
         self.offers.insert(scout, (now, state));
     }
 
@@ -216,16 +221,34 @@
         better.or_else(|| self.any_offer(now, |state| state.relay_count as usize > known))
     }
 
-    /// Any relay that has a configuration, for one that has none.
+    /// Any relay that has a configuration, for one that has none; otherwise the scout that offers the latest one.
     pub fn any_with_config(&self, now: Time) -> Option<SocketAddr> {
         let relay = self.any_with(now, |hello| hello.version > 0);
-        relay.or_else(|| self.any_offer(now, |state| state.version > 0))
+        relay.or_else(|| self.latest_offer(now, |state| state.version, 0))
     }
 
-    /// Any relay that has a list of backend servers, for one that has none.
+    /// Any relay that has a list of backend servers, for one that has none; otherwise the scout that offers the latest one.
     pub fn any_with_servers(&self, now: Time) -> Option<SocketAddr> {
         let relay = self.any_with(now, |hello| hello.revision.is_known());
-        relay.or_else(|| self.any_offer(now, |state| state.revision.is_known()))
+        relay.or_else(|| self.latest_offer(now, |state| state.revision, Revision::default()))
+    }
+
+    /// The scout that offers the latest state by this key, above what is known. `None` until all scouts that hold the
+    /// state have had time to offer it: one of them may hold an old copy.
+    fn latest_offer<T: Ord>(
+        &self,
+        now: Time,
+        key: impl Fn(&StateVersion) -> T,
+        above: T,
+    ) -> Option<SocketAddr> {
+        if now.since(self.first_offer_at?) < OFFER_COLLECTION_TIME {
+            return None;
+        }
+        let recent = self.offers.iter().filter(|(_, (offered_at, state))| {
+            now.since(*offered_at) < ISOLATION_TIMEOUT && key(state) > above
+        });
+        let latest = recent.max_by_key(|(_, (_, state))| key(state));
+        latest.map(|(scout, _)| *scout)
     }
 
     fn any_offer(&self, now: Time, has: impl Fn(&StateVersion) -> bool) -> Option<SocketAddr> {
@@ -243,14 +266,16 @@
         fastrand::choice(having.map(|(peer, _)| *peer).collect::<Vec<_>>())
     }
 
-    /// The relay with the latest configuration after `version`.
-    pub fn most_advanced_config(&self, version: u64) -> Option<SocketAddr> {
-        self.most_advanced(|hello| hello.version, version)
+    /// The relay or scout with the latest configuration after `version`.
+    pub fn most_advanced_config(&self, now: Time, version: u64) -> Option<SocketAddr> {
+        let relay = self.most_advanced(|hello| hello.version, version);
+        relay.or_else(|| self.latest_offer(now, |state| state.version, version))
     }
 
-    /// The relay with the latest list of backend servers after `revision`.
-    pub fn most_advanced_servers(&self, revision: Revision) -> Option<SocketAddr> {
-        self.most_advanced(|hello| hello.revision, revision)
+    /// The relay or scout with the latest list of backend servers after `revision`.
+    pub fn most_advanced_servers(&self, now: Time, revision: Revision) -> Option<SocketAddr> {
+        let relay = self.most_advanced(|hello| hello.revision, revision);
+        relay.or_else(|| self.latest_offer(now, |state| state.revision, revision))
     }
 
     fn most_advanced<T: Ord>(&self, key: impl Fn(&LastHello) -> T, above: T) -> Option<SocketAddr> {
--- a/lib/tests/relay_sim/mod.rs
+++ b/lib/tests/relay_sim/mod.rs
@@ -355,7 +355,7 @@
         let relay = &self.relays[number];
         let source = match relay.version {
             0 => relay.peers.any_with_config(now),
-            version => relay.peers.most_advanced_config(version),
+            version => relay.peers.most_advanced_config(now, version),
         };
         let Some(source) = source.map(|source| self.number_of(source)) else {
             return;
--- a/relay/src/directory_watcher.rs
+++ b/relay/src/directory_watcher.rs
@@ -357,7 +357,7 @@
         match known {
             0 => peers.any_with_config(now),
             _ => peers
-                .most_advanced_config(known)
+                .most_advanced_config(now, known)
                 .filter(|_| known == before),
         }
     }
@@ -369,7 +369,7 @@
         match known.is_known() {
             false => peers.any_with_servers(now),
             true => peers
-                .most_advanced_servers(known)
+                .most_advanced_servers(now, known)
                 .filter(|_| known == before),
         }
     }
--- a/relay/src/held_state.rs
+++ b/relay/src/held_state.rs
@@ -85,6 +85,24 @@
         });
     }
 
+    /// Records that a relay does not count this scout among those that hold the state. If it did, the copy is no longer
+    /// kept up to date and is given up.
+    pub(crate) fn release(&self, relay: SocketAddr) {
+        let mut relays = lock(&self.relays);
+        let known = relays.addresses.len();
+        relays.addresses.retain(|known| *known != relay);
+        if relays.addresses.len() < known {
+            *lock(&self.copy) = StateCopy::default();
+            tracing::info!(%relay, "scout: the relays' state is held elsewhere now");
+        }
+    }
+
+    /// Whether the copy has a later configuration or list of servers than a relay's state.
+    pub(crate) fn is_ahead_of(&self, state: &StateVersion) -> bool {
+        let held = self.version();
+        held.version > state.version || held.revision > state.revision
+    }
+
     /// The state to offer and the relays to offer it to; `None` while relays are heard or there is nothing to offer.
     pub(crate) fn offer(&self) -> Option<(StateVersion, Vec<SocketAddr>)> {
         let relays = lock(&self.relays);
@@ -96,7 +114,8 @@
         (silent && complete).then_some((state, recipients))
     }
 
-    fn version(&self) -> StateVersion {
+    /// The state that is held.
+    pub(crate) fn version(&self) -> StateVersion {
         let copy = lock(&self.copy);
         StateVersion {
             version: copy.config.as_ref().map_or(0, |config| config.version),
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -306,7 +306,9 @@
 
     /// Records a scout's offer of the state that it holds, for a relay that has none.
     pub(crate) fn record_offer(&self, scout: SocketAddr, offer: &StateOffer) {
-        if self.has_state() && self.peers().is_list_complete() {
+        let is_ahead =
+            offer.state.version > self.version() || offer.state.revision > self.revision();
+        if self.has_state() && self.peers().is_list_complete() && !is_ahead {
             return;
         }
         let now = self.now();
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -27,6 +27,7 @@
 use cicada_lib::peer_messages::ScoutReport;
 use cicada_lib::peer_messages::Subscription;
 use cicada_lib::state_holders::StateOffer;
+use cicada_lib::state_holders::StateVersion;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
 use tokio::net::TcpListener;
@@ -257,8 +258,14 @@
         }
         self.neighbours.set_evacuated(&subscription.evacuated);
         self.neighbours.record_limited(&subscription.limited);
-        if let Some(state) = &subscription.state {
-            self.held.record(from, state);
+        match &subscription.state {
+            Some(state) => {
+                self.held.record(from, state);
+                if self.held.is_ahead_of(state) {
+                    self.send_offer(self.held.version(), &[from]).await;
+                }
+            }
+            None => self.held.release(from),
         }
         if self.subscribers.insert(from, now).is_some() {
             return;
@@ -285,12 +292,16 @@
             return;
         };
         self.last_offer = Some(Instant::now());
+        self.send_offer(state.clone(), &self.seeds).await;
+        self.send_offer(state, &relays).await;
+    }
+
+    async fn send_offer(&self, state: StateVersion, relays: &[SocketAddr]) {
         let datagram = Datagram::StateOffer(StateOffer {
             state,
             evacuated: self.neighbours.evacuated(),
         });
-        self.socket.send(&datagram, &self.seeds).await;
-        self.socket.send(&datagram, &relays).await;
+        self.socket.send(&datagram, relays).await;
     }
 
     async fn poll(&mut self) {
