--- a/lib/src/body_end.rs
+++ b/lib/src/body_end.rs
@@ -17,12 +17,10 @@
         Length,
         /// The last of its chunks.
         Chunks,
-        /// The end of the connection, which looks the same whether the server closed it or died.
+        /// The end of the connection, which looks the same whether the server closed it or died: a close-delimited body.
         Close,
     }
-}
 
-copy_type! {
     /// How the bytes of a body stopped.
     pub enum Stop {
         /// As the framing announces the end.
--- a/lib/src/event_splitter.rs
+++ b/lib/src/event_splitter.rs
@@ -2,11 +2,12 @@
 //!
 //! Load pattern: streams whose engine dies, or whose run moves to another engine, in the middle of an event.
 
-use crate::body_end::Position;
-use crate::ids::Name;
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::body_end::Position;
+use crate::ids::Name;
+
 /// Maximum size of an event. No engine sends a longer one.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
--- a/relay/src/held_state.rs
+++ b/relay/src/held_state.rs
@@ -89,9 +89,9 @@
     /// kept up to date and is given up.
     pub(crate) fn release(&self, relay: SocketAddr) {
         let mut relays = lock(&self.relays);
-        let known = relays.addresses.len();
+        let before = relays.addresses.len();
         relays.addresses.retain(|known| *known != relay);
-        if relays.addresses.len() < known {
+        if relays.addresses.len() < before {
             *lock(&self.copy) = StateCopy::default();
             tracing::info!(%relay, "scout: the relays' state is held elsewhere now");
         }
--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -1,7 +1,9 @@
 //! Decides what becomes of a stream when the body of its engine's answer has ended.
 
 use cicada_lib::body_end::BodyEnd;
+use cicada_lib::body_end::Framing;
 use cicada_lib::body_end::Stop;
+use cicada_lib::ids::Name;
 
 use crate::placed_request::PlacedRequest;
 use crate::run_moves::Followed;
@@ -10,41 +12,61 @@
 use crate::stream_run::StreamEnd;
 use crate::upstream;
 
+/// A body that has ended, as it is logged: the run may be at another engine by then.
+struct EndedBody {
+    server: Name,
+    framing: Framing,
+    events: u64,
+    partial: usize,
+    moving: bool,
+}
+
 impl Run {
     /// Handles the end of the body. Returns how the stream ends; `None` if it goes on at an engine.
     pub(crate) async fn handle_body_end(&mut self, stop: Stop) -> Option<StreamEnd> {
-        let mut end = BodyEnd::of(self.framing, stop, self.events.position_at_end());
-        // Such an end is also how an engine ends the stream of a run that it stops for a move.
-        let may_be_stopped = end == BodyEnd::Unconfirmed && self.expects_stop();
-        let mut followed = Followed::NotMoved;
-        if may_be_stopped {
-            followed = self.follow_stop().await;
-            end = end.after_move(followed != Followed::NotMoved);
+        let body = EndedBody {
+            server: self.placed.record.id.clone(),
+            framing: self.framing,
+            events: self.events.count(),
+            partial: self.events.partial_bytes(),
+            moving: self.moving.is_some(),
+        };
+        let end = BodyEnd::of(self.framing, stop, self.events.position_at_end());
+        // An engine also ends a stream so when it stops the run for a move.
+        if end == BodyEnd::Unconfirmed && self.expects_stop() {
+            let followed = self.follow_stop().await;
+            if followed != Followed::NotMoved {
+                self.record_body_end(&body, end.after_move(true));
+                return self.go_on(followed).await;
+            }
         }
-        end = confirm_end(end, &self.placed).await;
-        self.record_body_end(end);
+        let end = confirm_end(end, &self.placed).await;
+        self.record_body_end(&body, end);
         if end == BodyEnd::Complete {
             return Some(StreamEnd::Complete);
         }
-        if !may_be_stopped {
-            followed = self.follow_stop().await;
-        }
+        let followed = self.follow_stop().await;
+        self.go_on(followed).await
+    }
+
+    /// Has a stream that its engine broke off go on, in another run if it was not moved.
+    async fn go_on(&mut self, followed: Followed) -> Option<StreamEnd> {
         let goes_on = followed == Followed::GoesOn || self.restart(NoAnswer::Unknown).await;
         (!goes_on).then_some(StreamEnd::Lost)
     }
 
-    fn record_body_end(&self, end: BodyEnd) {
+    fn record_body_end(&self, body: &EndedBody, end: BodyEnd) {
         let why = end.as_str();
-        self.relay.metrics().count_body_end(self.framing, why);
+        self.relay.metrics().count_body_end(body.framing, why);
         if end != BodyEnd::Complete {
             tracing::info!(
                 id = self.call.id(),
-                server = %self.placed.record.id,
-                framing = %self.framing,
+                server = %body.server,
+                framing = %body.framing,
                 why,
-                events = self.events.count(),
-                partial = self.events.partial_bytes(),
-                moving = self.moving.is_some(),
+                events = body.events,
+                partial = body.partial,
+                moving = body.moving,
                 "stream: broken off by its engine"
             );
         }
