--- a/daemon/tests/relay_places.rs
+++ b/daemon/tests/relay_places.rs
@@ -195,7 +195,7 @@
     let started = Instant::now();
     deployment.add_service_in("a", COLD)?;
     for (service, server) in &deployment.services[..cold] {
-        deployment.store.remove("servers", service.id());
+        deployment.store.remove("servers", &service.id());
         server.down().await;
     }
     let mut times = Vec::new();
--- a/daemon/tests/relay_pull.rs
+++ b/daemon/tests/relay_pull.rs
@@ -130,7 +130,7 @@
     let request = peer.accept_request().await?;
     deployment
         .store
-        .remove("servers", deployment.services[0].0.id());
+        .remove("servers", &deployment.services[0].0.id());
     let started = Instant::now();
     let mut number = 0;
     while serving_index(&deployment, &format!("left-{number}")).await? != Some(1) {
--- a/daemon/tests/relay_store_era.rs
+++ b/daemon/tests/relay_store_era.rs
@@ -210,7 +210,7 @@
     deployment.store.set_busy(true);
     sleep(Duration::from_secs(3)).await;
     let near = deployment.services[LOCAL_ZONE].0.id();
-    deployment.store.remove("servers", near);
+    deployment.store.remove("servers", &near);
     deployment.store.set_busy(false);
     // Wait until the list is read a second time and the other relay has been informed.
     sleep(Duration::from_secs(6)).await;
