relay: the loss of a connection under a request is logged with its fingerprint and its cause

The logs could not tell whether the copies of one request crash the servers, nor whether a server that gave no answer had crashed at all.

A request has a fingerprint that is the same for all its copies. A connection that is lost under a request is followed by a question to the server's port, which takes a round trip: a port that refuses connections belongs to a process that has ended. The line and the counter relay_losses_total tell; no decision changes, a repeat comes a round trip later.

--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -21,6 +21,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 
 use crate::copy_type;
@@ -106,14 +107,19 @@
 }
 
 impl Fingerprint {
-    /// Computes the fingerprint of a request.
+    /// Computes the fingerprint of a generation.
     pub fn new(service: &Name, model: &Name, prompt: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in [
+        Fingerprint::of_parts(&[
             service.as_str().as_bytes(),
             model.as_str().as_bytes(),
             prompt,
-        ] {
+        ])
+    }
+
+    /// Computes the fingerprint of a request from all parts that make it the same request.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
@@ -129,6 +135,12 @@
     }
 }
 
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
 impl Suspects {
     /// Creates an instance without evidence.
     pub fn new() -> Self {
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -175,7 +175,7 @@
                 self.may_have_run = true;
                 return false;
             }
-            SendFailure::NoAnswer(NoAnswer::Unknown | NoAnswer::Silent)
+            SendFailure::NoAnswer(NoAnswer::Unknown | NoAnswer::Crashed | NoAnswer::Silent)
             | SendFailure::ServerFailed => {
                 self.may_have_run = true;
             }
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use cicada_lib::route_table::time_limit;
 use cicada_lib::site::CallKind;
 use cicada_lib::site::ServiceSpec;
+use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
 use http::HeaderMap;
@@ -86,6 +88,8 @@
     clock: Clock,
     // Times that it was sent to a backend server.
     sends: AtomicU32,
+    // Computed when it is first needed.
+    content: OnceLock<Fingerprint>,
 }
 
 impl Call {
@@ -131,6 +135,31 @@
         hasher.finish()
     }
 
+    /// The fingerprint of what a backend server is to do: the same for all copies of the request, whoever sends them for
+    /// the workspace, and whichever relay takes them.
+    pub(crate) fn content(&self) -> Fingerprint {
+        *self.content.get_or_init(|| {
+            let counts = [self.head.prompt, self.head.output].map(u32::to_le_bytes);
+            let parts = self.head.parts.iter();
+            let parts = parts.flat_map(|part| {
+                let (id, tokens) = (part.id.to_le_bytes(), part.tokens.to_le_bytes());
+                id.into_iter().chain(tokens)
+            });
+            let parts: Vec<u8> = parts.collect();
+            let workspace = self.admitted.workspace.as_ref().map_or("", Name::as_str);
+            Fingerprint::of_parts(&[
+                self.service.as_str().as_bytes(),
+                workspace.as_bytes(),
+                self.method.as_str().as_bytes(),
+                self.path.as_str().as_bytes(),
+                self.head.model.as_str().as_bytes(),
+                counts.as_flattened(),
+                &parts,
+                &self.body,
+            ])
+        })
+    }
+
     /// The identifier of the last event that the caller received; empty if there is none, or if the route's streams
     /// cannot be resumed in another run.
     pub(crate) fn last_event_id(&self) -> Name {
@@ -246,6 +275,7 @@
         deadline,
         clock: relay.clock(),
         sends: AtomicU32::new(0),
+        content: OnceLock::new(),
     })
 }
 
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -10,6 +10,7 @@
 mod caller_server;
 mod choice;
 mod counted_directory;
+mod crash_check;
 mod datagram_socket;
 mod directory_watcher;
 mod drain;
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -132,6 +132,7 @@
         Err(NoAnswer::Withdrawn) => ("withdrawn", false),
         Err(NoAnswer::Elsewhere) => ("elsewhere", false),
         Err(NoAnswer::Unknown) => ("unknown", true),
+        Err(NoAnswer::Crashed) => ("crashed", true),
         Err(NoAnswer::Silent) => ("silent", true),
         Err(NoAnswer::TooLarge) => ("too_large", false),
         Err(NoAnswer::TimeOver) => ("time_over", true),
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -22,6 +22,7 @@
     refusals: IntCounterVec,
     retries: IntCounterVec,
     sends: IntCounterVec,
+    losses: IntCounterVec,
     retry_usage: GaugeVec,
     known_entries: IntGauge,
     moves: IntCounterVec,
@@ -68,6 +69,11 @@
                 "Requests sent to backend servers, by whether they had been sent before",
                 "kind",
             )?,
+            losses: counter(
+                "relay_losses_total",
+                "Requests whose connection was lost at a backend server, by what its port did then",
+                "port",
+            )?,
             retry_usage: GaugeVec::new(
                 Opts::new(
                     "relay_retry_share",
@@ -141,6 +147,7 @@
         registry.register(Box::new(metrics.refusals.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.sends.clone()))?;
+        registry.register(Box::new(metrics.losses.clone()))?;
         registry.register(Box::new(metrics.retry_usage.clone()))?;
         registry.register(Box::new(metrics.known_entries.clone()))?;
         registry.register(Box::new(metrics.moves.clone()))?;
@@ -183,6 +190,11 @@
         self.sends.with_label_values(&[kind]).inc();
     }
 
+    /// Counts a request whose connection was lost: `refuses` if the server's process has ended.
+    pub(crate) fn count_loss(&self, port: &str) {
+        self.losses.with_label_values(&[port]).inc();
+    }
+
     /// Sets the state of a service's retry share.
     pub(crate) fn set_retry_usage(&self, service: &Name, usage: &RetryUsage) {
         let set = |part, value| {
--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -5,9 +5,9 @@
 use cicada_lib::body_end::Stop;
 use cicada_lib::ids::Name;
 
+use crate::crash_check;
 use crate::placed_request::PlacedRequest;
 use crate::run_moves::Followed;
-use crate::send::NoAnswer;
 use crate::stream_run::Run;
 use crate::stream_run::StreamEnd;
 use crate::upstream;
@@ -51,8 +51,11 @@
 
     /// Has a stream that its engine broke off go on, in another run if it was not moved.
     async fn go_on(&mut self, followed: Followed) -> Option<StreamEnd> {
-        let goes_on = followed == Followed::GoesOn || self.restart(NoAnswer::Unknown).await;
-        (!goes_on).then_some(StreamEnd::Lost)
+        if followed == Followed::GoesOn {
+            return None;
+        }
+        let loss = crash_check::classify_loss(&self.relay, &self.call, &self.placed).await;
+        (!self.restart(loss).await).then_some(StreamEnd::Lost)
     }
 
     fn record_body_end(&self, body: &EndedBody, end: BodyEnd) {
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -198,7 +198,13 @@
                 self.refused_target = Some(target.key);
                 self.resume_at_source(handle).await
             }
-            Err(NoAnswer::Unknown | NoAnswer::Silent | NoAnswer::TooLarge | NoAnswer::TimeOver) => {
+            Err(
+                NoAnswer::Unknown
+                | NoAnswer::Crashed
+                | NoAnswer::Silent
+                | NoAnswer::TooLarge
+                | NoAnswer::TimeOver,
+            ) => {
                 self.relay.metrics().count_move("lost");
                 false
             }
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -18,6 +18,7 @@
 use crate::answer::LocalResponse;
 use crate::answer::ResponseBody;
 use crate::attempts::Attempts;
+use crate::crash_check;
 use crate::exchange::Call;
 use crate::placed_request::PlacedRequest;
 use crate::relay::Relay;
@@ -48,6 +49,8 @@
     Elsewhere,
     /// It is unknown whether the request ran.
     Unknown,
+    /// The connection was lost, and the server's process has ended. It is unknown whether the request ran.
+    Crashed,
     /// No answer came for longer than the server's load explains.
     Silent,
     /// The answer exceeds what this host may hold for a caller. The request ran.
@@ -105,7 +108,7 @@
     let answer = match timeout_at(give_up_at, opened.send(request)).await {
         Err(_) if call.time_left().is_zero() => return Err(NoAnswer::TimeOver),
         Err(_) => return Err(NoAnswer::Silent),
-        Ok(Err(_)) => return Err(NoAnswer::Unknown),
+        Ok(Err(_)) => return Err(crash_check::classify_loss(relay, call, placed).await),
         Ok(Ok(answer)) => answer,
     };
     let (parts, body) = answer.response.into_parts();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -200,6 +200,7 @@
         NoAnswer::Withdrawn => "server takes no work any more",
         NoAnswer::Elsewhere => "another server is there",
         NoAnswer::Unknown => "lost before its first event",
+        NoAnswer::Crashed => "lost by a crash before its first event",
         NoAnswer::Silent => "no first event in the time that the load explains",
         NoAnswer::TooLarge => "answer larger than what may be held",
         NoAnswer::TimeOver => "no first event in the caller's time",
@@ -207,7 +208,9 @@
     match no_answer {
         NoAnswer::Refused | NoAnswer::Withdrawn | NoAnswer::Elsewhere | NoAnswer::TooLarge => {}
         NoAnswer::Unreached => placed.record_failure(true),
-        NoAnswer::Unknown | NoAnswer::Silent | NoAnswer::TimeOver => placed.record_failure(false),
+        NoAnswer::Unknown | NoAnswer::Crashed | NoAnswer::Silent | NoAnswer::TimeOver => {
+            placed.record_failure(false)
+        }
     }
     let waited = call.arrived.elapsed().as_millis() as u64;
     tracing::info!(id = call.id(), server = %placed.record.id, waited, "stream: {word}");
--- a/relay/src/upstream.rs
+++ b/relay/src/upstream.rs
@@ -4,6 +4,7 @@
 //! answer to another request, and no request is lost on a pooled connection that went dead while idle. Opening a
 //! connection within an availability zone takes less than a millisecond.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -92,10 +93,41 @@
     Ok(OpenConnection { sender, connection })
 }
 
+/// What a connection attempt tells of a server.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PortState {
+    /// It accepts connections.
+    Accepts,
+    /// Nothing listens at its port: its process has ended.
+    Refuses,
+    /// It does not answer in time, or cannot be reached.
+    Silent,
+}
+
+impl PortState {
+    /// The name in logs and counters.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            PortState::Accepts => "accepts",
+            PortState::Refuses => "refuses",
+            PortState::Silent => "silent",
+        }
+    }
+}
+
+/// Asks whether the server is there. Takes one round trip if it or its host answers.
+pub(crate) async fn port_state(server: SocketAddr, round_trip: Duration) -> PortState {
+    let limit = ACCEPT_TIMEOUT + round_trip * 3;
+    match timeout(limit, TcpStream::connect(server)).await {
+        Ok(Ok(_)) => PortState::Accepts,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => PortState::Refuses,
+        Ok(Err(_)) | Err(_) => PortState::Silent,
+    }
+}
+
 /// Whether the server accepts connections. One that does not answer in time does not count as there.
 pub(crate) async fn accepts(server: SocketAddr, round_trip: Duration) -> bool {
-    let limit = ACCEPT_TIMEOUT + round_trip * 3;
-    matches!(timeout(limit, TcpStream::connect(server)).await, Ok(Ok(_)))
+    port_state(server, round_trip).await == PortState::Accepts
 }
 
 impl OpenConnection {
--- a/relay/src/whole_body.rs
+++ b/relay/src/whole_body.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use tokio::time::timeout_at;
 
+use crate::crash_check;
 use crate::exchange::Call;
 use crate::placed_request::PlacedRequest;
 use crate::relay::Relay;
@@ -67,7 +68,7 @@
                 bytes = whole.len(),
                 "request: its answer was broken off by the server"
             );
-            return Err(NoAnswer::Unknown);
+            return Err(crash_check::classify_loss(relay, call, placed).await);
         }
         Ok(BufferedAnswer {
             status: self.parts.status,
