--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -8,6 +8,8 @@
 use cicada_lib::fleet::Location;
 use cicada_lib::ids::Name;
 use cicada_lib::retry_share::RetryLimit;
+use cicada_lib::suspects::CrashId;
+use cicada_lib::suspects::Suspicion;
 use cicada_platform::HttpEngines;
 use cicada_platform::PlatformDialect;
 use cicada_platform::StoreDirectory;
@@ -193,6 +195,30 @@
     leaving: Vec<LeavingEntry>,
     // Servers that asked this relay for rest.
     resting: Vec<RestingEntry>,
+    // Requests that may be poison; the refused ones first.
+    suspects: Vec<SuspectEntry>,
+}
+
+/// A request that may be poison.
+#[derive(Serialize)]
+struct SuspectEntry {
+    fingerprint: String,
+    verdict: &'static str,
+    // The crashes that count against it.
+    crashes: Vec<String>,
+    // Since the latest of them.
+    age_ms: u64,
+}
+
+impl From<Suspicion> for SuspectEntry {
+    fn from(suspicion: Suspicion) -> Self {
+        SuspectEntry {
+            fingerprint: suspicion.fingerprint.to_string(),
+            verdict: suspicion.verdict.as_str(),
+            crashes: suspicion.crashes.iter().map(CrashId::to_string).collect(),
+            age_ms: suspicion.age.as_millis() as u64,
+        }
+    }
 }
 
 /// A server that rests, for so many more milliseconds.
@@ -237,6 +263,7 @@
             limited,
             leaving,
             resting,
+            suspects,
         } = self.relay.restrictions();
         let page = RelayPage {
             name: self.settings.text("process", "name"),
@@ -257,6 +284,7 @@
                     left_ms: left.as_millis() as u64,
                 })
                 .collect(),
+            suspects: suspects.into_iter().map(SuspectEntry::from).collect(),
         };
         serde_json::to_vec(&page).unwrap_or_default()
     }
--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -96,7 +96,11 @@
     let others = send_at_interval(relays, ("GET", "/slots/7"), INTERVAL);
     let (poison, others) = tokio::join!(poison, others);
     let crashes = crashes(&deployment);
-    assert!(crashes.len() <= MAX_CRASHES, "{} crashes: {crashes:#?}", crashes.len());
+    assert!(
+        crashes.len() <= MAX_CRASHES,
+        "{} crashes: {crashes:#?}",
+        crashes.len()
+    );
     assert!(served(&others) > 0.95, "{} served", served(&others));
     let last = poison.last().and_then(|heard| heard.as_ref().ok());
     let refused = last.is_some_and(|h| h.status == StatusCode::SERVICE_UNAVAILABLE);
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -17,6 +17,8 @@
 use crate::site::SiteConfig;
 use crate::state_holders::StateOffer;
 use crate::state_holders::StateVersion;
+use crate::suspect_trials::TrialClaim;
+use crate::suspects::CrashMark;
 use crate::value_type;
 use crate::watch_election::WatchStatement;
 use crate::zone_evacuation::EvacuatedZones;
@@ -198,6 +200,17 @@
         pub id: Name,
     }
 
+    /// What a process knows of poison requests, or has just learned.
+    #[derive(Default)]
+    pub struct SuspectNotice {
+        /// Evidence.
+        pub marks: Vec<CrashMark>,
+        /// Claims of trials.
+        pub claims: Vec<TrialClaim>,
+        /// Trials that ended without an outcome.
+        pub ended: Vec<TrialClaim>,
+    }
+
     /// A datagram between relays and scouts.
     pub enum Datagram {
         /// A relay, or a scout of the same region, subscribes to an engine's reports.
@@ -236,6 +249,10 @@
         Pong(u32),
         /// A scout that hears of no relay offers the state that it holds.
         StateOffer(StateOffer),
+        /// Evidence on poison requests and trials of them. The receiving relay passes on what is new to it.
+        Suspects(SuspectNotice),
+        /// A relay that has just started asks for evidence on poison requests.
+        QuerySuspects,
     }
 
     /// A request over a connection.
@@ -249,6 +266,13 @@
     }
 }
 
+impl SuspectNotice {
+    /// Whether it says nothing.
+    pub fn is_empty(&self) -> bool {
+        self.marks.is_empty() && self.claims.is_empty() && self.ended.is_empty()
+    }
+}
+
 impl Datagram {
     /// The name of its kind, for counters.
     pub fn kind(&self) -> &'static str {
@@ -265,6 +289,7 @@
             Datagram::LoadProbe(_) | Datagram::LoadProbeReply(_) => "load_probe",
             Datagram::Ping(_) | Datagram::Pong(_) => "round_trip",
             Datagram::StateOffer(_) => "state_offer",
+            Datagram::Suspects(_) | Datagram::QuerySuspects => "suspects",
         }
     }
 }
--- a/lib/src/relay_peers.rs
+++ b/lib/src/relay_peers.rs
@@ -20,7 +20,7 @@
 
 /// Number of relays that receive each gossiped message: all of a small deployment. In a large one a message
 /// reaches every relay within a few rounds, since each relay passes it on.
-const GOSSIP_FANOUT: usize = 12;
+pub(crate) const GOSSIP_FANOUT: usize = 12;
 
 /// Number of relays that are notified of each request to an engine. In a deployment of up to this size these
 /// are all relays, which send to the same engines. At two streams a second and 25 bytes this is under 2 KB/s.
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -4,22 +4,27 @@
 //! any entry. Without detection, it crashes the servers of a service one after the other, and with
 //! each of them the hundred other requests that run there.
 //!
-//! An agent survives the crash of its backend server and knows which requests were running. All of
-//! them become suspects. A suspect runs alone the next time, so that a second crash can be attributed
-//! to it and affects no other request. After a second crash, identical requests are refused, and the
-//! requests that were suspect only because of crashes it explains are cleared. A suspect that produces
-//! [`PROBATION_TOKENS`] tokens without a crash is cleared as well, so that a batch of harmless long
-//! requests is not run one by one to the end.
+//! Whoever sees the crash of a backend server knows some or all of the requests that were running. All
+//! of them become suspects. An agent runs a suspect alone the next time, so that a second crash can be
+//! attributed to it and affects no other request. A relay cannot keep other requests away from a
+//! server; it sends one copy of a suspect at a time, see [`crate::suspect_trials`]. [`Exposure`] says
+//! how much a crash then proves. Identical requests are refused once the crashes add up to a proof,
+//! and the requests that were suspect only because of crashes it explains are cleared. A suspect that
+//! succeeds, or produces [`PROBATION_TOKENS`] tokens without a crash, is cleared as well, so that a
+//! batch of harmless long requests is not run one by one to the end.
 //!
-//! A single crash is no proof, since engines also crash for other reasons. A poison request therefore
-//! costs two servers in each [`MARK_LIFETIME`], provided that its copies arrive after the evidence.
-//! Copies that run at the same time cost one server each. To avoid this, entries use the fingerprint
-//! of a suspect as its affinity, so that copies are routed to the same agent.
+//! A single crash is no proof, since servers also crash for other reasons; neither are several at the
+//! same moment, in which a request that many callers send is in flight at each of them. A poison
+//! request therefore costs two engines before agents, or three servers before relays, of which two at
+//! the same time, in each [`MARK_LIFETIME`], provided that its copies arrive after the evidence. Copies that run at the same
+//! time cost one server each. To avoid this, entries use the fingerprint of a suspect as its affinity,
+//! so that copies are routed to the same agent.
 //!
 //! The evidence is a set of marks that only grows, so agents and entries may exchange marks in any
 //! order and more than once.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::fmt;
 use std::time::Duration;
@@ -34,20 +39,39 @@
 /// within the first tokens.
 pub const PROBATION_TOKENS: u32 = 32;
 
-/// How long a mark is valid. A caller that keeps retrying for an hour crashes at most four servers.
+/// How long a mark is valid. A caller that keeps retrying for an hour crashes at most six servers.
 pub const MARK_LIFETIME: Duration = Duration::from_secs(30 * 60);
 
 /// The maximum number of marks; those of the oldest crash are evicted first. Enough for batches of 256
 /// in 64 crashes within a lifetime; at about 100 bytes each, they take less than 2 MB.
 pub const MAX_MARKS: usize = 16_384;
 
+/// Crashes within this time count as one moment.
+const MOMENT: Duration = Duration::from_secs(1);
+
+/// Time after a crash on trial until the next trial of the same request: servers that crashed under it are back by then.
+pub const TRIAL_PAUSE: Duration = Duration::from_secs(10);
+
+/// Points of evidence from which a request is refused.
+const REFUSED_FROM: u32 = 3;
+
 copy_type! {
     /// A hash of a request's service, model and prompt, equal for identical requests.
     pub struct Fingerprint(pub u128);
 
-    /// Identifies one crash of one backend server; a random number.
+    /// Identifies one crash of one backend server.
     pub struct CrashId(pub u64);
 
+    /// How the request ran at a crash.
+    pub enum Exposure {
+        /// Beside other requests, before it was known as a suspect.
+        Crowd,
+        /// As the only copy of a suspect that any relay sent. Other requests may have run at the server.
+        Trial,
+        /// While no other request ran at the server.
+        Alone,
+    }
+
     /// How a request may be run.
     pub enum Verdict {
         /// It may run concurrently with other requests.
@@ -66,8 +90,8 @@
         pub fingerprint: Fingerprint,
         /// The crash.
         pub crash: CrashId,
-        /// Whether no other request was running.
-        pub alone: bool,
+        /// How it ran.
+        pub exposure: Exposure,
         /// Whether it has been established that the request did not cause this crash.
         pub cleared: bool,
         /// Microseconds since the crash. Marks carry an age since the clocks of processes differ.
@@ -75,11 +99,24 @@
     }
 }
 
+/// What is known of one request that may be poison.
+#[derive(Clone, Debug)]
+pub struct Suspicion {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How it may be run.
+    pub verdict: Verdict,
+    /// The crashes that count.
+    pub crashes: Vec<CrashId>,
+    /// Time since the latest of them.
+    pub age: Duration,
+}
+
 /// A mark as stored by one process.
 #[derive(Clone, Copy, Debug)]
 struct StoredMark {
     crash: CrashId,
-    alone: bool,
+    exposure: Exposure,
     cleared: bool,
     // The time of the crash on this process's clock.
     crashed_at: Time,
@@ -102,6 +139,8 @@
     arrival_order: VecDeque<CrashId>,
     // The number of marks, at most `MAX_MARKS` after each change.
     marks: usize,
+    // The number of those that are not cleared.
+    open_marks: usize,
     // Incremented with every change.
     revision: u64,
 }
@@ -135,6 +174,46 @@
     }
 }
 
+impl CrashId {
+    /// The crash that ended an incarnation of a server. The same at all processes that see it.
+    pub fn of_server(server: &Name, born: u64) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&born.to_le_bytes());
+        hasher.update(server.as_str().as_bytes());
+        let mut truncated = [0; 8];
+        truncated.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        CrashId(u64::from_le_bytes(truncated))
+    }
+}
+
+impl fmt::Display for CrashId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl Exposure {
+    /// The name in logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Exposure::Crowd => "crowd",
+            Exposure::Trial => "trial",
+            Exposure::Alone => "alone",
+        }
+    }
+}
+
+impl Verdict {
+    /// The name in logs and on status pages.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::Allow => "allow",
+            Verdict::Isolate => "isolate",
+            Verdict::Refuse => "refuse",
+        }
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
@@ -149,12 +228,15 @@
 
     /// Records that the backend server crashed while it was running these requests.
     pub fn record_crash(&mut self, now: Time, crash: CrashId, running: &[Fingerprint]) {
-        let alone = running.len() == 1;
+        let exposure = match running.len() {
+            1 => Exposure::Alone,
+            _ => Exposure::Crowd,
+        };
         for fingerprint in running {
             let mark = CrashMark {
                 fingerprint: *fingerprint,
                 crash,
-                alone,
+                exposure,
                 cleared: false,
                 age: 0,
             };
@@ -175,10 +257,78 @@
 
     /// Returns how the request may be run. Takes O(1).
     pub fn verdict(&self, now: Time, fingerprint: Fingerprint) -> Verdict {
-        let Some(evidence) = self.requests.get(&fingerprint) else {
-            return Verdict::Allow;
-        };
-        verdict(evidence.iter().filter(|e| e.counts(now)))
+        verdict(&self.counted(now, fingerprint))
+    }
+
+    fn counted(&self, now: Time, fingerprint: Fingerprint) -> Vec<&StoredMark> {
+        let evidence = self.requests.get(&fingerprint).into_iter().flatten();
+        evidence.filter(|mark| mark.counts(now)).collect()
+    }
+
+    /// Returns how long the request is still refused, if it is.
+    pub fn refused_for(&self, now: Time, fingerprint: Fingerprint) -> Option<Duration> {
+        let counted = self.counted(now, fingerprint);
+        let oldest = counted.iter().map(|mark| mark.crashed_at).min()?;
+        (verdict(&counted) == Verdict::Refuse).then(|| MARK_LIFETIME - now.since(oldest))
+    }
+
+    /// Returns whether a server crashed under the request on trial.
+    pub fn crashed_on_trial(&self, now: Time, fingerprint: Fingerprint) -> bool {
+        let counted = self.counted(now, fingerprint);
+        counted.iter().any(|m| m.exposure == Exposure::Trial)
+    }
+
+    /// Returns how long the request must not be tried again, if a server has just crashed under it on trial and no other
+    /// suspect was on trial there.
+    pub fn paused_for(&self, now: Time, fingerprint: Fingerprint) -> Option<Duration> {
+        let counted = self.counted(now, fingerprint).into_iter();
+        let trials = counted.filter(|m| m.exposure == Exposure::Trial);
+        let latest = trials.max_by_key(|mark| mark.crashed_at)?;
+        if self.trials_at(latest.crash) > 1 {
+            return None;
+        }
+        TRIAL_PAUSE
+            .checked_sub(now.since(latest.crashed_at))
+            .filter(|left| !left.is_zero())
+    }
+
+    /// The number of requests that were on trial at a crash and may have caused it.
+    fn trials_at(&self, crash: CrashId) -> usize {
+        let requests = self.crashes.get(&crash).map(|c| c.requests.as_slice());
+        let marks = requests.into_iter().flatten();
+        let marks =
+            marks.flat_map(|fingerprint| self.requests.get(fingerprint).into_iter().flatten());
+        let on_trial = marks.filter(|mark| {
+            mark.crash == crash && mark.exposure == Exposure::Trial && !mark.cleared
+        });
+        on_trial.count()
+    }
+
+    /// Returns what is known of each request that is not allowed to run beside others, the refused first.
+    pub fn listing(&self, now: Time) -> Vec<Suspicion> {
+        let suspicions = self.requests.keys().filter_map(|fingerprint| {
+            let counted = self.counted(now, *fingerprint);
+            let latest = counted.iter().map(|mark| mark.crashed_at).max()?;
+            Some(Suspicion {
+                fingerprint: *fingerprint,
+                verdict: verdict(&counted),
+                crashes: counted.iter().map(|mark| mark.crash).collect(),
+                age: now.since(latest),
+            })
+        });
+        let mut suspicions: Vec<Suspicion> = suspicions.collect();
+        suspicions.sort_by_key(|s| (std::cmp::Reverse(s.verdict), s.age));
+        suspicions
+    }
+
+    /// Returns the marks of at most `count` requests, those of refused ones first, for a process that may lack them.
+    pub fn sample(&self, now: Time, count: usize) -> Vec<CrashMark> {
+        let listing = self.listing(now).into_iter().take(count);
+        let marks = listing.flat_map(|s| {
+            let counted = self.counted(now, s.fingerprint).into_iter();
+            counted.map(move |mark| mark.mark(now, s.fingerprint))
+        });
+        marks.collect()
     }
 
     /// Returns the marks that changed after `revision`, for other processes.
@@ -191,6 +341,24 @@
         marks.collect()
     }
 
+    /// Returns the next marks that changed after `revision`, and the revision that they lead to.
+    pub fn next_changes(&self, now: Time, revision: u64, count: usize) -> (Vec<CrashMark>, u64) {
+        if revision == self.revision {
+            return (Vec::new(), revision);
+        }
+        let requests = self.requests.iter();
+        let stored = requests.flat_map(|(f, marks)| marks.iter().map(move |mark| (mark, *f)));
+        let mut changed: Vec<(&StoredMark, Fingerprint)> = stored
+            .filter(|(mark, _)| mark.revision > revision)
+            .collect();
+        changed.sort_by_key(|(mark, _)| mark.revision);
+        let is_rest = changed.len() <= count;
+        changed.truncate(count);
+        let last = changed.last().map_or(revision, |(mark, _)| mark.revision);
+        let marks = changed.iter().map(|(mark, f)| mark.mark(now, *f));
+        (marks.collect(), if is_rest { self.revision } else { last })
+    }
+
     /// Returns the current revision, from which the next [`Suspects::marks_since`] continues.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -208,6 +376,17 @@
         self.evict(now);
     }
 
+    /// Returns the crashes that count against the request.
+    pub fn crashes(&self, now: Time, fingerprint: Fingerprint) -> Vec<CrashId> {
+        let counted = self.counted(now, fingerprint);
+        counted.iter().map(|mark| mark.crash).collect()
+    }
+
+    /// Returns whether any mark is not cleared.
+    pub fn has_open_marks(&self) -> bool {
+        self.open_marks > 0
+    }
+
     /// Returns the number of marks.
     pub fn len(&self) -> usize {
         self.marks
@@ -224,6 +403,7 @@
         if let Some(known) = evidence.iter_mut().find(|e| e.crash == mark.crash) {
             if mark.cleared && !known.cleared {
                 known.cleared = true;
+                self.open_marks -= 1;
                 self.revision += 1;
                 known.revision = self.revision;
             }
@@ -231,9 +411,10 @@
         }
         self.revision += 1;
         self.marks += 1;
+        self.open_marks += usize::from(!mark.cleared);
         evidence.push(StoredMark {
             crash: mark.crash,
-            alone: mark.alone,
+            exposure: mark.exposure,
             cleared: mark.cleared,
             crashed_at,
             revision: self.revision,
@@ -249,14 +430,18 @@
         crash.requests.push(mark.fingerprint);
     }
 
-    /// For each of the requests that must now be refused, clears the requests that ran concurrently with
-    /// it.
+    /// Clears the requests that ran concurrently with one that must be refused, in the crashes of these requests. Marks
+    /// of such a crash may arrive after the proof.
     fn clear_explained(&mut self, requests: &[Fingerprint]) {
-        for fingerprint in requests {
-            let evidence = self.requests.get(fingerprint);
-            let evidence = evidence.map_or(&[][..], Vec::as_slice);
-            if verdict(evidence.iter().filter(|e| !e.cleared)) == Verdict::Refuse {
-                self.clear_bystanders(*fingerprint);
+        let crashes = requests.iter().flat_map(|f| self.crashes_of(*f));
+        let crashes: HashSet<CrashId> = crashes.collect();
+        let crashes = crashes.iter().filter_map(|crash| self.crashes.get(crash));
+        let suspects: HashSet<Fingerprint> = crashes.flat_map(|c| &c.requests).copied().collect();
+        for fingerprint in suspects {
+            let evidence = self.requests.get(&fingerprint).into_iter().flatten();
+            let evidence: Vec<&StoredMark> = evidence.filter(|e| !e.cleared).collect();
+            if verdict(&evidence) == Verdict::Refuse {
+                self.clear_bystanders(fingerprint);
             }
         }
     }
@@ -278,6 +463,7 @@
         let marks = evidence.iter_mut();
         for mark in marks.filter(|e| e.crash == crash && !e.cleared) {
             mark.cleared = true;
+            self.open_marks -= 1;
             self.revision += 1;
             mark.revision = self.revision;
         }
@@ -309,6 +495,8 @@
             let Some(evidence) = self.requests.get_mut(&fingerprint) else {
                 continue;
             };
+            let removed = evidence.iter().filter(|e| e.crash == crash);
+            self.open_marks -= removed.filter(|e| !e.cleared).count();
             let before = evidence.len();
             evidence.retain(|e| e.crash != crash);
             self.marks -= before - evidence.len();
@@ -329,27 +517,42 @@
         CrashMark {
             fingerprint,
             crash: self.crash,
-            alone: self.alone,
+            exposure: self.exposure,
             cleared: self.cleared,
             age: u64::try_from(age).unwrap_or(u64::MAX),
         }
     }
 }
 
-/// After two crashes, in one of which the request ran alone, no other explanation is as likely. Three
-/// crashes that all had other requests running mean that the isolation was not enforced somewhere; the
-/// request is refused rather than run a fourth time.
-fn verdict<'a>(evidence: impl Iterator<Item = &'a StoredMark>) -> Verdict {
-    let mut crashes = 0;
-    let mut alone = false;
+/// Adds up the evidence. Crashes beside other requests at the same moment count as one, since a request that many callers
+/// send is in flight at all servers of its service.
+fn verdict(evidence: &[&StoredMark]) -> Verdict {
+    let mut crowds: Vec<Time> = Vec::new();
+    let mut points = 0;
     for mark in evidence {
-        crashes += 1;
-        alone |= mark.alone;
+        match mark.exposure {
+            Exposure::Crowd => crowds.push(mark.crashed_at),
+            Exposure::Trial => points += 1,
+            Exposure::Alone => points += 2,
+        }
     }
-    match crashes {
+    match points + moments(crowds) {
         0 => Verdict::Allow,
-        1 => Verdict::Isolate,
-        2 if !alone => Verdict::Isolate,
+        points if points < REFUSED_FROM => Verdict::Isolate,
         _ => Verdict::Refuse,
     }
 }
+
+/// The number of moments in which these crashes occurred.
+fn moments(mut crashes: Vec<Time>) -> u32 {
+    crashes.sort();
+    let mut count = 0;
+    let mut begun = None;
+    for at in crashes {
+        if begun.is_none_or(|begun| at.since(begun) > MOMENT) {
+            begun = Some(at);
+            count += 1;
+        }
+    }
+    count
+}
--- a/lib/tests/suspects.rs
+++ b/lib/tests/suspects.rs
@@ -3,10 +3,12 @@
 use cicada_lib::ids::Name;
 use cicada_lib::suspects::CrashId;
 use cicada_lib::suspects::CrashMark;
+use cicada_lib::suspects::Exposure;
 use cicada_lib::suspects::Fingerprint;
 use cicada_lib::suspects::MARK_LIFETIME;
 use cicada_lib::suspects::MAX_MARKS;
 use cicada_lib::suspects::Suspects;
+use cicada_lib::suspects::TRIAL_PAUSE;
 use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Time;
 use quickcheck::QuickCheck;
@@ -206,3 +208,86 @@
     let before = Time::from_millis(39_000) + MARK_LIFETIME;
     assert_eq!(entry.verdict(before, POISON), Verdict::Isolate);
 }
+
+fn mark(fingerprint: Fingerprint, crash: u64, exposure: Exposure) -> CrashMark {
+    CrashMark {
+        fingerprint,
+        crash: CrashId(crash),
+        exposure,
+        cleared: false,
+        age: 0,
+    }
+}
+
+/// Guards against a request that many callers send and that is refused since several servers crashed at once.
+#[test]
+fn crashes_at_the_same_moment_do_not_convict_a_hot_request() {
+    let mut suspects = Suspects::new();
+    for crash in 0..50 {
+        let at = Time::from_millis(crash * 10);
+        suspects.merge(at, &[mark(POISON, crash, Exposure::Crowd)]);
+    }
+    let now = Time::from_millis(600);
+    assert_eq!(suspects.verdict(now, POISON), Verdict::Isolate);
+    suspects.record_success(POISON);
+    assert_eq!(suspects.verdict(now, POISON), Verdict::Allow);
+    assert!(!suspects.has_open_marks());
+}
+
+/// Guards against a request that is refused on less evidence than three crashes, or not refused on that.
+#[test]
+fn three_crashes_of_which_two_on_trial_convict() {
+    let now = Time::from_millis(1);
+    let mut suspects = Suspects::new();
+    suspects.merge(now, &[mark(POISON, 1, Exposure::Crowd)]);
+    assert_eq!(suspects.paused_for(now, POISON), None);
+    suspects.merge(now, &[mark(POISON, 2, Exposure::Trial)]);
+    assert_eq!(suspects.verdict(now, POISON), Verdict::Isolate);
+    assert_eq!(suspects.paused_for(now, POISON), Some(TRIAL_PAUSE));
+    suspects.merge(now, &[mark(POISON, 3, Exposure::Trial)]);
+    assert_eq!(suspects.verdict(now, POISON), Verdict::Refuse);
+    assert_eq!(suspects.refused_for(now, POISON), Some(MARK_LIFETIME));
+}
+
+/// Guards against bystanders that stay suspect since their mark comes from another process, after the proof.
+#[test]
+fn marks_that_arrive_after_the_proof_are_cleared() {
+    let now = Time::from_millis(1);
+    let mut suspects = Suspects::new();
+    let exposures = [Exposure::Crowd, Exposure::Trial, Exposure::Trial];
+    for (crash, exposure) in exposures.into_iter().enumerate() {
+        suspects.merge(now, &[mark(POISON, crash as u64, exposure)]);
+    }
+    let bystander = Fingerprint(2);
+    suspects.merge(now, &[mark(bystander, 1, Exposure::Crowd)]);
+    assert_eq!(suspects.verdict(now, bystander), Verdict::Allow);
+    assert_eq!(suspects.verdict(now, POISON), Verdict::Refuse);
+}
+
+/// Guards against two relays that count the same crash twice.
+#[test]
+fn a_crash_has_the_same_identifier_for_all_who_see_it() {
+    let (a, b) = (Name::new("i-1"), Name::new("i-2"));
+    assert_eq!(CrashId::of_server(&a, 7), CrashId::of_server(&a, 7));
+    assert_ne!(CrashId::of_server(&a, 7), CrashId::of_server(&a, 8));
+    assert_ne!(CrashId::of_server(&a, 7), CrashId::of_server(&b, 7));
+}
+
+#[test]
+fn changes_are_passed_on_page_by_page() {
+    let now = Time::from_millis(1);
+    let mut first = Suspects::new();
+    for crash in 0..90 {
+        let request = Fingerprint(u128::from(crash));
+        first.merge(now, &[mark(request, crash, Exposure::Crowd)]);
+    }
+    let mut second = Suspects::new();
+    let mut told = 0;
+    while told < first.revision() {
+        let (marks, next) = first.next_changes(now, told, 20);
+        assert!(marks.len() <= 20 && next > told);
+        second.merge(now, &marks);
+        told = next;
+    }
+    assert_eq!(second.len(), 90);
+}
--- a/relay/src/crash_check.rs
+++ b/relay/src/crash_check.rs
@@ -10,6 +10,16 @@
 use crate::upstream;
 use crate::upstream::PortState;
 
+/// Decides what the loss of the connection under a request means, and records a crash as evidence against the request.
+/// Takes a round trip to the server.
+pub(crate) async fn handle_loss(relay: &Relay, call: &Call, placed: &PlacedRequest) -> NoAnswer {
+    let loss = classify_loss(relay, call, placed).await;
+    if loss == NoAnswer::Crashed {
+        relay.record_crash(call, placed);
+    }
+    loss
+}
+
 /// Decides what the loss of the connection under a request means. Takes a round trip to the server.
 pub(crate) async fn classify_loss(relay: &Relay, call: &Call, placed: &PlacedRequest) -> NoAnswer {
     let port = upstream::port_state(placed.record.address, placed.round_trip()).await;
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -5,6 +5,7 @@
 use std::hash::Hash;
 use std::hash::Hasher;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -17,6 +18,7 @@
 use cicada_lib::dialect::CallHead;
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::ids::Name;
+use cicada_lib::quarantine::Candidate;
 use cicada_lib::route_table::Admitted;
 use cicada_lib::route_table::Denied;
 use cicada_lib::route_table::RouteTable;
@@ -46,7 +48,9 @@
 use crate::answer::OpenResponseGuard;
 use crate::answer::ResponseBody;
 use crate::caller_io::ConnectionActivity;
+use crate::lock::lock;
 use crate::plain;
+use crate::poison::Trial;
 use crate::relay::Relay;
 use crate::stream;
 
@@ -90,6 +94,8 @@
     sends: AtomicU32,
     // Computed when it is first needed.
     content: OnceLock<Fingerprint>,
+    // Held while this copy of a suspect is on trial.
+    trial: Mutex<Option<Trial>>,
 }
 
 impl Call {
@@ -160,6 +166,25 @@
         })
     }
 
+    /// The request as the quarantine judges it.
+    pub(crate) fn candidate(&self) -> Candidate {
+        Candidate {
+            content: self.content(),
+            service: Fingerprint::of_parts(&[self.service.as_str().as_bytes()]),
+        }
+    }
+
+    /// Whether this copy of a suspect is on trial.
+    pub(crate) fn is_on_trial(&self) -> bool {
+        lock(&self.trial).is_some()
+    }
+
+    /// Sets the trial that this copy of a suspect holds.
+    pub(crate) fn set_trial(&self, trial: Option<Trial>) {
+        let former = std::mem::replace(&mut *lock(&self.trial), trial);
+        drop(former);
+    }
+
     /// The identifier of the last event that the caller received; empty if there is none, or if the route's streams
     /// cannot be resumed in another run.
     pub(crate) fn last_event_id(&self) -> Name {
@@ -276,6 +301,7 @@
         clock: relay.clock(),
         sends: AtomicU32::new(0),
         content: OnceLock::new(),
+        trial: Mutex::default(),
     })
 }
 
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod peer_pull;
 mod placed_request;
 mod plain;
+mod poison;
 mod relay;
 mod relay_limits;
 mod relay_metrics;
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -13,6 +13,7 @@
 use cicada_lib::peer_messages::ServerUpdate;
 use cicada_lib::peer_messages::Subscription;
 use cicada_lib::state_holders;
+use cicada_lib::time::Time;
 use tokio::sync::mpsc;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -56,6 +57,9 @@
 /// that run requests of its own. To place a stream it probes the scouts of others.
 const MAX_SUBSCRIBED_ENGINES: usize = 64;
 
+/// How long after its start a relay asks others for evidence on poison requests: several hellos and subscriptions.
+const EVIDENCE_QUERY_TIME: Duration = Duration::from_secs(5);
+
 /// Sends and receives a relay's datagrams.
 pub(crate) struct PeerNet {
     relay: Arc<Relay>,
@@ -101,7 +105,11 @@
                 () = self.relay.engines_joined() => self.subscribe_to_joined().await,
                 _ = hellos.tick() => self.send_hello().await,
                 () = self.relay.hello_due() => self.send_hello().await,
-                _ = rejections.tick() => self.send_rejections().await,
+                _ = rejections.tick() => {
+                    self.send_rejections().await;
+                    self.send_suspects().await;
+                }
+                () = self.relay.poison.has_news() => self.send_suspects().await,
                 _ = zone_probes.tick() => self.send_zone_probes().await,
                 Some(news) = news.recv() => self.send_server_changes(news).await,
                 Some(probes) = load_probes.recv() => self.send_load_probes(probes).await,
@@ -209,6 +217,7 @@
             state: Some(self.relay.state_version()),
             ..subscription.clone()
         };
+        self.exchange_held_evidence(&holding).await;
         for (subscription, engines) in [(with_state, holding), (subscription, others)] {
             let scouts = self.socket.addresses_of(&engines);
             let datagram = Datagram::Subscribe(subscription);
@@ -216,6 +225,23 @@
         }
     }
 
+    /// Has one of the scouts that hold the relays' state keep the evidence on poison requests too, and asks all of them for
+    /// it after a start.
+    async fn exchange_held_evidence(&self, holders: &[SocketAddr]) {
+        let now = self.relay.now();
+        let scouts = self.socket.addresses_of(holders);
+        if now.since(Time::ZERO) < EVIDENCE_QUERY_TIME {
+            self.socket.send(&Datagram::QuerySuspects, &scouts).await;
+        }
+        if let (Some(notice), Some(scout)) =
+            (self.relay.poison.sample(now), fastrand::choice(scouts))
+        {
+            self.socket
+                .send(&Datagram::Suspects(notice), &[scout])
+                .await;
+        }
+    }
+
     async fn send_hello(&self) {
         self.relay.record_heartbeat();
         self.relay.update_entry_shares();
@@ -224,6 +250,33 @@
             self.send_to_region(&datagram).await;
         }
         self.gossip(&datagram).await;
+        self.exchange_evidence().await;
+    }
+
+    /// Passes on what is new about poison requests, to a few relays that do the same.
+    async fn send_suspects(&self) {
+        let now = self.relay.now();
+        while let Some(notice) = self.relay.poison.take_unsent(now) {
+            let datagram = Datagram::Suspects(notice);
+            let peers = self.relay.peers().gossip_targets();
+            let bytes = peer_messages::encode(&datagram).map_or(0, |bytes| bytes.len());
+            self.relay.poison.charge(now, bytes * peers.len());
+            self.socket.send(&datagram, &peers).await;
+        }
+    }
+
+    /// Tells one relay of the evidence on poison requests, which may have missed it, and asks for it after a start.
+    async fn exchange_evidence(&self) {
+        let now = self.relay.now();
+        if now.since(Time::ZERO) < EVIDENCE_QUERY_TIME {
+            self.gossip(&Datagram::QuerySuspects).await;
+        }
+        let peers = self.relay.peers().gossip_targets();
+        if let (Some(notice), Some(peer)) = (self.relay.poison.sample(now), peers.first()) {
+            self.socket
+                .send(&Datagram::Suspects(notice), &[*peer])
+                .await;
+        }
     }
 
     fn hello(&self) -> Datagram {
@@ -335,6 +388,11 @@
                 }
             }
             Ok(Datagram::Hello(hello)) => self.handle_hello(from, hello).await,
+            Ok(Datagram::QuerySuspects) => {
+                if let Some(notice) = self.relay.poison.sample(self.relay.now()) {
+                    self.socket.send(&Datagram::Suspects(notice), &[from]).await;
+                }
+            }
             _ => {
                 if let Some(datagram) = self.apply_datagram(bytes, from) {
                     self.gossip(&datagram).await;
@@ -389,6 +447,9 @@
                 let now = self.relay.now();
                 self.relay.recent_rejections().merge(now, &returns);
             }
+            Ok(Datagram::Suspects(notice)) => {
+                self.relay.poison.merge(self.relay.now(), &notice);
+            }
             Ok(Datagram::ServerUpdate(news)) => self.relay.handle_server_news(&news),
             Ok(Datagram::StateOffer(offer)) => self.relay.record_offer(from, &offer),
             Ok(Datagram::RequestSent(notice)) => self.relay.record_sent_elsewhere(&notice),
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -63,12 +63,20 @@
 async fn run(relay: &Arc<Relay>, call: &Call, disconnected: &AtomicBool) -> Response<ResponseBody> {
     let mut attempts = Attempts::new();
     let mut failure: Option<BufferedAnswer> = None;
+    let mut refusal = None;
     while !disconnected.load(Ordering::Relaxed) {
+        if let Err(why) = relay.clear_to_send(call).await {
+            refusal = Some(why);
+            break;
+        }
         let Ok(placed) = attempts.place(relay, call, 0, None).await else {
             break;
         };
         let outcome = send_whole(relay, call, &placed).await;
         record_outcome(relay, call, &placed, &outcome);
+        if outcome.is_ok() {
+            relay.record_harmless(call);
+        }
         let send_failure = match outcome {
             Ok(whole) if !whole.status.is_server_error() => {
                 tracing::info!(
@@ -103,6 +111,9 @@
         relay.metrics().count_answer("failed_by_server");
         return whole.response();
     }
+    if let Some(why) = refusal.filter(|_| !attempts.may_have_run()) {
+        return relay.refuse_suspect(call, why);
+    }
     let pause = match attempts.rejection_cause() {
         Some(why) => retry_after::delay(why, call.time_left(), fastrand::f64()),
         None => retry_delay(call),
--- /dev/null
+++ b/relay/src/poison.rs
@@ -0,0 +1,246 @@
+//! Keeps poison requests from backend servers. `cicada_lib::quarantine` decides which requests may be sent.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use cicada_lib::peer_messages::SuspectNotice;
+use cicada_lib::quarantine::Admission;
+use cicada_lib::quarantine::Quarantine;
+use cicada_lib::quarantine::Refusal;
+use cicada_lib::suspect_trials::TrialClaim;
+use cicada_lib::suspect_trials::claim_time;
+use cicada_lib::suspects::CrashId;
+use cicada_lib::suspects::CrashMark;
+use cicada_lib::suspects::Exposure;
+use cicada_lib::suspects::Fingerprint;
+use cicada_lib::suspects::Suspicion;
+use cicada_lib::time::Time;
+use http::Response;
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout_at;
+
+use crate::answer::LocalResponse;
+use crate::answer::ResponseBody;
+use crate::exchange::Call;
+use crate::lock::lock;
+use crate::placed_request::PlacedRequest;
+use crate::relay::Relay;
+
+/// Longest wait of a copy for the outcome of another one's trial.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+
+/// Maximum number of suspects on the status page.
+const MAX_LISTED: usize = 64;
+
+/// The quarantine of a relay, shared by its requests and its exchange with other processes.
+pub(crate) struct Poison {
+    quarantine: Mutex<Quarantine>,
+    // Whether there is evidence against any request. Requests are not hashed otherwise.
+    has_evidence: AtomicBool,
+    // Incremented when evidence or trials change.
+    changes: watch::Sender<u64>,
+    // Notified when there is something to tell other processes.
+    news: Notify,
+}
+
+/// A trial that this relay holds for a copy of a suspect, until dropped.
+pub(crate) struct Trial {
+    relay: Arc<Relay>,
+    claim: TrialClaim,
+}
+
+impl Poison {
+    /// Creates one without evidence.
+    pub(crate) fn new() -> Self {
+        Poison {
+            quarantine: Mutex::default(),
+            has_evidence: AtomicBool::new(false),
+            changes: watch::Sender::new(0),
+            news: Notify::new(),
+        }
+    }
+
+    /// Waits until there is something to tell other processes.
+    pub(crate) async fn has_news(&self) {
+        self.news.notified().await;
+    }
+
+    /// What other processes are to be told.
+    pub(crate) fn take_unsent(&self, now: Time) -> Option<SuspectNotice> {
+        self.lock().take_unsent(now)
+    }
+
+    /// Charges the bytes of a notice that was sent.
+    pub(crate) fn charge(&self, now: Time, bytes: usize) {
+        self.lock().charge(now, bytes);
+    }
+
+    /// A sample of the evidence, for a process that may lack it.
+    pub(crate) fn sample(&self, now: Time) -> Option<SuspectNotice> {
+        self.has_evidence().then(|| self.lock().sample(now))?
+    }
+
+    /// Takes in what another process tells.
+    pub(crate) fn merge(&self, now: Time, notice: &SuspectNotice) {
+        let mut quarantine = self.lock();
+        if quarantine.merge(now, notice) {
+            self.announce(&quarantine);
+        }
+    }
+
+    /// What is known of each suspect, the refused ones first.
+    pub(crate) fn listing(&self, now: Time) -> Vec<Suspicion> {
+        let mut listing = self.lock().listing(now);
+        listing.truncate(MAX_LISTED);
+        listing
+    }
+
+    /// The crashes that count against a request, for logs.
+    fn crashes(&self, now: Time, fingerprint: Fingerprint) -> String {
+        let crashes = self.lock().crashes(now, fingerprint);
+        let crashes: Vec<String> = crashes.iter().map(CrashId::to_string).collect();
+        crashes.join(",")
+    }
+
+    fn has_evidence(&self) -> bool {
+        self.has_evidence.load(Ordering::Relaxed)
+    }
+
+    /// Lets waiting requests and other processes know of a change.
+    fn announce(&self, quarantine: &Quarantine) {
+        let has_evidence = quarantine.has_evidence();
+        self.has_evidence.store(has_evidence, Ordering::Relaxed);
+        self.changes.send_modify(|count| *count += 1);
+        self.news.notify_one();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Quarantine> {
+        lock(&self.quarantine)
+    }
+}
+
+impl Relay {
+    /// Waits until the request may be sent to a backend server. If it is a suspect, it is on trial from then on.
+    pub(crate) async fn clear_to_send(self: &Arc<Self>, call: &Call) -> Result<(), Refusal> {
+        if !self.poison.has_evidence() || call.is_on_trial() {
+            return Ok(());
+        }
+        let give_up_at = Instant::now() + MAX_WAIT.min(call.time_left() / 4);
+        let mut changes = self.poison.changes.subscribe();
+        loop {
+            changes.borrow_and_update();
+            let (now, claimant) = (self.now(), fastrand::u64(..));
+            let admission = self.poison.lock().admit(now, call.candidate(), claimant);
+            match admission {
+                Admission::Free => return Ok(()),
+                Admission::Refused(why) => return Err(why),
+                Admission::Claimed(claim) => {
+                    let relay = self.clone();
+                    let trial = Trial { relay, claim };
+                    self.poison.news.notify_one();
+                    let entries = self.peers().known_count();
+                    sleep(claim_time(entries)).await;
+                    if trial.is_held() {
+                        call.set_trial(Some(trial));
+                        return Ok(());
+                    }
+                }
+                Admission::Wait(until) => {
+                    if timeout_at(give_up_at, changes.changed()).await.is_err() {
+                        return Err(Refusal::OnTrial(until.since(self.now())));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Records that the server's process ended while it ran the request, unless it was to end.
+    pub(crate) fn record_crash(&self, call: &Call, placed: &PlacedRequest) {
+        if placed.leaving_since().is_some() {
+            return;
+        }
+        let exposure = match call.is_on_trial() {
+            true => Exposure::Trial,
+            false => Exposure::Crowd,
+        };
+        let mark = CrashMark {
+            fingerprint: call.content(),
+            crash: CrashId::of_server(&placed.record.id, placed.record.born),
+            exposure,
+            cleared: false,
+            age: 0,
+        };
+        let mut quarantine = self.poison.lock();
+        let verdict = quarantine.record_crash(self.now(), &mark);
+        self.poison.announce(&quarantine);
+        drop(quarantine);
+        call.set_trial(None);
+        self.metrics().count_crash(exposure.as_str());
+        tracing::warn!(
+            id = call.id(),
+            fingerprint = %mark.fingerprint,
+            crash = %mark.crash,
+            server = %placed.record.id,
+            exposure = exposure.as_str(),
+            verdict = verdict.as_str(),
+            "poison: a server crashed under the request"
+        );
+    }
+
+    /// Records that a server ran the request and lived on.
+    pub(crate) fn record_harmless(&self, call: &Call) {
+        if !self.poison.has_evidence() {
+            return;
+        }
+        let mut quarantine = self.poison.lock();
+        if quarantine.record_success(self.now(), call.content()) {
+            self.poison.announce(&quarantine);
+        }
+        drop(quarantine);
+        call.set_trial(None);
+    }
+
+    /// Refuses a request that did not run.
+    pub(crate) fn refuse_suspect(&self, call: &Call, why: Refusal) -> Response<ResponseBody> {
+        let (reason, pause) = match why {
+            Refusal::Poison(left) => ("poison", left),
+            Refusal::OnTrial(left) | Refusal::Paused(left) => ("suspect", left),
+        };
+        self.metrics().count_refusal(reason);
+        self.metrics().count_answer("not_run");
+        tracing::info!(
+            id = call.id(),
+            reason,
+            fingerprint = %call.content(),
+            crashes = self.poison.crashes(self.now(), call.content()),
+            service = %call.service,
+            pause = pause.as_millis() as u64,
+            "poison: refused"
+        );
+        LocalResponse::NotRun(pause).into_response()
+    }
+}
+
+impl Trial {
+    fn is_held(&self) -> bool {
+        let now = self.relay.now();
+        let quarantine = self.relay.poison.lock();
+        quarantine.holds_trial(now, &self.claim)
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let poison = &self.relay.poison;
+        let mut quarantine = poison.lock();
+        quarantine.end_trial(self.relay.now(), &self.claim);
+        poison.announce(&quarantine);
+    }
+}
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -29,6 +29,7 @@
 use cicada_lib::revision::Revision;
 use cicada_lib::route_table::RouteTable;
 use cicada_lib::stream_admission::RetryPacer;
+use cicada_lib::suspects::Suspicion;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
 use cicada_lib::watch_election::WatchElection;
@@ -44,6 +45,7 @@
 use crate::moved_runs::MovedRuns;
 use crate::peer_net::PeerNet;
 use crate::peer_pull;
+use crate::poison::Poison;
 use crate::relay_metrics::RelayMetrics;
 use crate::relay_settings::Policy;
 use crate::relay_settings::RelaySettings;
@@ -82,6 +84,8 @@
     pub leaving: Vec<LeavingServer>,
     /// Servers that asked this relay for rest, and how much longer they rest.
     pub resting: Vec<(Name, Duration)>,
+    /// Requests that may be poison; the refused ones first.
+    pub suspects: Vec<Suspicion>,
 }
 
 /// A server that is leaving, for the status page.
@@ -122,6 +126,7 @@
     // Incremented when the list of servers, or what is known of servers that leave, changes.
     pub(crate) leaving_changes: watch::Sender<u64>,
     pub(crate) moved_runs: MovedRuns,
+    pub(crate) poison: Poison,
     pub(crate) peers: Mutex<RelayPeers>,
     // The watchers of this relay's region.
     pub(crate) election: Mutex<WatchElection>,
@@ -193,6 +198,7 @@
             draining: Mutex::new(None),
             leaving_changes: watch::Sender::new(0),
             moved_runs: MovedRuns::new(),
+            poison: Poison::new(),
             peers: Mutex::default(),
             election: Mutex::default(),
             revision: Mutex::default(),
@@ -280,6 +286,7 @@
                 age: now.since(leaving.since),
             });
         Restrictions {
+            suspects: self.poison.listing(now),
             leaving: leaving.collect(),
             resting: fleet
                 .resting_servers(now)
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -23,6 +23,7 @@
     retries: IntCounterVec,
     sends: IntCounterVec,
     losses: IntCounterVec,
+    crashes: IntCounterVec,
     retry_usage: GaugeVec,
     known_entries: IntGauge,
     moves: IntCounterVec,
@@ -74,6 +75,11 @@
                 "Requests whose connection was lost at a backend server, by what its port did then",
                 "port",
             )?,
+            crashes: counter(
+                "relay_crashes_total",
+                "Requests under which a backend server crashed, by how they ran",
+                "exposure",
+            )?,
             retry_usage: GaugeVec::new(
                 Opts::new(
                     "relay_retry_share",
@@ -148,6 +154,7 @@
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.sends.clone()))?;
         registry.register(Box::new(metrics.losses.clone()))?;
+        registry.register(Box::new(metrics.crashes.clone()))?;
         registry.register(Box::new(metrics.retry_usage.clone()))?;
         registry.register(Box::new(metrics.known_entries.clone()))?;
         registry.register(Box::new(metrics.moves.clone()))?;
@@ -195,6 +202,11 @@
         self.losses.with_label_values(&[port]).inc();
     }
 
+    /// Counts a request under which a server crashed.
+    pub(crate) fn count_crash(&self, exposure: &str) {
+        self.crashes.with_label_values(&[exposure]).inc();
+    }
+
     /// Sets the state of a service's retry share.
     pub(crate) fn set_retry_usage(&self, service: &Name, usage: &RetryUsage) {
         let set = |part, value| {
--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -54,7 +54,11 @@
         if followed == Followed::GoesOn {
             return None;
         }
-        let loss = crash_check::classify_loss(&self.relay, &self.call, &self.placed).await;
+        let (relay, call, placed) = (&self.relay, &self.call, &self.placed);
+        let loss = match self.is_past_probation() {
+            true => crash_check::classify_loss(relay, call, placed).await,
+            false => crash_check::handle_loss(relay, call, placed).await,
+        };
         (!self.restart(loss).await).then_some(StreamEnd::Lost)
     }
 
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -26,8 +26,10 @@
 use cicada_lib::peer_messages::MovedRun;
 use cicada_lib::peer_messages::ScoutReport;
 use cicada_lib::peer_messages::Subscription;
+use cicada_lib::peer_messages::SuspectNotice;
 use cicada_lib::state_holders::StateOffer;
 use cicada_lib::state_holders::StateVersion;
+use cicada_lib::suspects::Suspects;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
 use tokio::net::TcpListener;
@@ -115,6 +117,8 @@
     pub(crate) clock: Clock,
     pub(crate) past_moves: Vec<MovedRun>,
     pub(crate) held: Arc<HeldState>,
+    // Evidence on poison requests, held for relays that start.
+    pub(crate) suspects: Suspects,
     // When the held state was last offered.
     pub(crate) last_offer: Option<Instant>,
     // Takes connections of relays that pull the held state, until they are served.
@@ -157,6 +161,7 @@
             clock: Clock::new(),
             past_moves: Vec::new(),
             held: Arc::default(),
+            suspects: Suspects::new(),
             last_offer: None,
             listener: Some(caller_server::listen(peer)?),
             mover_events,
@@ -213,6 +218,10 @@
             Ok(Datagram::LoadProbe(probe)) if probe.engine == self.engine.address => {
                 self.answer_probe(from, probe).await;
             }
+            Ok(Datagram::Suspects(notice)) => {
+                self.suspects.merge(self.clock.now(), &notice.marks);
+            }
+            Ok(Datagram::QuerySuspects) => self.send_evidence(from).await,
             Ok(Datagram::QueryMove(id)) => {
                 if let Some(moved) = self.past_moves.iter().find(|moved| moved.id == id) {
                     let datagram = Datagram::Moved(moved.clone());
@@ -244,6 +253,14 @@
         self.socket.send(&datagram, &[from]).await;
     }
 
+    /// Sends the evidence on poison requests that is held to a relay that has just started.
+    async fn send_evidence(&self, to: SocketAddr) {
+        let now = self.clock.now();
+        if let Some(notice) = SuspectNotice::sample_of(&self.suspects, now) {
+            self.socket.send(&Datagram::Suspects(notice), &[to]).await;
+        }
+    }
+
     async fn handle_subscription(&mut self, from: SocketAddr, subscription: Subscription) {
         let now = Instant::now();
         let engines = subscription.neighbours.into_iter();
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -108,7 +108,7 @@
     let answer = match timeout_at(give_up_at, opened.send(request)).await {
         Err(_) if call.time_left().is_zero() => return Err(NoAnswer::TimeOver),
         Err(_) => return Err(NoAnswer::Silent),
-        Ok(Err(_)) => return Err(crash_check::classify_loss(relay, call, placed).await),
+        Ok(Err(_)) => return Err(crash_check::handle_loss(relay, call, placed).await),
         Ok(Ok(answer)) => answer,
     };
     let (parts, body) = answer.response.into_parts();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -65,8 +65,13 @@
     let tokens = expected_tokens(&call);
     let mut attempts = Attempts::new();
     let mut failure: Option<Response<ResponseBody>> = None;
+    let mut refusal = None;
     let admission = admission_request(relay, &call);
     loop {
+        if let Err(why) = relay.clear_to_send(&call).await {
+            refusal = Some(why);
+            break;
+        }
         let admission_check = relay.policy().refuse.then_some(&admission);
         let placed = match attempts.place(relay, &call, tokens, admission_check).await {
             Ok(placed) => {
@@ -126,6 +131,9 @@
         relay.metrics().count_answer("failed_by_server");
         return response;
     }
+    if let Some(why) = refusal.filter(|_| !attempts.may_have_run()) {
+        return relay.refuse_suspect(&call, why);
+    }
     let why = match (attempts.refused(), attempts.rejection_cause()) {
         (true, _) => RejectionCause::Full,
         (false, Some(why)) => why,
@@ -316,6 +324,7 @@
     answered: StartedAnswer,
 ) -> Response<ResponseBody> {
     placed.record_failure(false);
+    relay.record_harmless(call);
     let status = answered.parts.status.as_u16();
     tracing::info!(id = call.id(), server = %placed.record.id, status, "stream: failed by the server");
     match answered.read_whole(relay, call, &placed).await {
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -14,6 +14,7 @@
 use cicada_lib::event_splitter::EventSplitter;
 use cicada_lib::progress_timeout;
 use cicada_lib::routing::ServerKey;
+use cicada_lib::suspects::PROBATION_TOKENS;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::sync::watch;
@@ -67,6 +68,8 @@
     pub(crate) _registration: Option<LocalRunGuard>,
     // The target that refused the run, or may not take it. The run then resumed at an engine that may be draining.
     pub(crate) refused_target: Option<ServerKey>,
+    // Events of the stream before the run began at its present engine.
+    pub(crate) events_before: u64,
     // When the last event before an interruption arrived. Cleared by the first event after it.
     pub(crate) paused_since: Option<Instant>,
 }
@@ -137,6 +140,7 @@
             next_move_check: now,
             _registration: registration,
             refused_target: None,
+            events_before: 0,
             paused_since: None,
         }
     }
@@ -173,6 +177,7 @@
         );
         if let StreamEnd::Complete = ending {
             self.placed.record_success();
+            self.relay.record_harmless(&self.call);
             let rest = self.events.take_remainder();
             if rest.is_empty() || self.sender.send(rest).await.is_ok() {
                 self.sender.complete();
@@ -253,6 +258,9 @@
                 false => Ok(()),
             };
         };
+        if self.is_past_probation() {
+            self.relay.record_harmless(&self.call);
+        }
         let now = Instant::now();
         let since_last = now.duration_since(self.last_event_at);
         self.last_event_at = now;
@@ -294,6 +302,12 @@
         })
     }
 
+    /// Whether the run has made so many tokens at its present engine that a crash there is not attributed to it.
+    pub(crate) fn is_past_probation(&self) -> bool {
+        let events = self.events.count().saturating_sub(self.events_before);
+        events * u64::from(self.call.tokens_per_event()) >= u64::from(PROBATION_TOKENS)
+    }
+
     fn is_first_event(&self) -> bool {
         self.events.count() <= 1
     }
@@ -315,6 +329,9 @@
                 .attempts
                 .retry_after_failure(&self.relay, &self.call, key, send_failure)
         {
+            if self.relay.clear_to_send(&self.call).await.is_err() {
+                break;
+            }
             let placed = self
                 .attempts
                 .place(&self.relay, &self.call, self.tokens, None)
@@ -351,6 +368,7 @@
     pub(crate) fn continue_with(&mut self, paused_since: Instant, answered: StartedAnswer) {
         self.placed.record_first_event();
         self.events.discard_partial();
+        self.events_before = self.events.count();
         self.source = Some((answered.body, answered.connection));
         self.framing = answered.framing;
         self.paused_since = Some(paused_since);
--- a/relay/src/whole_body.rs
+++ b/relay/src/whole_body.rs
@@ -68,7 +68,7 @@
                 bytes = whole.len(),
                 "request: its answer was broken off by the server"
             );
-            return Err(crash_check::classify_loss(relay, call, placed).await);
+            return Err(crash_check::handle_loss(relay, call, placed).await);
         }
         Ok(BufferedAnswer {
             status: self.parts.status,
