relay, tests: poison requests of each kind, and evidence that outlives restarts, outages and configurations

What callers would see: a relay that joins sends a request that the others refuse, until it hears of it by chance with a hello (0.4 s).

A relay that has just started asks a few others for evidence ten times a second. The stand-ins' engines crash under given requests too. Tests with processes: requests that may run again, once only, streams, streams that may be resumed; configurations and an outage in between; all relays killed while the store is away; a relay that joins; a hot request beside crashes.

--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -12,6 +12,7 @@
 use cicada_standins::deployment::KEY;
 use eyre::Result;
 use http::StatusCode;
+use testutils::cluster::Signal;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -33,48 +34,125 @@
 /// The most servers that one poison request may crash.
 const MAX_CRASHES: usize = 3;
 
-async fn start(relays: usize) -> Result<Deployment> {
-    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
-    let deployment = Deployment::start_plain(daemon, &SERVERS, &vec!["a"; relays]).await?;
-    for (service, _) in &deployment.services {
-        service.set_crashes(Some(CrashPlan {
-            path: "poison".into(),
-            down: DOWN,
-        }));
+/// Time in which the relays know each other and, after a crash, what it proves.
+const SPREAD_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time in which a relay that joins knows what the others know.
+const KNOWN_TIME: Duration = Duration::from_secs(1);
+
+/// Upper bound of a wait for a process. It asserts no speed.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The request of other callers, and poison requests of each kind of route.
+const OTHER: Sent = Sent {
+    kind: Kind::Plain("GET"),
+    path: "/slots/7",
+};
+const REPEATABLE: Sent = Sent {
+    kind: Kind::Plain("GET"),
+    path: "/slots/poison",
+};
+const ONCE: Sent = Sent {
+    kind: Kind::Plain("POST"),
+    path: "/deposits/poison",
+};
+const STREAM: Sent = Sent {
+    kind: Kind::Stream,
+    path: "/drafts/poison",
+};
+const RESUMABLE: Sent = Sent {
+    kind: Kind::Stream,
+    path: "/questions/poison",
+};
+
+/// What callers send.
+#[derive(Clone, Copy, Debug)]
+struct Sent {
+    kind: Kind,
+    path: &'static str,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    Plain(&'static str),
+    Stream,
+}
+
+impl Sent {
+    fn ask(self, id: &str) -> Ask {
+        match self.kind {
+            Kind::Plain(method) => Ask::new(method, self.path, id, KEY),
+            Kind::Stream => Ask::stream(id, KEY, 500, 40).with_path(self.path),
+        }
     }
-    // Wait until the relays know each other.
-    sleep(Duration::from_millis(1_500)).await;
+
+    /// Sends it to a relay under an identifier of its own.
+    async fn send(self, relay: SocketAddr) -> Result<Heard> {
+        let id = format!("r{}-{:x}", self.path.replace('/', "-"), fastrand::u64(..));
+        self.ask(&id).send(relay).await
+    }
+
+    /// Sends it at an interval, to one relay after the other.
+    async fn send_at_interval(
+        self,
+        relays: Vec<SocketAddr>,
+        interval: Duration,
+    ) -> Vec<Result<Heard>> {
+        let until = Instant::now() + LOAD_DURATION;
+        let mut requests = JoinSet::new();
+        let mut next = Instant::now();
+        for relay in relays.iter().copied().cycle() {
+            if next >= until {
+                break;
+            }
+            requests.spawn(self.send(relay));
+            next += interval;
+            sleep_until(next).await;
+        }
+        requests.join_all().await
+    }
+}
+
+fn daemon() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_cicadad"))
+}
+
+fn plan() -> CrashPlan {
+    CrashPlan {
+        path: "poison".into(),
+        down: DOWN,
+    }
+}
+
+async fn start(relays: usize) -> Result<Deployment> {
+    let deployment = Deployment::start_plain(daemon(), &SERVERS, &vec!["a"; relays]).await?;
+    arm(&deployment).await;
     Ok(deployment)
 }
 
-/// Sends the same request at an interval, to one relay after the other, each time under another identifier.
-async fn send_at_interval(
-    relays: Vec<SocketAddr>,
-    (method, path): (&'static str, &'static str),
-    interval: Duration,
-) -> Vec<Result<Heard>> {
-    let until = Instant::now() + LOAD_DURATION;
-    let mut requests = JoinSet::new();
-    let mut next = Instant::now();
-    for (number, relay) in relays.iter().copied().cycle().enumerate() {
-        if next >= until {
-            break;
-        }
-        let name = path.replace('/', "-");
-        let ask = Ask::new(method, path, &format!("r{name}-{number}"), KEY);
-        requests.spawn(async move { ask.send(relay).await });
-        next += interval;
-        sleep_until(next).await;
+/// Starts three relays before servers of both kinds.
+async fn start_with_engines() -> Result<Deployment> {
+    let deployment = Deployment::start(daemon(), 3, 3, 3).await?;
+    arm(&deployment).await;
+    Ok(deployment)
+}
+
+/// Has the servers crash under poison requests, and waits until the relays know each other.
+async fn arm(deployment: &Deployment) {
+    for (service, _) in &deployment.services {
+        service.set_crashes(Some(plan()));
+    }
+    for host in &deployment.engines {
+        host.engine.set_crashes(Some(plan()));
     }
-    requests.join_all().await
+    sleep(SPREAD_TIME).await;
 }
 
-/// The crashes of all plain servers, in chronological order.
+/// The crashes of all servers.
 fn crashes(deployment: &Deployment) -> Vec<Crash> {
-    let services = deployment.services.iter();
-    let mut crashes: Vec<Crash> = services.flat_map(|(s, _)| s.crashes()).collect();
-    crashes.sort_by_key(|crash| crash.at);
-    crashes
+    let services = deployment.services.iter().flat_map(|(s, _)| s.crashes());
+    let engines = deployment.engines.iter().flat_map(|h| h.engine.crashes());
+    services.chain(engines).collect()
 }
 
 fn addresses(deployment: &Deployment) -> Vec<SocketAddr> {
@@ -87,23 +165,155 @@
     ok.count() as f64 / heard.len() as f64
 }
 
+fn assert_few_crashes(deployment: &Deployment) {
+    let crashes = crashes(deployment);
+    assert!(!crashes.is_empty());
+    assert!(
+        crashes.len() <= MAX_CRASHES,
+        "{} crashes: {crashes:#?}",
+        crashes.len()
+    );
+}
+
+/// Asserts that a request was refused with a time to come back.
+fn assert_refused(heard: Option<&Result<Heard>>) {
+    let heard = heard.and_then(|heard| heard.as_ref().ok());
+    let refused = heard.is_some_and(|heard| {
+        heard.status == StatusCode::SERVICE_UNAVAILABLE && heard.headers.contains_key("retry-after")
+    });
+    assert!(refused, "{heard:?}");
+}
+
+/// Sends a poison request of a kind for a while, and other requests beside it.
+async fn assert_kind_is_refused(poison: Sent) -> Result<()> {
+    let deployment = start_with_engines().await?;
+    let relays = addresses(&deployment);
+    let others = OTHER.send_at_interval(relays.clone(), INTERVAL);
+    let poison = poison.send_at_interval(relays, POISON_INTERVAL);
+    let (poison, others) = tokio::join!(poison, others);
+    assert_few_crashes(&deployment);
+    assert_refused(poison.last());
+    assert!(served(&others) > 0.95, "{} served", served(&others));
+    Ok(())
+}
+
 /// Guards against a poison request that relays go on sending until no server of the service is left.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_poison_request_crashes_three_servers_at_most() -> Result<()> {
     let deployment = start(3).await?;
     let relays = addresses(&deployment);
-    let poison = send_at_interval(relays.clone(), ("GET", "/slots/poison"), POISON_INTERVAL);
-    let others = send_at_interval(relays, ("GET", "/slots/7"), INTERVAL);
+    let poison = REPEATABLE.send_at_interval(relays.clone(), POISON_INTERVAL);
+    let others = OTHER.send_at_interval(relays, INTERVAL);
     let (poison, others) = tokio::join!(poison, others);
-    let crashes = crashes(&deployment);
-    assert!(
-        crashes.len() <= MAX_CRASHES,
-        "{} crashes: {crashes:#?}",
-        crashes.len()
-    );
+    assert_few_crashes(&deployment);
     assert!(served(&others) > 0.95, "{} served", served(&others));
-    let last = poison.last().and_then(|heard| heard.as_ref().ok());
-    let refused = last.is_some_and(|h| h.status == StatusCode::SERVICE_UNAVAILABLE);
-    assert!(refused, "the last answer was {last:?}");
+    assert_refused(poison.last());
+    Ok(())
+}
+
+/// Guards against a poison request that may run once only and takes another server with each copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_that_runs_once_is_refused() -> Result<()> {
+    assert_kind_is_refused(ONCE).await
+}
+
+/// Guards against a poison stream that takes another engine with each copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_stream_is_refused() -> Result<()> {
+    assert_kind_is_refused(STREAM).await
+}
+
+/// Guards against a poison stream that its relay carries to the next engine after a crash.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_stream_that_may_be_resumed_is_refused() -> Result<()> {
+    assert_kind_is_refused(RESUMABLE).await
+}
+
+/// Guards against evidence that is forgotten with a configuration, or that needs the store.
+#[tokio::test(flavor = "multi_thread")]
+async fn evidence_outlives_configurations_and_outages() -> Result<()> {
+    let deployment = start(3).await?;
+    let poison = REPEATABLE.send_at_interval(addresses(&deployment), POISON_INTERVAL);
+    let poison = tokio::spawn(poison);
+    let step = LOAD_DURATION / 4;
+    sleep(step).await;
+    deployment.add_route("more-slots", "/more/");
+    sleep(step).await;
+    deployment.store.set_busy(true);
+    sleep(step).await;
+    deployment.store.set_busy(false);
+    deployment.add_route("still-more-slots", "/still-more/");
+    let poison = poison.await?;
+    assert_few_crashes(&deployment);
+    assert_refused(poison.last());
+    Ok(())
+}
+
+/// Guards against relays that are killed together while the store is away and send a known poison request again.
+#[tokio::test(flavor = "multi_thread")]
+async fn evidence_outlives_all_relays() -> Result<()> {
+    let mut deployment = start_with_engines().await?;
+    let relays = addresses(&deployment);
+    let poison = REPEATABLE.send_at_interval(relays.clone(), POISON_INTERVAL);
+    poison.await;
+    sleep(SPREAD_TIME).await;
+    let before = crashes(&deployment).len();
+    for relay in &deployment.relays {
+        relay.door.down().await;
+    }
+    for relay in 0..relays.len() {
+        deployment.relays[relay].process.signal(Signal::Kill)?;
+        deployment.relays[relay].process.wait_end(PATIENCE).await?;
+        deployment.restart_relay(relay)?;
+    }
+    for relay in 0..relays.len() {
+        deployment.wait_ready(relay).await?;
+    }
+    for relay in relays {
+        let heard = REPEATABLE.send(relay).await;
+        assert_refused(Some(&heard));
+    }
+    assert_eq!(crashes(&deployment).len(), before);
+    Ok(())
+}
+
+/// Guards against a relay that joins and sends what the others know to be poison.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_joins_refuses_what_others_refuse() -> Result<()> {
+    let mut deployment = start(2).await?;
+    let poison = REPEATABLE.send_at_interval(addresses(&deployment), POISON_INTERVAL);
+    poison.await;
+    let before = crashes(&deployment).len();
+    deployment.add_relay()?;
+    deployment.wait_ready(2).await?;
+    sleep(KNOWN_TIME).await;
+    let heard = REPEATABLE.send(deployment.relays[2].callers).await;
+    assert_refused(Some(&heard));
+    assert_eq!(crashes(&deployment).len(), before);
+    Ok(())
+}
+
+/// Guards against a request that many callers send and that is refused since servers crashed beside it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hot_request_is_served_while_servers_crash_under_others() -> Result<()> {
+    let deployment = start(3).await?;
+    let relays = addresses(&deployment);
+    let hot = OTHER.send_at_interval(relays.clone(), INTERVAL / 10);
+    let hot = tokio::spawn(hot);
+    for number in 0..3 {
+        sleep(LOAD_DURATION / 4).await;
+        // Requests of their own each time, which crash two servers at the same moment.
+        let path = ["/slots/poison-0", "/slots/poison-1", "/slots/poison-2"][number];
+        let poison = Sent { path, ..REPEATABLE };
+        let (first, second) = (relays[0], relays[1]);
+        let _ = tokio::join!(poison.send(first), poison.send(second));
+    }
+    let hot = hot.await?;
+    assert!(served(&hot) > 0.9, "{} served", served(&hot));
+    for relay in &deployment.relays {
+        let log = relay.process.log();
+        let refused = |line: &&str| line.contains("reason=\"poison\"") && line.contains("slots-7");
+        assert_eq!(log.lines().find(refused), None);
+    }
     Ok(())
 }
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -57,8 +57,9 @@
 /// that run requests of its own. To place a stream it probes the scouts of others.
 const MAX_SUBSCRIBED_ENGINES: usize = 64;
 
-/// How long after its start a relay asks others for evidence on poison requests: several hellos and subscriptions.
-const EVIDENCE_QUERY_TIME: Duration = Duration::from_secs(5);
+/// How long after its start a relay asks others for evidence on poison requests, and how many of them at a time.
+const EVIDENCE_QUERY_TIME: Duration = Duration::from_secs(3);
+const QUERIED_RELAYS: usize = 3;
 
 /// Sends and receives a relay's datagrams.
 pub(crate) struct PeerNet {
@@ -108,6 +109,7 @@
                 _ = rejections.tick() => {
                     self.send_rejections().await;
                     self.send_suspects().await;
+                    self.query_evidence().await;
                 }
                 () = self.relay.poison.has_news() => self.send_suspects().await,
                 _ = zone_probes.tick() => self.send_zone_probes().await,
@@ -250,7 +252,7 @@
             self.send_to_region(&datagram).await;
         }
         self.gossip(&datagram).await;
-        self.exchange_evidence().await;
+        self.send_evidence().await;
     }
 
     /// Passes on what is new about poison requests, to a few relays that do the same.
@@ -265,14 +267,20 @@
         }
     }
 
-    /// Tells one relay of the evidence on poison requests, which may have missed it, and asks for it after a start.
-    async fn exchange_evidence(&self) {
-        let now = self.relay.now();
-        if now.since(Time::ZERO) < EVIDENCE_QUERY_TIME {
-            self.gossip(&Datagram::QuerySuspects).await;
+    /// Asks a few relays for evidence on poison requests after a start. Callers arrive as soon as this relay is ready.
+    async fn query_evidence(&self) {
+        if self.relay.now().since(Time::ZERO) < EVIDENCE_QUERY_TIME {
+            let peers = self.relay.peers().gossip_targets();
+            let few = &peers[..peers.len().min(QUERIED_RELAYS)];
+            self.socket.send(&Datagram::QuerySuspects, few).await;
         }
+    }
+
+    /// Tells one relay of the evidence on poison requests, which may have missed it.
+    async fn send_evidence(&self) {
+        let notice = self.relay.poison.sample(self.relay.now());
         let peers = self.relay.peers().gossip_targets();
-        if let (Some(notice), Some(peer)) = (self.relay.poison.sample(now), peers.first()) {
+        if let (Some(notice), Some(peer)) = (notice, peers.first()) {
             self.socket
                 .send(&Datagram::Suspects(notice), &[*peer])
                 .await;
