lib, relay: an operator can clear requests that are taken for poison by mistake

What callers would see: a request that is refused for half an hour although a release of its service has mended it.

The setting [relay] cleared takes fingerprints from the log or the status page; the relay that reads it drops the evidence, and all others follow. A property test feeds the quarantine with any message of a peer.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -83,10 +83,10 @@
         tokio::select! {
             _ = term.recv() => break,
             _ = hup.recv() => {
-                reload.look(true, |new| relay.apply_reloaded(reloadable_settings(new)));
+                reload.look(true, |new| apply_reloaded(relay, new));
             }
             _ = looks.tick() => {
-                let look = reload.look(false, |new| relay.apply_reloaded(reloadable_settings(new)));
+                let look = reload.look(false, |new| apply_reloaded(relay, new));
                 if look == Look::Again {
                     looks.reset_after(reload::SETTLE);
                 }
@@ -97,6 +97,11 @@
     Ok(())
 }
 
+fn apply_reloaded(relay: &Relay, settings: &Settings) {
+    relay.apply_reloaded(reloadable_settings(settings));
+    relay.clear_suspects(&settings.fingerprints("relay", "cleared"));
+}
+
 /// One thread for what is known of the deployment, beside those of the traffic.
 fn start_control(directory_watcher: DirectoryWatcher) -> eyre::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -10,6 +10,7 @@
 use cicada_standins::crashes::CrashPlan;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
+use cicada_standins::deployment::SLACK_SETTING;
 use eyre::Result;
 use http::StatusCode;
 use testutils::cluster::Signal;
@@ -293,6 +294,27 @@
     Ok(())
 }
 
+/// Guards against evidence that is wrong, or outdated by a release, and that no operator can lift.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_suspect_that_an_operator_clears_is_sent_again() -> Result<()> {
+    let mut deployment = start(2).await?;
+    let (first, second) = (deployment.relays[0].callers, deployment.relays[1].callers);
+    REPEATABLE.send(first).await?;
+    sleep(SPREAD_TIME).await;
+    assert_refused(Some(&REPEATABLE.send(second).await));
+    for (service, _) in &deployment.services {
+        service.set_crashes(None);
+    }
+    let status = deployment.status(0).await?;
+    let fingerprint = status["suspects"][0]["fingerprint"].as_str().unwrap();
+    let cleared = format!("{SLACK_SETTING}cleared = {fingerprint}\n");
+    deployment.set(0, SLACK_SETTING, &cleared)?;
+    deployment.relays[0].process.signal(Signal::Hangup)?;
+    sleep(SPREAD_TIME).await;
+    assert!(REPEATABLE.send(second).await?.whole_success());
+    Ok(())
+}
+
 /// Guards against a request that many callers send and that is refused since servers crashed beside it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hot_request_is_served_while_servers_crash_under_others() -> Result<()> {
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use crate::suspects::Fingerprint;
+
 /// What a key's value must look like.
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
@@ -15,6 +17,8 @@
     OptionalAddress,
     /// IP addresses with ports and commas between them, or nothing.
     Addresses,
+    /// Fingerprints of requests in hexadecimal with commas between, or nothing.
+    Fingerprints,
     /// The path of a file that is there.
     Path,
     /// The path of a file that is there, or nothing.
@@ -78,6 +82,7 @@
             Kind::Address if text.is_empty() => Err("is missing".into()),
             Kind::Address | Kind::OptionalAddress => check_address(text),
             Kind::Addresses => addresses(text).try_for_each(check_address),
+            Kind::Fingerprints => addresses(text).try_for_each(check_fingerprint),
             Kind::Path if text.is_empty() => Err("is missing".into()),
             Kind::Path | Kind::OptionalPath => check_path(text),
             Kind::Number { min, max } => check_number(text, *min, *max),
@@ -115,6 +120,11 @@
     }
 }
 
+fn check_fingerprint(text: &str) -> Result<(), String> {
+    let parsed: Result<Fingerprint, _> = text.parse();
+    parsed.map(|_| ()).map_err(|error| error.to_string())
+}
+
 fn check_address(text: &str) -> Result<(), String> {
     match text.parse::<SocketAddr>() {
         Ok(_) => Ok(()),
@@ -207,6 +217,7 @@
     key("relay", "avoid", Kind::Choice(SWITCH), "on", "Whether engines that fail part of their requests, by what all relays tell their scouts, are avoided."),
     key("relay", "shares", Kind::Choice(SWITCH), "on", "Whether workspaces that have taken more than their share of a service lately leave room for the others."),
     key("relay", "ask", Kind::Choice(SWITCH), "on", "Whether scouts are asked for the load of their engines before a stream is placed, where their reports come too seldom to choose by."),
+    key("relay", "cleared", Kind::Fingerprints, "", "Requests that are taken for poison by mistake, by their fingerprints. Evidence against them is dropped by all relays when one reads this setting."),
     key("agent", "linger", Kind::Millis { min: 0, max: 600_000 }, "15000", "How long a stream that nobody reads goes on before it is cancelled. Longer than [entry] resume_window, so that a live entry is never too late."),
     key("agent", "replay", Kind::Millis { min: 0, max: 3_600_000 }, "60000", "How long a stream that ended can be resumed."),
     key("agent", "max_records", Kind::Count { min: 100, max: 1_000_000 }, "20000", "Most requests remembered, ended ones included until [agent] replay is over. Further ones are refused as `queue_full`."),
--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -18,6 +18,7 @@
 use crate::daemon_keys::Kind;
 use crate::ids::Name;
 use crate::platform::HostRole;
+use crate::suspects::Fingerprint;
 
 /// One fault in a settings file.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -211,6 +212,13 @@
             .collect()
     }
 
+    /// A key that holds fingerprints of requests.
+    pub fn fingerprints(&self, section: &str, name: &str) -> Vec<Fingerprint> {
+        daemon_keys::addresses(self.text(section, name))
+            .filter_map(|text| text.parse().ok())
+            .collect()
+    }
+
     /// A key that holds a path; `None` where it is empty.
     pub fn path(&self, section: &str, name: &str) -> Option<PathBuf> {
         let text = self.text(section, name);
@@ -389,6 +397,7 @@
             Kind::OptionalName => f.write_str("name, or empty"),
             Kind::Address => f.write_str("IP address and port"),
             Kind::OptionalAddress => f.write_str("IP address and port, or empty"),
+            Kind::Fingerprints => f.write_str("fingerprints with commas, or empty"),
             Kind::Addresses => f.write_str("IP addresses and ports with commas, or empty"),
             Kind::Path => f.write_str("path of a file"),
             Kind::OptionalPath => f.write_str("path of a file, or empty"),
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -27,8 +27,11 @@
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::fmt;
+use std::str::FromStr;
 use std::time::Duration;
 
+use thiserror::Error;
+
 use crate::copy_type;
 use crate::ids::Name;
 use crate::time::Time;
@@ -174,6 +177,25 @@
     }
 }
 
+/// A text that is no fingerprint.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("is no fingerprint; copy the 32 hexadecimal digits from a log line or status page")]
+pub struct FingerprintError;
+
+impl FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, FingerprintError> {
+        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16);
+        number
+            .ok()
+            .filter(|_| is_hex)
+            .map(Fingerprint)
+            .ok_or(FingerprintError)
+    }
+}
+
 impl CrashId {
     /// The crash that ended an incarnation of a server. The same at all processes that see it.
     pub fn of_server(server: &Name, born: u64) -> Self {
--- a/lib/tests/quarantine.rs
+++ b/lib/tests/quarantine.rs
@@ -18,6 +18,7 @@
 use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Time;
 use fastrand::Rng;
+use quickcheck::QuickCheck;
 
 const POISON: Fingerprint = Fingerprint(u128::MAX);
 const HOT: Fingerprint = Fingerprint(7);
@@ -287,3 +288,47 @@
         assert!(fleet.copies.len() < 100, "{}", fleet.copies.len());
     }
 }
+
+/// Guards against a message of a peer that ends each process that receives it.
+#[test]
+fn any_notice_is_taken_in() {
+    fn is_taken_in(bytes: Vec<u8>, ages: Vec<u64>, requests: Vec<u8>) -> bool {
+        let mut quarantine = Quarantine::default();
+        let now = Time::from_millis(10);
+        if let Ok(Datagram::Suspects(notice)) = peer_messages::decode(&bytes) {
+            quarantine.merge(now, &notice);
+        }
+        for (age, request) in ages.into_iter().zip(requests) {
+            let fingerprint = Fingerprint(u128::from(request % 3));
+            let mark = CrashMark {
+                fingerprint,
+                crash: CrashId(age % 5),
+                exposure: [Exposure::Crowd, Exposure::Trial, Exposure::Alone][(age % 3) as usize],
+                cleared: age % 7 == 0,
+                age,
+            };
+            let claim = TrialClaim {
+                subject: fingerprint,
+                claimant: age,
+                age,
+            };
+            let notice = SuspectNotice {
+                marks: vec![mark],
+                claims: vec![claim],
+                ended: vec![claim],
+            };
+            quarantine.merge(now, &notice);
+            let candidate = Candidate {
+                content: fingerprint,
+                service: fingerprint,
+            };
+            quarantine.admit(now, candidate, age);
+            quarantine.listing(now);
+            quarantine.sample(now);
+            quarantine.take_unsent(now);
+        }
+        true
+    }
+    let property = is_taken_in as fn(Vec<u8>, Vec<u64>, Vec<u8>) -> bool;
+    QuickCheck::new().tests(500).quickcheck(property);
+}
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -207,6 +207,17 @@
         call.set_trial(None);
     }
 
+    /// Drops the evidence against requests that an operator says are no poison.
+    pub fn clear_suspects(&self, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            let mut quarantine = self.poison.lock();
+            if quarantine.record_success(self.now(), *fingerprint) {
+                self.poison.announce(&quarantine);
+                tracing::info!(%fingerprint, "poison: cleared by the settings");
+            }
+        }
+    }
+
     /// Refuses a request that did not run.
     pub(crate) fn refuse_suspect(&self, call: &Call, why: Refusal) -> Response<ResponseBody> {
         let (reason, pause) = match why {
