relay: what a refused body holds, and for how long, is logged

The line of the refusal says how much the call held and how much is held in all, and a second line when the rest of its body has been read.

--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -369,7 +369,7 @@
         }
         if let Err(error) = held.grow(data.len()) {
             drop(whole);
-            return Err(refuse_body(relay, body, error, limit).await);
+            return Err(refuse_body(relay, body, (error, held.bytes()), limit).await);
         }
         whole.extend_from_slice(&data);
     }
@@ -380,12 +380,22 @@
 async fn refuse_body(
     relay: &Relay,
     mut body: Incoming,
-    error: BudgetError,
+    (error, held): (BudgetError, usize),
     limit: Instant,
 ) -> LocalResponse {
     relay.metrics().count_refusal("memory");
-    tracing::info!(%error, "request: refused, its body is not held");
+    let (used, total) = (relay.budget().used(), relay.budget().total());
+    tracing::info!(%error, held, used, total, "request: refused, its body is not held");
+    let begun = Instant::now();
     while let Ok(Some(Ok(_))) = timeout_at(limit, body.frame()).await {}
+    let took = begun.elapsed().as_millis() as u64;
+    let used = relay.budget().used();
+    tracing::info!(
+        held,
+        used,
+        took,
+        "request: what was left of a refused body has been read"
+    );
     LocalResponse::NotRun(memory_retry_after())
 }
 
