--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -70,6 +70,8 @@
     pub(crate) refused_target: Option<ServerKey>,
     // Events of the stream before the run began at its present engine.
     pub(crate) events_before: u64,
+    // Whether it has been recorded that the run is past its probation there.
+    pub(crate) is_harmless: bool,
     // When the last event before an interruption arrived. Cleared by the first event after it.
     pub(crate) paused_since: Option<Instant>,
 }
@@ -141,6 +143,7 @@
             _registration: registration,
             refused_target: None,
             events_before: 0,
+            is_harmless: false,
             paused_since: None,
         }
     }
@@ -258,7 +261,8 @@
                 false => Ok(()),
             };
         };
-        if self.is_past_probation() {
+        if !self.is_harmless && self.is_past_probation() {
+            self.is_harmless = true;
             self.relay.record_harmless(&self.call);
         }
         let now = Instant::now();
@@ -369,6 +373,7 @@
         self.placed.record_first_event();
         self.events.discard_partial();
         self.events_before = self.events.count();
+        self.is_harmless = false;
         self.source = Some((answered.body, answered.connection));
         self.framing = answered.framing;
         self.paused_since = Some(paused_since);
