lib, relay: bodies are held whole or refused, the oldest first

What callers saw: all 60 callers with bodies of 4 MB were refused by a relay on a host of 96 MB that can hold five of them.

Cause: bodies took memory as they came, so that all grew side by side and reached the bound together with a part each; and a refused call held its part until its caller had sent the rest. The evidence: 60 refusals within 12 ms at 0.4 MB each with everything taken, and 729 to 742 ms until the parts were given back.

A body whose length is announced takes its whole share before its first byte is read, or is refused at once. Of bodies of unknown length the youngest is refused where there is no room, so that the oldest is always completed; one that has not moved for a second gives way to any other. What is refused gives back at once, and its answer does not wait for the rest of the body.

--- a/daemon/tests/relay_slow_readers.rs
+++ b/daemon/tests/relay_slow_readers.rs
@@ -32,6 +32,14 @@
 const SENDING_CALLERS: usize = 60;
 const LARGE_BODY: usize = 4 * MEGABYTE;
 
+/// Bytes that each caller sends in a step, the time between two steps, and the bodies that the relay can hold whole.
+const BODY_STEP: usize = 64 * 1024;
+const STEP_TIME: Duration = Duration::from_millis(10);
+const HELD_BODIES: usize = 4;
+
+/// Time after which callers that stopped sending are known to have stopped, before their deadlines.
+const STALL_TIME: Duration = Duration::from_millis(1_300);
+
 /// How long the memory is watched.
 const WATCH_TIME: Duration = Duration::from_secs(6);
 
@@ -129,6 +137,104 @@
     Ok(())
 }
 
+/// Sends a call's head, and returns its connection. The body follows as `framing` says.
+async fn begin_body(deployment: &Deployment, id: &str, framing: &str) -> Result<TcpStream> {
+    let mut stream = TcpStream::connect(deployment.relays[0].callers).await?;
+    let (id_header, limit) = (headers::ID, headers::LIMIT);
+    let head = format!(
+        "POST /deposits/1 HTTP/1.1\r\nhost: rites.example\r\nauthorization: Bearer {KEY}\r\n\
+         {id_header}: {id}\r\n{limit}: 20000\r\n{framing}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    Ok(stream)
+}
+
+/// The status of the answer on a connection.
+async fn status_of(stream: &mut TcpStream) -> Result<u16> {
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).await?;
+    Ok(std::str::from_utf8(&head)?[9..].parse()?)
+}
+
+/// Has all callers send a step of their bodies before any of them sends the next one, and returns how many were served, and the relay's log.
+async fn served_in_lockstep(chunked: bool) -> Result<(usize, String)> {
+    let deployment = start().await?;
+    deployment.reconfigure(|config| config["limits"]["maxBodyBytes"] = json!(LARGE_BODY));
+    sleep(Duration::from_millis(500)).await;
+    let framing = match chunked {
+        true => "transfer-encoding: chunked".to_string(),
+        false => format!("content-length: {LARGE_BODY}"),
+    };
+    let mut streams = Vec::new();
+    for number in 0..SENDING_CALLERS {
+        streams.push(begin_body(&deployment, &format!("step-{number}"), &framing).await?);
+    }
+    let data = vec![b'x'; BODY_STEP];
+    let step = match chunked {
+        true => [format!("{BODY_STEP:x}\r\n").as_bytes(), &data, b"\r\n"].concat(),
+        false => data,
+    };
+    for _ in 0..LARGE_BODY / BODY_STEP {
+        for stream in &mut streams {
+            stream.write_all(&step).await?;
+        }
+        sleep(STEP_TIME).await;
+    }
+    let mut served = 0;
+    for stream in &mut streams {
+        if chunked {
+            stream.write_all(b"0\r\n\r\n").await?;
+        }
+        match status_of(stream).await? {
+            200 => served += 1,
+            status => assert_eq!(status, 503),
+        }
+    }
+    Ok((served, deployment.relays[0].process.log()))
+}
+
+/// Guards against bodies of known length that grow side by side until none of them can be held.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_sent_in_lockstep_are_not_all_refused() -> Result<()> {
+    let (served, log) = served_in_lockstep(false).await?;
+    assert!(served >= HELD_BODIES, "{served} served\n{log}");
+    Ok(())
+}
+
+/// Guards against chunked bodies that grow side by side until none of them can be held.
+#[tokio::test(flavor = "multi_thread")]
+async fn chunked_bodies_sent_in_lockstep_are_not_all_refused() -> Result<()> {
+    let (served, log) = served_in_lockstep(true).await?;
+    assert!(served >= HELD_BODIES, "{served} served\n{log}");
+    Ok(())
+}
+
+/// Guards against callers that were refused and stop sending, and whose bodies keep the memory from others.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_that_stop_arriving_leave_the_memory_to_others() -> Result<()> {
+    let deployment = start().await?;
+    deployment.reconfigure(|config| config["limits"]["maxBodyBytes"] = json!(LARGE_BODY));
+    sleep(Duration::from_millis(500)).await;
+    let mut stopped = Vec::new();
+    for number in 0..SENDING_CALLERS {
+        let framing = "transfer-encoding: chunked";
+        let mut stream = begin_body(&deployment, &format!("stops-{number}"), framing).await?;
+        let data = vec![b'x'; LARGE_BODY / 2];
+        let chunk = [format!("{:x}\r\n", data.len()).as_bytes(), &data, b"\r\n"].concat();
+        stopped.push(tokio::spawn(async move {
+            let _ = stream.write_all(&chunk).await;
+            stream
+        }));
+    }
+    sleep(STALL_TIME).await;
+    let body = vec![b'x'; LARGE_BODY];
+    let ask = Ask::new("POST", "/deposits/1", "after", KEY).with_body(&body);
+    let heard = ask.send(deployment.relays[0].callers).await?;
+    assert!(heard.whole_success(), "{:?}", heard.status);
+    stopped.into_iter().for_each(|caller| caller.abort());
+    Ok(())
+}
+
 /// Guards against a relay that falls because many large bodies arrive at once, and against a refusal of a call that ran.
 #[tokio::test(flavor = "multi_thread")]
 async fn large_bodies_are_refused_before_the_memory_is_exhausted() -> Result<()> {
--- a/lib/src/byte_budget.rs
+++ b/lib/src/byte_budget.rs
@@ -19,8 +19,8 @@
 /// The share of that which one caller may take.
 const CALLER_SHARE: f64 = 0.3;
 
-/// The used share from which no more calls are accepted: a call that has run and whose answer cannot be held has run in
-/// vain.
+/// The used share from which no more bodies are held and no more calls are accepted: a call that has run and whose answer
+/// cannot be held has run in vain.
 const NEARLY_USED_UP: f64 = 0.8;
 
 /// The budget where the host's memory is not known.
@@ -84,7 +84,7 @@
 
     /// Whether so little is left that the answer to another call could probably not be held.
     pub fn is_nearly_used_up(&self) -> bool {
-        self.used() as f64 > self.total as f64 * NEARLY_USED_UP
+        self.used() > self.body_bound()
     }
 
     /// Starts to hold bytes for a caller; none yet.
@@ -95,16 +95,40 @@
         }
     }
 
+    /// Takes bytes for a body, which leaves room for answers.
+    pub(crate) fn take_for_body(&self, bytes: usize) -> Result<()> {
+        self.take_up_to(bytes, self.body_bound())
+    }
+
+    /// The bytes that could be taken for a body now.
+    pub(crate) fn left_for_bodies(&self) -> usize {
+        self.body_bound().saturating_sub(self.used())
+    }
+
+    fn body_bound(&self) -> usize {
+        (self.total as f64 * NEARLY_USED_UP) as usize
+    }
+
+    /// Holds bytes that were taken.
+    pub(crate) fn held(self: &Arc<Self>, bytes: usize) -> HeldBytes {
+        let budget = self.clone();
+        HeldBytes { budget, bytes }
+    }
+
     fn take(&self, bytes: usize) -> Result<()> {
+        self.take_up_to(bytes, self.total)
+    }
+
+    fn take_up_to(&self, bytes: usize, bound: usize) -> Result<()> {
         let taken = self
             .used
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |used| {
-                used.checked_add(bytes).filter(|sum| *sum <= self.total)
+                used.checked_add(bytes).filter(|sum| *sum <= bound)
             });
         taken.map(|_| ()).map_err(|_| BudgetError::Total)
     }
 
-    fn give_back(&self, bytes: usize) {
+    pub(crate) fn give_back(&self, bytes: usize) {
         self.used.fetch_sub(bytes, Ordering::Relaxed);
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub mod admission;
 pub mod backend;
+pub mod body_admission;
 pub mod body_end;
 pub mod broadcast_queue;
 pub mod byte_budget;
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -38,6 +38,7 @@
 use http::header;
 use http::request::Parts;
 use http::uri::PathAndQuery;
+use http_body::Body;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -271,9 +272,8 @@
     let timeout = time_limit(&admitted.route, head.deadline);
     let timer_deadline = arrived + timeout;
     let deadline = arrived_at + timeout;
-    let mut held = relay.budget().holder();
     let max_bytes = table.config().limits.max_body_bytes;
-    let body = read_body(relay, body, max_bytes, &mut held, timer_deadline).await?;
+    let (body, held) = read_body(relay, body, max_bytes, timer_deadline).await?;
     let service = pick_service(&admitted.route, fastrand::f64()).cloned();
     let service = service.ok_or(LocalResponse::NotRun(startup_retry_after()))?;
     let spec = table
@@ -345,19 +345,31 @@
     })
 }
 
-/// Reads the whole body, until `limit` at the latest. Its bytes are counted in `held`.
+/// Reads the whole body, until `limit` at the latest, and returns it with what is held for it.
 async fn read_body(
     relay: &Relay,
     mut body: Incoming,
     max_bytes: usize,
-    held: &mut HeldBytes,
     limit: Instant,
-) -> Result<Bytes, LocalResponse> {
+) -> Result<(Bytes, HeldBytes), LocalResponse> {
+    let announced = body.size_hint().exact().map(|bytes| bytes as usize);
+    if announced.is_some_and(|bytes| bytes > max_bytes) {
+        return Err(LocalResponse::BodyTooLarge);
+    }
+    let mut growing = match relay.bodies().begin(relay.now(), announced) {
+        Ok(growing) => growing,
+        Err(error) => return Err(refuse_body(relay, body, error, limit)),
+    };
     let mut whole = BytesMut::new();
     loop {
-        let frame = match timeout_at(limit, body.frame()).await {
+        let frame = tokio::select! {
+            biased;
+            () = growing.evicted() => return Err(refuse_body(relay, body, BudgetError::Total, limit)),
+            frame = timeout_at(limit, body.frame()) => frame,
+        };
+        let frame = match frame {
             Err(_) => return Err(LocalResponse::BodyTimeout),
-            Ok(None) => return Ok(whole.freeze()),
+            Ok(None) => break,
             Ok(Some(Err(_))) => return Err(LocalResponse::BadRequest),
             Ok(Some(Ok(frame))) => frame,
         };
@@ -367,34 +379,30 @@
         if whole.len() + data.len() > max_bytes {
             return Err(LocalResponse::BodyTooLarge);
         }
-        if let Err(error) = held.grow(data.len()) {
-            drop(whole);
-            return Err(refuse_body(relay, body, (error, held.bytes()), limit).await);
+        if let Err(error) = growing.grow(relay.now(), data.len()) {
+            return Err(refuse_body(relay, body, error, limit));
         }
         whole.extend_from_slice(&data);
     }
+    match growing.finish() {
+        Ok(held) => Ok((whole.freeze(), held)),
+        Err(error) => Err(refuse_body(relay, body, error, limit)),
+    }
 }
 
-/// Refuses a request whose body cannot be held. What is left of the body is read and discarded: closing a connection
-/// with unread bytes resets it, and the caller would not get the answer.
-async fn refuse_body(
+/// Refuses a request whose body cannot be held. What is left of the body is read and discarded meanwhile: closing a
+/// connection with unread bytes resets it, and the caller would not get the answer.
+fn refuse_body(
     relay: &Relay,
     mut body: Incoming,
-    (error, held): (BudgetError, usize),
+    error: BudgetError,
     limit: Instant,
 ) -> LocalResponse {
     relay.metrics().count_refusal("memory");
     let (used, total) = (relay.budget().used(), relay.budget().total());
-    tracing::info!(%error, held, used, total, "request: refused, its body is not held");
-    let begun = Instant::now();
-    while let Ok(Some(Ok(_))) = timeout_at(limit, body.frame()).await {}
-    let took = begun.elapsed().as_millis() as u64;
-    let used = relay.budget().used();
-    tracing::info!(
-        held,
-        used,
-        took,
-        "request: what was left of a refused body has been read"
+    tracing::info!(%error, used, total, "request: refused, its body is not held");
+    tokio::spawn(
+        async move { while let Ok(Some(Ok(_))) = timeout_at(limit, body.frame()).await {} },
     );
     LocalResponse::NotRun(memory_retry_after())
 }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use cicada_lib::body_admission::BodyAdmission;
 use cicada_lib::byte_budget::ByteBudget;
 use cicada_lib::change_log::ChangeLog;
 use cicada_lib::dialect::Dialect;
@@ -108,6 +109,7 @@
     pub(crate) metrics: RelayMetrics,
     pub(crate) clock: Clock,
     pub(crate) budget: Arc<ByteBudget>,
+    pub(crate) bodies: Arc<BodyAdmission>,
     pub(crate) freeze_detector: Mutex<FreezeDetector>,
     pub(crate) table: ArcSwap<RouteTable>,
     pub(crate) fleet: Mutex<Fleet>,
@@ -164,6 +166,7 @@
         let (server_news_queue, news_receiver) = mpsc::channel(MESSAGE_QUEUE_LEN);
         let (load_probes, asks_receiver) = LoadProbes::new();
         let clock = Clock::new();
+        let budget = ByteBudget::new(settings.memory);
         let receivers = QueueReceivers {
             sent: sent_receiver,
             ended: ended_receiver,
@@ -180,7 +183,8 @@
             receivers: Mutex::new(Some(receivers)),
             reloadable: ArcSwap::from_pointee(settings.reloadable),
             fleet: Mutex::new(Fleet::new(settings.place.clone())),
-            budget: ByteBudget::new(settings.memory),
+            bodies: BodyAdmission::new(budget.clone()),
+            budget,
             settings,
             dialect,
             engines,
@@ -337,6 +341,11 @@
         &self.budget
     }
 
+    /// The callers' bodies that are being read.
+    pub(crate) fn bodies(&self) -> &Arc<BodyAdmission> {
+        &self.bodies
+    }
+
     pub(crate) fn now(&self) -> Time {
         self.clock.now()
     }
