--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -141,18 +141,24 @@
 /// Has the servers crash under poison requests, and waits until the relays know each other.
 async fn arm(deployment: &Deployment) {
     for (service, _) in &deployment.services {
-        service.set_crashes(Some(plan()));
+        service.crashes().set_plan(Some(plan()));
     }
     for host in &deployment.engines {
-        host.engine.set_crashes(Some(plan()));
+        host.engine.crashes().set_plan(Some(plan()));
     }
     sleep(SPREAD_TIME).await;
 }
 
 /// The crashes of all servers.
 fn crashes(deployment: &Deployment) -> Vec<Crash> {
-    let services = deployment.services.iter().flat_map(|(s, _)| s.crashes());
-    let engines = deployment.engines.iter().flat_map(|h| h.engine.crashes());
+    let services = deployment
+        .services
+        .iter()
+        .flat_map(|(s, _)| s.crashes().all());
+    let engines = deployment
+        .engines
+        .iter()
+        .flat_map(|h| h.engine.crashes().all());
     services.chain(engines).collect()
 }
 
@@ -303,7 +309,7 @@
     sleep(SPREAD_TIME).await;
     assert_refused(Some(&REPEATABLE.send(second).await));
     for (service, _) in &deployment.services {
-        service.set_crashes(None);
+        service.crashes().set_plan(None);
     }
     let status = deployment.status(0).await?;
     let fingerprint = status["suspects"][0]["fingerprint"].as_str().unwrap();
