lib, relay, daemon: news of suspects is taken in, and sent, in one place each

What callers saw: nothing; behaviour is the same.

Merging marks and returning what is new stood in the quarantine beside its twin at the product's entries: both call Suspects::take_in. marks_since and next_changes filtered alike. A sample was cut twice. A notice was encoded once to be charged and once to be sent; the socket returns the bytes. Three sends of a sample are one. The list splitter of the settings is named for what it does.

--- a/daemon/src/evidence.rs
+++ b/daemon/src/evidence.rs
@@ -53,11 +53,7 @@
 
     /// Takes in marks, and returns those that are new.
     fn take_in(&self, marks: &[CrashMark]) -> Vec<CrashMark> {
-        let now = self.clock.now();
-        let mut suspects = self.lock();
-        let before = suspects.revision();
-        suspects.merge(now, marks);
-        suspects.marks_since(now, before)
+        self.lock().take_in(self.clock.now(), marks)
     }
 
     fn lock(&self) -> MutexGuard<'_, Suspects> {
--- a/lib/src/byte_budget.rs
+++ b/lib/src/byte_budget.rs
@@ -89,10 +89,7 @@
 
     /// Starts to hold bytes for a caller; none yet.
     pub fn holder(self: &Arc<Self>) -> HeldBytes {
-        HeldBytes {
-            budget: self.clone(),
-            bytes: 0,
-        }
+        self.held(0)
     }
 
     /// Takes bytes for a body, which leaves room for answers.
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -81,8 +81,8 @@
             Kind::Name | Kind::OptionalName => check_name(text),
             Kind::Address if text.is_empty() => Err("is missing".into()),
             Kind::Address | Kind::OptionalAddress => check_address(text),
-            Kind::Addresses => addresses(text).try_for_each(check_address),
-            Kind::Fingerprints => addresses(text).try_for_each(check_fingerprint),
+            Kind::Addresses => list_items(text).try_for_each(check_address),
+            Kind::Fingerprints => list_items(text).try_for_each(check_fingerprint),
             Kind::Path if text.is_empty() => Err("is missing".into()),
             Kind::Path | Kind::OptionalPath => check_path(text),
             Kind::Number { min, max } => check_number(text, *min, *max),
@@ -105,7 +105,7 @@
 }
 
 /// The parts of a list of addresses.
-pub(crate) fn addresses(text: &str) -> impl Iterator<Item = &str> {
+pub(crate) fn list_items(text: &str) -> impl Iterator<Item = &str> {
     text.split(',')
         .map(str::trim)
         .filter(|part| !part.is_empty())
@@ -142,7 +142,7 @@
 
 /// The pairs of a list; `None` for a part without a colon.
 pub(crate) fn pairs(text: &str) -> impl Iterator<Item = Option<(&str, &str)>> {
-    addresses(text).map(|part| part.split_once(':'))
+    list_items(text).map(|part| part.split_once(':'))
 }
 
 fn check_number(text: &str, min: f64, max: f64) -> Result<(), String> {
--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -207,14 +207,14 @@
 
     /// A key that holds a list of addresses.
     pub fn addresses(&self, section: &str, name: &str) -> Vec<SocketAddr> {
-        daemon_keys::addresses(self.text(section, name))
+        daemon_keys::list_items(self.text(section, name))
             .filter_map(|text| text.parse().ok())
             .collect()
     }
 
     /// A key that holds fingerprints of requests.
     pub fn fingerprints(&self, section: &str, name: &str) -> Vec<Fingerprint> {
-        daemon_keys::addresses(self.text(section, name))
+        daemon_keys::list_items(self.text(section, name))
             .filter_map(|text| text.parse().ok())
             .collect()
     }
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -135,9 +135,7 @@
 
     /// Takes in what another process tells. Returns whether anything is new.
     pub fn merge(&mut self, now: Time, notice: &SuspectNotice) -> bool {
-        let before = self.suspects.revision();
-        self.suspects.merge(now, &notice.marks);
-        let (news, _) = self.suspects.next_changes(now, before, usize::MAX);
+        let news = self.suspects.take_in(now, &notice.marks);
         for mark in &news {
             if mark.cleared || mark.exposure == Exposure::Trial {
                 self.trials.settle(now, mark.fingerprint);
@@ -203,8 +201,7 @@
 impl SuspectNotice {
     /// A notice with some of the evidence, that against refused requests first; `None` if there is none.
     pub fn sample_of(suspects: &Suspects, now: Time) -> Option<Self> {
-        let mut marks = suspects.sample(now, MAX_MARKS);
-        marks.truncate(MAX_MARKS);
+        let marks = suspects.sample(now, MAX_MARKS);
         (!marks.is_empty()).then(|| SuspectNotice {
             marks,
             ..SuspectNotice::default()
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -16,9 +16,9 @@
 //! A single crash is no proof, since servers also crash for other reasons; neither are several at the
 //! same moment, in which a request that many callers send is in flight at each of them. A poison
 //! request therefore costs two engines before agents, or three servers before relays, of which two at
-//! the same time, in each [`MARK_LIFETIME`], provided that its copies arrive after the evidence. Copies that run at the same
-//! time cost one server each. To avoid this, entries use the fingerprint of a suspect as its affinity,
-//! so that copies are routed to the same agent.
+//! the same time, in each [`MARK_LIFETIME`], provided that its copies arrive after the evidence.
+//! Copies that run at the same time cost one server each. To avoid this, entries use the fingerprint
+//! of a suspect as its affinity, so that copies are routed to the same agent.
 //!
 //! The evidence is a set of marks that only grows, so agents and entries may exchange marks in any
 //! order and more than once.
@@ -59,7 +59,7 @@
 const REFUSED_FROM: u32 = 3;
 
 copy_type! {
-    /// A hash of a request's service, model and prompt, equal for identical requests.
+    /// A hash of all that makes a request the same request, equal for identical requests.
     pub struct Fingerprint(pub u128);
 
     /// Identifies one crash of one backend server.
@@ -343,42 +343,40 @@
         suspicions
     }
 
-    /// Returns the marks of at most `count` requests, those of refused ones first, for a process that may lack them.
+    /// Returns at most `count` marks, those of refused requests first, for a process that may lack them.
     pub fn sample(&self, now: Time, count: usize) -> Vec<CrashMark> {
-        let listing = self.listing(now).into_iter().take(count);
-        let marks = listing.flat_map(|s| {
+        let marks = self.listing(now).into_iter().flat_map(|s| {
             let counted = self.counted(now, s.fingerprint).into_iter();
             counted.map(move |mark| mark.mark(now, s.fingerprint))
         });
-        marks.collect()
+        marks.take(count).collect()
     }
 
     /// Returns the marks that changed after `revision`, for other processes.
     pub fn marks_since(&self, now: Time, revision: u64) -> Vec<CrashMark> {
-        let requests = self.requests.iter();
-        let marks = requests.flat_map(|(fingerprint, evidence)| {
-            let changed = evidence.iter().filter(move |e| e.revision > revision);
-            changed.map(move |e| e.mark(now, *fingerprint))
-        });
-        marks.collect()
+        let changed = self.changed_since(revision);
+        changed.map(|(f, mark)| mark.mark(now, f)).collect()
     }
 
     /// Returns the next marks that changed after `revision`, and the revision that they lead to.
     pub fn next_changes(&self, now: Time, revision: u64, count: usize) -> (Vec<CrashMark>, u64) {
-        if revision == self.revision {
-            return (Vec::new(), revision);
-        }
-        let requests = self.requests.iter();
-        let stored = requests.flat_map(|(f, marks)| marks.iter().map(move |mark| (mark, *f)));
-        let mut changed: Vec<(&StoredMark, Fingerprint)> = stored
-            .filter(|(mark, _)| mark.revision > revision)
-            .collect();
-        changed.sort_by_key(|(mark, _)| mark.revision);
-        let is_rest = changed.len() <= count;
+        let mut changed: Vec<(Fingerprint, &StoredMark)> = self.changed_since(revision).collect();
+        changed.sort_by_key(|(_, mark)| mark.revision);
+        let next = match changed.get(count) {
+            Some((_, rest)) => rest.revision - 1,
+            None => self.revision,
+        };
         changed.truncate(count);
-        let last = changed.last().map_or(revision, |(mark, _)| mark.revision);
-        let marks = changed.iter().map(|(mark, f)| mark.mark(now, *f));
-        (marks.collect(), if is_rest { self.revision } else { last })
+        let marks = changed.iter().map(|(f, mark)| mark.mark(now, *f));
+        (marks.collect(), next)
+    }
+
+    fn changed_since(&self, revision: u64) -> impl Iterator<Item = (Fingerprint, &StoredMark)> {
+        // Most of the time nothing has changed, and there may be many marks.
+        let requests = (revision < self.revision).then_some(&self.requests);
+        let requests = requests.into_iter().flatten();
+        let marks = requests.flat_map(|(f, marks)| marks.iter().map(move |mark| (*f, mark)));
+        marks.filter(move |(_, mark)| mark.revision > revision)
     }
 
     /// Returns the current revision, from which the next [`Suspects::marks_since`] continues.
@@ -386,6 +384,13 @@
         self.revision
     }
 
+    /// Merges marks from another process, and returns those that are new.
+    pub fn take_in(&mut self, now: Time, marks: &[CrashMark]) -> Vec<CrashMark> {
+        let before = self.revision;
+        self.merge(now, marks);
+        self.marks_since(now, before)
+    }
+
     /// Merges marks from another process.
     pub fn merge(&mut self, now: Time, marks: &[CrashMark]) {
         for mark in marks {
--- a/relay/src/datagram_socket.rs
+++ b/relay/src/datagram_socket.rs
@@ -58,13 +58,13 @@
         self.socket.recv_from(buffer).await.ok()
     }
 
-    /// Sends a datagram to each of the addresses.
-    pub(crate) async fn send(&self, datagram: &Datagram, recipients: &[SocketAddr]) {
+    /// Sends a datagram to each of the addresses, and returns the bytes that this takes.
+    pub(crate) async fn send(&self, datagram: &Datagram, recipients: &[SocketAddr]) -> usize {
         let bytes = match peer_messages::encode(datagram) {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::warn!(%error, "peers: cannot encode a datagram");
-                return;
+                return 0;
             }
         };
         if let Some(metrics) = &self.metrics {
@@ -75,5 +75,6 @@
                 tracing::debug!(%to, %error, "peers: cannot send a datagram");
             }
         }
+        bytes.len() * recipients.len()
     }
 }
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -235,13 +235,7 @@
         if now.since(Time::ZERO) < EVIDENCE_QUERY_TIME {
             self.socket.send(&Datagram::QuerySuspects, &scouts).await;
         }
-        if let (Some(notice), Some(scout)) =
-            (self.relay.poison.sample(now), fastrand::choice(scouts))
-        {
-            self.socket
-                .send(&Datagram::Suspects(notice), &[scout])
-                .await;
-        }
+        self.send_evidence(fastrand::choice(scouts)).await;
     }
 
     async fn send_hello(&self) {
@@ -252,7 +246,9 @@
             self.send_to_region(&datagram).await;
         }
         self.gossip(&datagram).await;
-        self.send_evidence().await;
+        // Any relay may have missed some of the evidence.
+        let peer = self.relay.peers().gossip_targets().first().copied();
+        self.send_evidence(peer).await;
     }
 
     /// Passes on what is new about poison requests, to a few relays that do the same.
@@ -261,9 +257,8 @@
         while let Some(notice) = self.relay.poison.take_unsent(now) {
             let datagram = Datagram::Suspects(notice);
             let peers = self.relay.peers().gossip_targets();
-            let bytes = peer_messages::encode(&datagram).map_or(0, |bytes| bytes.len());
-            self.relay.poison.charge(now, bytes * peers.len());
-            self.socket.send(&datagram, &peers).await;
+            let bytes = self.socket.send(&datagram, &peers).await;
+            self.relay.poison.charge(now, bytes);
         }
     }
 
@@ -276,14 +271,11 @@
         }
     }
 
-    /// Tells one relay of the evidence on poison requests, which may have missed it.
-    async fn send_evidence(&self) {
+    /// Sends a sample of the evidence on poison requests, if there is any.
+    async fn send_evidence(&self, to: Option<SocketAddr>) {
         let notice = self.relay.poison.sample(self.relay.now());
-        let peers = self.relay.peers().gossip_targets();
-        if let (Some(notice), Some(peer)) = (notice, peers.first()) {
-            self.socket
-                .send(&Datagram::Suspects(notice), &[*peer])
-                .await;
+        if let (Some(notice), Some(to)) = (notice, to) {
+            self.socket.send(&Datagram::Suspects(notice), &[to]).await;
         }
     }
 
@@ -396,11 +388,7 @@
                 }
             }
             Ok(Datagram::Hello(hello)) => self.handle_hello(from, hello).await,
-            Ok(Datagram::QuerySuspects) => {
-                if let Some(notice) = self.relay.poison.sample(self.relay.now()) {
-                    self.socket.send(&Datagram::Suspects(notice), &[from]).await;
-                }
-            }
+            Ok(Datagram::QuerySuspects) => self.send_evidence(Some(from)).await,
             _ => {
                 if let Some(datagram) = self.apply_datagram(bytes, from) {
                     self.gossip(&datagram).await;
