--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -192,48 +192,42 @@
 }
 
 /// Sends a poison request of a kind for a while, and other requests beside it.
-async fn assert_kind_is_refused(poison: Sent) -> Result<()> {
-    let deployment = start_with_engines().await?;
-    let relays = addresses(&deployment);
+async fn assert_refused_by(deployment: &Deployment, poison: Sent) {
+    let relays = addresses(deployment);
     let others = OTHER.send_at_interval(relays.clone(), INTERVAL);
     let poison = poison.send_at_interval(relays, POISON_INTERVAL);
     let (poison, others) = tokio::join!(poison, others);
-    assert_few_crashes(&deployment);
+    assert_few_crashes(deployment);
     assert_refused(poison.last());
     assert!(served(&others) > 0.95, "{} served", served(&others));
-    Ok(())
 }
 
 /// Guards against a poison request that relays go on sending until no server of the service is left.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_poison_request_crashes_three_servers_at_most() -> Result<()> {
-    let deployment = start(3).await?;
-    let relays = addresses(&deployment);
-    let poison = REPEATABLE.send_at_interval(relays.clone(), POISON_INTERVAL);
-    let others = OTHER.send_at_interval(relays, INTERVAL);
-    let (poison, others) = tokio::join!(poison, others);
-    assert_few_crashes(&deployment);
-    assert!(served(&others) > 0.95, "{} served", served(&others));
-    assert_refused(poison.last());
+    assert_refused_by(&start(3).await?, REPEATABLE).await;
     Ok(())
 }
 
 /// Guards against a poison request that may run once only and takes another server with each copy.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_poison_request_that_runs_once_is_refused() -> Result<()> {
-    assert_kind_is_refused(ONCE).await
+    assert_refused_by(&start_with_engines().await?, ONCE).await;
+    Ok(())
 }
 
 /// Guards against a poison stream that takes another engine with each copy.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_poison_stream_is_refused() -> Result<()> {
-    assert_kind_is_refused(STREAM).await
+    assert_refused_by(&start_with_engines().await?, STREAM).await;
+    Ok(())
 }
 
 /// Guards against a poison stream that its relay carries to the next engine after a crash.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_poison_stream_that_may_be_resumed_is_refused() -> Result<()> {
-    assert_kind_is_refused(RESUMABLE).await
+    assert_refused_by(&start_with_engines().await?, RESUMABLE).await;
+    Ok(())
 }
 
 /// Guards against evidence that is forgotten with a configuration, or that needs the store.
