--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -136,12 +136,7 @@
 }
 
 fn plan() -> CrashPlan {
-    CrashPlan {
-        path: "poison".into(),
-        down: DOWN,
-        keeps_port: false,
-        keeps_id: false,
-    }
+    CrashPlan::new("poison", DOWN)
 }
 
 async fn start(relays: usize) -> Result<Deployment> {
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -18,6 +18,7 @@
 use cicada_lib::byte_budget::HeldBytes;
 use cicada_lib::dialect::CallHead;
 use cicada_lib::dialect::Dispatch;
+use cicada_lib::dialect::PromptPart;
 use cicada_lib::ids::Name;
 use cicada_lib::quarantine::Candidate;
 use cicada_lib::route_table::Admitted;
@@ -180,6 +181,22 @@
         })
     }
 
+    /// The identifiers of the parts of the prompt that other requests may share, for logs.
+    pub(crate) fn part_ids(&self) -> String {
+        let ids: Vec<String> = self
+            .shared_parts()
+            .iter()
+            .map(|part| format!("{:x}", part.id))
+            .collect();
+        ids.join(",")
+    }
+
+    /// The parts of the prompt that other requests may share: all but the last.
+    fn shared_parts(&self) -> &[PromptPart] {
+        let parts = &self.head.parts;
+        &parts[..parts.len().saturating_sub(1)]
+    }
+
     /// The request as the quarantine judges it, for a service of so many servers.
     pub(crate) fn candidate(&self, servers: usize) -> Candidate {
         Candidate {
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -292,15 +292,19 @@
             age: 0,
         };
         let mut quarantine = self.poison.lock();
+        let earlier = quarantine.crashes(self.now(), call.content()).len();
         let (crash, verdict) = quarantine.record_crash(self.now(), &mark, call.opened_at());
         self.poison.announce(&quarantine);
         drop(quarantine);
         call.set_unresolved(false);
         call.set_trial(None);
         self.metrics().count_crash(exposure.as_str());
+        self.metrics().count_crashed_request(earlier > 0);
         tracing::warn!(
             id = call.id(),
             fingerprint = %mark.fingerprint,
+            earlier,
+            parts = call.part_ids(),
             %crash,
             server = %placed.record.id,
             exposure = exposure.as_str(),
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -24,6 +24,7 @@
     sends: IntCounterVec,
     losses: IntCounterVec,
     crashes: IntCounterVec,
+    crashed_requests: IntCounterVec,
     trials: IntCounterVec,
     delayed_suspect_news: IntCounter,
     retry_usage: GaugeVec,
@@ -82,6 +83,11 @@
                 "Requests under which a backend server crashed, by how they ran",
                 "exposure",
             )?,
+            crashed_requests: counter(
+                "relay_crashed_requests_total",
+                "Requests under which a backend server crashed, by whether another crash under the same request was known",
+                "request",
+            )?,
             trials: counter(
                 "relay_trials_total",
                 "Trials of suspected poison requests that this relay asked for, by outcome",
@@ -166,6 +172,7 @@
         registry.register(Box::new(metrics.sends.clone()))?;
         registry.register(Box::new(metrics.losses.clone()))?;
         registry.register(Box::new(metrics.crashes.clone()))?;
+        registry.register(Box::new(metrics.crashed_requests.clone()))?;
         registry.register(Box::new(metrics.trials.clone()))?;
         registry.register(Box::new(metrics.delayed_suspect_news.clone()))?;
         registry.register(Box::new(metrics.retry_usage.clone()))?;
@@ -220,6 +227,12 @@
         self.crashes.with_label_values(&[exposure]).inc();
     }
 
+    /// Counts a request under which a server crashed, by whether it had crashed one before.
+    pub(crate) fn count_crashed_request(&self, is_known: bool) {
+        let request = if is_known { "known" } else { "new" };
+        self.crashed_requests.with_label_values(&[request]).inc();
+    }
+
     /// Counts a trial that this relay asked for.
     pub(crate) fn count_trial(&self, outcome: &str) {
         self.trials.with_label_values(&[outcome]).inc();
