tests: a part of prompts crashes engines again and again, red

What callers saw: engines that end one after the other, and streams of all callers with them.

The test has requests of which no two are alike, which share a part that crashes each engine, beside sound requests that share the other parts.

--- /dev/null
+++ b/daemon/tests/relay_poison_parts.rs
@@ -0,0 +1,217 @@
+//! Parts of prompts under which engines crash, in requests of which no two are alike, counted at the engines.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use cicada_standins::caller::Ask;
+use cicada_standins::caller::Heard;
+use cicada_standins::crashes::Crash;
+use cicada_standins::crashes::CrashPlan;
+use cicada_standins::deployment::Deployment;
+use cicada_standins::deployment::KEY;
+use eyre::Result;
+use http::StatusCode;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+
+/// How long an engine that crashed is down.
+const DOWN: Duration = Duration::from_millis(2_000);
+
+/// Interval between two requests with a deadly part, and between two of other callers.
+const POISON_INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// How long callers send sound requests alone, and how long with the others beside them.
+const CALM_DURATION: Duration = Duration::from_secs(2);
+const LOAD_DURATION: Duration = Duration::from_secs(16);
+
+/// Crashes after which a part is to be known, the time until it is, and the sends that are tolerated afterwards.
+const PROOF: usize = 5;
+const PROOF_TIME: Duration = Duration::from_secs(5);
+const MAX_LATE: usize = 3;
+
+/// The most engines that one part may crash where its requests come one after the other.
+const MAX_CRASHES: usize = 3;
+
+/// Time from the proof until sound requests are served as before, and the least share of them.
+const RECOVERY_TIME: Duration = Duration::from_secs(10);
+const MIN_SERVED: f64 = 0.5;
+
+/// Time in which the relays know each other and, after a crash, what it proves.
+const SPREAD_TIME: Duration = Duration::from_millis(1_500);
+
+/// Output tokens of a sound request, a few more than show that an engine lives on.
+const EVENTS: u32 = 12;
+
+const FIRST: &str = "a1";
+const MIDDLE: &str = "b2";
+const DEADLY: &str = "dead";
+
+/// A stream of sound or deadly requests.
+#[derive(Clone, Copy)]
+struct Load {
+    path: &'static str,
+    parts: &'static [&'static str],
+    interval: Duration,
+}
+
+/// A request that was sent, and what its caller heard.
+struct Sent {
+    at: Instant,
+    heard: Result<Heard>,
+}
+
+const SOUND: Load = Load {
+    path: "/drafts/sound",
+    parts: &[FIRST, MIDDLE],
+    interval: INTERVAL,
+};
+
+const POISON: Load = Load {
+    path: "/drafts/new",
+    parts: &[FIRST, DEADLY, MIDDLE],
+    interval: POISON_INTERVAL,
+};
+
+impl Load {
+    fn ask(self) -> Ask {
+        let id = format!("r-{:x}", fastrand::u64(..));
+        let own = format!("{:x}", fastrand::u64(..));
+        let mut parts = self.parts.to_vec();
+        parts.push(&own);
+        Ask::stream(&id, KEY, 500, EVENTS)
+            .with_path(self.path)
+            .with_parts(&parts)
+    }
+
+    /// Sends requests of which no two are alike, to one relay after the other.
+    async fn send_for(self, duration: Duration, relays: Vec<SocketAddr>) -> Vec<Sent> {
+        let until = Instant::now() + duration;
+        let mut requests = JoinSet::new();
+        let mut next = Instant::now();
+        for relay in relays.iter().copied().cycle() {
+            if next >= until {
+                break;
+            }
+            requests.spawn(async move {
+                let at = Instant::now();
+                let heard = self.ask().send(relay).await;
+                Sent { at, heard }
+            });
+            next += self.interval;
+            sleep_until(next).await;
+        }
+        requests.join_all().await
+    }
+}
+
+impl Sent {
+    fn is_served(&self) -> bool {
+        self.heard.as_ref().is_ok_and(Heard::whole_success)
+    }
+
+    fn is_refused(&self) -> bool {
+        let heard = self.heard.as_ref();
+        heard.is_ok_and(|heard| {
+            heard.status == StatusCode::SERVICE_UNAVAILABLE
+                && heard.headers.contains_key("retry-after")
+        })
+    }
+}
+
+fn plan() -> CrashPlan {
+    CrashPlan::with_prompt_parts(&[DEADLY], DOWN)
+}
+
+async fn start(relays: usize, engines: usize, plan: &CrashPlan) -> Result<Deployment> {
+    let bin = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let deployment = Deployment::start(bin, relays, engines, 0).await?;
+    for host in &deployment.engines {
+        host.engine.crashes().set_plan(Some(plan.clone()));
+    }
+    sleep(SPREAD_TIME).await;
+    Ok(deployment)
+}
+
+fn addresses(deployment: &Deployment) -> Vec<SocketAddr> {
+    deployment.relays.iter().map(|r| r.callers).collect()
+}
+
+/// The crashes of all engines under a part, in their order.
+fn crashes_under(deployment: &Deployment, part: &str) -> Vec<Crash> {
+    let crashes = deployment.engines.iter();
+    let crashes = crashes.flat_map(|host| host.engine.crashes().all());
+    let begin = format!("{part}:");
+    let mut crashes: Vec<Crash> = crashes
+        .filter(|c| c.parts.split(',').any(|p| p.starts_with(&begin)))
+        .collect();
+    crashes.sort_by_key(|crash| crash.at);
+    crashes
+}
+
+/// Asserts that few engines crash under the part seconds after it could be known.
+fn assert_few_late(deployment: &Deployment, part: &str) {
+    let crashes = crashes_under(deployment, part);
+    assert!(!crashes.is_empty(), "no engine crashed under {part}");
+    let Some(proof) = crashes.get(PROOF - 1) else {
+        return;
+    };
+    let late = crashes.iter().filter(|c| c.at > proof.at + PROOF_TIME);
+    let late = late.count();
+    assert!(late <= MAX_LATE, "{late} late of {}", crashes.len());
+}
+
+fn assert_few(deployment: &Deployment, part: &str) {
+    let crashes = crashes_under(deployment, part).len();
+    assert!(
+        (1..=MAX_CRASHES).contains(&crashes),
+        "{crashes} crashes under {part}"
+    );
+}
+
+/// Asserts that sound requests are served at the first attempt once the part is known.
+fn assert_sound_served(deployment: &Deployment, part: &str, sound: &[Sent]) {
+    let crashes = crashes_under(deployment, part);
+    let known = crashes.get(PROOF - 1).or(crashes.last());
+    let since = known.map(|crash| crash.at + RECOVERY_TIME);
+    let later: Vec<&Sent> = sound.iter().filter(|s| Some(s.at) >= since).collect();
+    assert!(!later.is_empty(), "no sound request came after the proof");
+    let served = later.iter().filter(|s| s.is_served()).count();
+    let share = served as f64 / later.len() as f64;
+    assert!(share > MIN_SERVED, "{served} of {} served", later.len());
+}
+
+/// Sends sound requests, then deadly ones beside them.
+async fn play(deployment: &Deployment, loads: &[Load]) -> (Vec<Sent>, Vec<Sent>) {
+    let relays = addresses(deployment);
+    let calm = SOUND.send_for(CALM_DURATION, relays.clone()).await;
+    assert!(calm.iter().all(Sent::is_served));
+    let mut poison = JoinSet::new();
+    for load in loads {
+        poison.spawn(load.send_for(LOAD_DURATION, relays.clone()));
+    }
+    let sound = SOUND.send_for(LOAD_DURATION, relays).await;
+    let poison = poison.join_all().await.into_iter().flatten();
+    (sound, poison.collect())
+}
+
+async fn assert_held_back(plan: &CrashPlan, loads: &[Load], part: &str) -> Result<()> {
+    let deployment = start(4, 6, plan).await?;
+    let (sound, poison) = play(&deployment, loads).await;
+    assert_few_late(&deployment, part);
+    assert_few(&deployment, part);
+    assert_sound_served(&deployment, part, &sound);
+    let refused = poison.iter().filter(|sent| sent.is_refused()).count();
+    assert!(refused * 2 > poison.len(), "{refused} of {}", poison.len());
+    Ok(())
+}
+
+/// Guards against a prompt part that crashes engines again and again since each request with it is a new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_part_that_crashes_engines_is_held_back_in_requests_of_which_no_two_are_alike()
+-> Result<()> {
+    assert_held_back(&plan(), &[POISON], DEADLY).await
+}
