--- a/daemon/src/completions.rs
+++ b/daemon/src/completions.rs
@@ -1,10 +1,10 @@
 //! Completions and models, in the well-known forms.
 
 use cicada_lib::config::Config;
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::ids::Name;
 use cicada_lib::ids::RequestId;
 use cicada_lib::outcome::Outcome;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::wire::Work;
 use xitca_web::http::HeaderMap;
 use xitca_web::http::HeaderValue;
--- a/daemon/src/desk_streams.rs
+++ b/daemon/src/desk_streams.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::ids::Name;
 use cicada_lib::outcome::FailureReason;
 use cicada_lib::outcome::NotRun;
 use cicada_lib::outcome::Outcome;
 use cicada_lib::outcome::RefusalReason;
 use cicada_lib::outcome::UnknownReason;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::transcript::Transcript;
 use cicada_lib::wire::Attach;
 use cicada_lib::wire::StreamFrame;
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use cicada_lib::backend::Header;
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::ids::Attempt;
 use cicada_lib::ids::GenerationId;
 use cicada_lib::ids::Name;
@@ -24,7 +25,6 @@
 use cicada_lib::routing::AttemptEnd;
 use cicada_lib::routing::AttemptResult;
 use cicada_lib::routing::ServerKey;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Time;
 use cicada_lib::wire::StreamFrame;
 use cicada_lib::wire::Work;
--- a/daemon/src/isolation.rs
+++ b/daemon/src/isolation.rs
@@ -10,9 +10,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::suspects::CrashId;
 use cicada_lib::suspects::CrashMark;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::suspects::PROBATION_TOKENS;
 use cicada_lib::suspects::Suspects;
 use cicada_lib::suspects::Verdict;
--- a/daemon/src/record.rs
+++ b/daemon/src/record.rs
@@ -4,12 +4,12 @@
 
 use cicada_lib::backend::CallAnswer;
 use cicada_lib::claims::ClaimTicket;
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::ids::Attempt;
 use cicada_lib::ids::Name;
 use cicada_lib::ids::RequestId;
 use cicada_lib::outcome::Outcome;
 use cicada_lib::scheduler::JobKey;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Time;
 use cicada_lib::transcript::Transcript;
 use cicada_lib::wire::StreamFrame;
--- a/lib/src/arbiter_route.rs
+++ b/lib/src/arbiter_route.rs
@@ -13,8 +13,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::fingerprint::Fingerprint;
 use crate::suspect_trials::TRIAL_LEASE;
-use crate::suspects::Fingerprint;
 use crate::time::Time;
 
 /// Time after an unanswered request until the arbiter counts as silent: the longest round trip and two repetitions.
--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
+use crate::fingerprint::Fingerprint;
 use crate::suspects::CrashId;
 use crate::suspects::CrashMark;
 use crate::suspects::Exposure;
-use crate::suspects::Fingerprint;
 use crate::suspects::MARK_LIFETIME;
 use crate::suspects::News;
 use crate::suspects::Verdict;
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::suspects::Fingerprint;
+use crate::fingerprint::Fingerprint;
 
 /// What a key's value must look like.
 #[derive(Clone, Copy, Debug)]
--- a/lib/src/daemon_settings.rs
+++ b/lib/src/daemon_settings.rs
@@ -16,9 +16,9 @@
 use crate::daemon_keys::KEYS;
 use crate::daemon_keys::Key;
 use crate::daemon_keys::Kind;
+use crate::fingerprint::Fingerprint;
 use crate::ids::Name;
 use crate::platform::HostRole;
-use crate::suspects::Fingerprint;
 
 /// One fault in a settings file.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
--- a/lib/src/lost_answers.rs
+++ b/lib/src/lost_answers.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::suspects::Fingerprint;
+use crate::fingerprint::Fingerprint;
 use crate::time::Time;
 
 /// Losses in a row from which a request is a suspect.
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -14,6 +14,7 @@
 
 use crate::arbiter_route::ArbiterRoute;
 use crate::copy_type;
+use crate::fingerprint::Fingerprint;
 use crate::lost_answers::LostAnswers;
 use crate::peer_messages::SuspectNotice;
 use crate::peer_messages::TrialMessage;
@@ -27,7 +28,6 @@
 use crate::suspects::CrashId;
 use crate::suspects::CrashMark;
 use crate::suspects::Exposure;
-use crate::suspects::Fingerprint;
 use crate::suspects::News;
 use crate::suspects::Suspects;
 use crate::suspects::Suspicion;
--- a/lib/src/suspect_trials.rs
+++ b/lib/src/suspect_trials.rs
@@ -15,8 +15,8 @@
 use std::time::Duration;
 
 use crate::copy_type;
+use crate::fingerprint::Fingerprint;
 use crate::suspects::CrashMark;
-use crate::suspects::Fingerprint;
 use crate::time::Time;
 use crate::value_type;
 
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -29,16 +29,14 @@
 use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::fmt;
-use std::str::FromStr;
 use std::time::Duration;
 
-use thiserror::Error;
-
 use crate::copy_type;
 use crate::crash_evidence::StoredMark;
 use crate::crash_evidence::attributed_points;
 use crate::crash_evidence::is_proof;
 use crate::crash_evidence::verdict;
+use crate::fingerprint::Fingerprint;
 use crate::ids::Name;
 use crate::time::Time;
 use crate::value_type;
@@ -60,9 +58,6 @@
 pub const TRIAL_BACKOFF: Duration = Duration::from_secs(60);
 
 copy_type! {
-    /// A hash of all that makes a request the same request, equal for identical requests.
-    pub struct Fingerprint(pub u128);
-
     /// Identifies one crash of one backend server.
     pub struct CrashId(pub u64);
 
@@ -151,54 +146,6 @@
     revision: u64,
 }
 
-impl Fingerprint {
-    /// Computes the fingerprint of a generation.
-    pub fn new(service: &Name, model: &Name, prompt: &[u8]) -> Self {
-        Fingerprint::of_parts(&[
-            service.as_str().as_bytes(),
-            model.as_str().as_bytes(),
-            prompt,
-        ])
-    }
-
-    /// Computes the fingerprint of a request from all parts that make it the same request.
-    pub fn of_parts(parts: &[&[u8]]) -> Self {
-        let mut hasher = blake3::Hasher::new();
-        for part in parts {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        let digest = hasher.finalize();
-        let mut truncated = [0; 16];
-        truncated.copy_from_slice(&digest.as_bytes()[..16]);
-        Fingerprint(u128::from_le_bytes(truncated))
-    }
-
-    /// Returns the affinity hash by which copies of a suspect are routed to the same agent.
-    pub fn affinity(self) -> u64 {
-        self.0 as u64
-    }
-}
-
-/// A text that is no fingerprint.
-#[derive(Clone, Copy, Debug, Error)]
-#[error("is no fingerprint; copy the 32 hexadecimal digits from a log line or status page")]
-pub struct FingerprintError;
-
-impl FromStr for Fingerprint {
-    type Err = FingerprintError;
-
-    fn from_str(text: &str) -> Result<Self, FingerprintError> {
-        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-        let number = u128::from_str_radix(text, 16);
-        number
-            .ok()
-            .filter(|_| is_hex)
-            .map(Fingerprint)
-            .ok_or(FingerprintError)
-    }
-}
-
 impl CrashId {
     /// The crash that ended an incarnation of a server. The same at all processes that see it.
     pub fn of_server(server: &Name, born: u64) -> Self {
@@ -247,12 +194,6 @@
     }
 }
 
-impl fmt::Display for Fingerprint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:032x}", self.0)
-    }
-}
-
 impl Suspects {
     /// Creates an instance without evidence.
     pub fn new() -> Self {
--- a/lib/tests/lost_answers.rs
+++ b/lib/tests/lost_answers.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::lost_answers::LostAnswers;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Time;
 
 const REQUEST: Fingerprint = Fingerprint(1);
--- a/lib/tests/quarantine.rs
+++ b/lib/tests/quarantine.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::peer_messages;
 use cicada_lib::peer_messages::Datagram;
 use cicada_lib::peer_messages::MAX_DATAGRAM;
@@ -21,7 +22,6 @@
 use cicada_lib::suspects::CrashId;
 use cicada_lib::suspects::CrashMark;
 use cicada_lib::suspects::Exposure;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Time;
 use fastrand::Rng;
 use quickcheck::QuickCheck;
--- a/lib/tests/suspect_trials.rs
+++ b/lib/tests/suspect_trials.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use cicada_lib::arbiter_route::ArbiterRoute;
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::suspect_trials::Arbiter;
 use cicada_lib::suspect_trials::OwnTrials;
 use cicada_lib::suspect_trials::TRIAL_LEASE;
 use cicada_lib::suspect_trials::TrialRequest;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::time::Time;
 use quickcheck::QuickCheck;
 
--- a/lib/tests/suspects.rs
+++ b/lib/tests/suspects.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::ids::Name;
 use cicada_lib::suspects::CrashId;
 use cicada_lib::suspects::CrashMark;
 use cicada_lib::suspects::Exposure;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::suspects::MARK_LIFETIME;
 use cicada_lib::suspects::MAX_MARKS;
 use cicada_lib::suspects::News;
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::peer_messages::SuspectNotice;
 use cicada_lib::peer_messages::TrialMessage;
 use cicada_lib::quarantine::Admission;
@@ -17,7 +18,6 @@
 use cicada_lib::suspects::CrashId;
 use cicada_lib::suspects::CrashMark;
 use cicada_lib::suspects::Exposure;
-use cicada_lib::suspects::Fingerprint;
 use cicada_lib::suspects::Suspicion;
 use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Time;
