tests: parts of prompts that crash servers, in the simulated fleet

The simulated fleet moves to testutils, so that both tests use it; the tests of whole requests are as they were.

--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod raw_answer;
 pub mod service;
 pub mod site;
+pub mod suspect_fleet;
 pub mod token_text;
 pub mod udp_proxy;
 pub mod weight_store;
