lib: a sound part that kills from now on is found, and its neighbours are not blamed for it

An excused crash is told to the others, so that all excuse the same ones: those within 0.5 s of the first. Of a run on trial nothing is excused; else a crash counts against the other parts of that run while the one that kills is excused. What ran beside a suspect on trial makes no suspect of its own accord. A part on which an engine has answered since a crash is cleared of it, also where the news of the crash comes later.

Not mended: where all messages between 29 or more entries take 0.5 to 1 s, sound requests beside such a part were refused in some plays until trials are granted again.

--- a/daemon/tests/relay_poison_parts.rs
+++ b/daemon/tests/relay_poison_parts.rs
@@ -265,6 +265,21 @@
     Ok(())
 }
 
+/// Guards against a part that is excused for good since engines answered on it before a release.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_part_that_was_sound_and_kills_from_now_on_is_held_back() -> Result<()> {
+    let deployment = start(4, 6, &CrashPlan::new("nothing", DOWN)).await?;
+    let before = POISON.send_for(CALM_DURATION, addresses(&deployment)).await;
+    assert!(before.iter().all(Sent::is_served));
+    for host in &deployment.engines {
+        host.engine.crashes().set_plan(Some(plan()));
+    }
+    let (sound, _) = play(&deployment, &[POISON]).await;
+    assert_few_late(&deployment, DEADLY);
+    assert_sound_served(&deployment, DEADLY, &sound);
+    Ok(())
+}
+
 /// Guards against a stream that is carried to the next engine under the part that crashed the last one.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_deadly_part_in_streams_that_may_be_resumed_is_held_back() -> Result<()> {
--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -12,7 +12,7 @@
 use crate::time::Time;
 
 /// Crashes within this time count as one moment.
-pub(crate) const MOMENT: Duration = Duration::from_secs(1);
+const MOMENT: Duration = Duration::from_secs(1);
 
 /// Points of evidence from which a request is refused.
 pub(crate) const REFUSED_FROM: u32 = 3;
@@ -46,6 +46,12 @@
         !self.cleared && now.since(self.crashed_at) < MARK_LIFETIME
     }
 
+    /// Whether it is of a run on trial that was tried for something else. It tells what else may be the cause, and makes
+    /// no suspect.
+    pub(crate) fn is_beside_trial(&self) -> bool {
+        self.exposure == Exposure::Crowd && self.run != 0
+    }
+
     /// The mark as other processes are told of it.
     pub(crate) fn mark(&self, now: Time, fingerprint: Fingerprint) -> CrashMark {
         let age = now.since(self.crashed_at).as_micros();
--- a/lib/src/joint_evidence.rs
+++ b/lib/src/joint_evidence.rs
@@ -4,9 +4,9 @@
 //! alike, while sound requests share their other parts. Evidence by whole requests finds nothing, since each request is
 //! new; evidence by single parts convicts parts that are in flight at every crash.
 //!
-//! A crash on trial counts against a set of suspects if nothing else that was on trial in that run may have caused it. What
-//! has succeeded since may not; neither may a suspect whose crashes are some of those of another suspect of the run, since
-//! the other one explains more. Parts that only ever come together are convicted together: a request with all of them is
+//! A crash on trial counts against a set of suspects if nothing else in that run may have caused it. What has succeeded since
+//! may not; neither may a part that was in flight at some of the crashes of another one in the run and at no other crash,
+//! since that one explains more. Parts that only ever come together are convicted together: a request with all of them is
 //! refused, one with some of them is tried.
 
 use std::time::Duration;
@@ -115,31 +115,23 @@
         evidence
     }
 
-    /// Whether a run on trial crashed its server and nothing but the subjects may be the cause.
+    /// Whether a run on trial crashed its server, and nothing in it but the subjects may be the cause.
     fn is_only_cause(&self, mark: &StoredMark, subjects: &[Fingerprint]) -> bool {
         if mark.exposure != Exposure::Trial {
             return false;
         }
-        let suspects = self.suspects_of_run(mark.crash, mark.run);
-        let mut others = suspects
-            .iter()
-            .filter(|suspect| !subjects.contains(suspect));
-        others.all(|other| {
-            suspects
-                .iter()
-                .any(|suspect| self.explains(*suspect, *other))
-        })
+        let causes = self.causes_in_run(mark.crash, mark.run);
+        let others = causes.iter().filter(|cause| !subjects.contains(cause));
+        let mut others = others.copied();
+        others.all(|other| causes.iter().any(|cause| self.explains(*cause, other)))
     }
 
-    /// Whether all crashes of `other` are some of those of the suspect.
+    /// Whether all crashes under `other`, those that it was excused included, are some of those that count against the
+    /// suspect.
     fn explains(&self, suspect: Fingerprint, other: Fingerprint) -> bool {
-        let crashes = self.open_crashes(suspect);
-        let others = self.open_crashes(other);
-        others.len() < crashes.len() && others.iter().all(|crash| crashes.contains(crash))
-    }
-
-    fn open_crashes(&self, suspect: Fingerprint) -> Vec<CrashId> {
         let open = self.marks(suspect).filter(|mark| !mark.cleared);
-        open.map(|mark| mark.crash).collect()
+        let crashes: Vec<CrashId> = open.map(|mark| mark.crash).collect();
+        let others: Vec<CrashId> = self.marks(other).map(|mark| mark.crash).collect();
+        others.len() < crashes.len() && others.iter().all(|crash| crashes.contains(crash))
     }
 }
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -400,30 +400,19 @@
             .suspects
             .crash_after(&run.subjects, run.crash, run.opened_at);
         let tried = run.trial.map_or(&[][..], |trial| self.own.suspects(trial));
-        let exposures = run.subjects.iter().map(|subject| {
-            let is_tried = tried.contains(subject);
-            let exposure = if is_tried {
-                Exposure::Trial
-            } else {
-                Exposure::Crowd
-            };
-            (*subject, exposure)
+        let marks = run.subjects.iter().map(|subject| CrashMark {
+            fingerprint: *subject,
+            crash,
+            exposure: match tried.contains(subject) {
+                true => Exposure::Trial,
+                false => Exposure::Crowd,
+            },
+            run: run.trial.unwrap_or_default() as u32,
+            cleared: false,
+            age: 0,
         });
-        let exposures: Vec<(Fingerprint, Exposure)> = exposures.collect();
-        let mut marks = Vec::new();
-        for (fingerprint, exposure) in exposures {
-            if exposure == Exposure::Crowd && self.is_excused(fingerprint, now) {
-                continue;
-            }
-            marks.push(CrashMark {
-                fingerprint,
-                crash,
-                exposure,
-                run: run.trial.unwrap_or_default() as u32,
-                cleared: false,
-                age: 0,
-            });
-        }
+        let marks: Vec<CrashMark> = marks.collect();
+        let marks = self.excuse_sound(now, &marks);
         self.suspects.merge(now, &marks);
         (crash, self.verdict(now, &run.subjects))
     }
@@ -459,20 +448,20 @@
     }
 
     /// Records that a server ran the request and lived on. Returns whether something of it was a suspect.
-    pub fn record_success(&mut self, subjects: &[Fingerprint]) -> bool {
+    pub fn record_success(&mut self, now: Time, subjects: &[Fingerprint]) -> bool {
         let before = self.suspects.revision();
         for subject in subjects {
             self.lost.record_success(*subject);
             self.suspects.record_success(*subject);
         }
-        self.record_sound(subjects);
+        self.record_sound(now, subjects);
         self.suspects.revision() != before
     }
 
     /// Records that a server answered on these prompt parts, of which none is a suspect here.
-    pub fn record_sound(&mut self, subjects: &[Fingerprint]) {
+    pub fn record_sound(&mut self, now: Time, subjects: &[Fingerprint]) {
         let parts = subjects.iter().filter(|subject| subject.is_prompt_part());
-        parts.for_each(|part| self.sound.record_success(*part));
+        parts.for_each(|part| self.sound.record_success(now, *part));
     }
 
     /// Takes in what another process tells. Returns whether anything is new.
@@ -481,14 +470,16 @@
         !self.suspects.take_in(now, &marks).is_empty()
     }
 
-    /// Clears the marks of parts that this entry knows to be sound, so that the others hear of it.
+    /// Clears the marks of parts that this entry knows to be sound. Others are told, so that all excuse the same crashes.
     fn excuse_sound(&mut self, now: Time, marks: &[CrashMark]) -> Vec<CrashMark> {
         let excused = marks.iter().map(|mark| {
             let crashed_at = now.before(Duration::from_micros(mark.age));
-            let is_open = mark.exposure == Exposure::Crowd && !mark.cleared;
-            let is_excused = is_open && self.is_excused(mark.fingerprint, crashed_at);
+            let is_sound = self.sound.has_answered_since(mark.fingerprint, crashed_at);
+            // Of a run on trial, nothing is excused: the blame would fall on its other parts.
+            let is_excusable = mark.exposure == Exposure::Crowd && mark.run == 0 && !is_sound;
+            let is_excused = is_excusable && self.is_excused(mark.fingerprint, crashed_at);
             CrashMark {
-                cleared: mark.cleared || is_excused,
+                cleared: mark.cleared || is_sound || is_excused,
                 ..mark.clone()
             }
         });
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -105,7 +105,8 @@
         pub crash: CrashId,
         /// How it ran.
         pub exposure: Exposure,
-        /// Tells runs on trial at the same crash apart. All suspects of one run have the same number.
+        /// Tells runs on trial at the same crash apart: all that one of them consisted of has the same number. Zero if it was
+        /// not on trial.
         pub run: u32,
         /// Whether it has been established that the request did not cause this crash.
         pub cleared: bool,
@@ -131,8 +132,8 @@
 struct Crash {
     crashed_at: Time,
     requests: Vec<Fingerprint>,
-    // The runs on trial, with the suspects of each.
-    trials: Vec<(u32, Fingerprint)>,
+    // The runs on trial, each with all that may be the cause.
+    runs: Vec<(u32, Fingerprint)>,
     // A request among these that is proved to be poison. Not exchanged: each process derives it from the marks.
     cause: Option<Fingerprint>,
 }
@@ -271,6 +272,7 @@
     pub(crate) fn counted(&self, now: Time, fingerprint: Fingerprint) -> Vec<&StoredMark> {
         let evidence = self.marks(fingerprint);
         let mut counted: Vec<&StoredMark> = evidence.filter(|mark| mark.counts(now)).collect();
+        counted.retain(|mark| !fingerprint.is_prompt_part() || !mark.is_beside_trial());
         let is_proved = match fingerprint.is_prompt_part() {
             true => self.proves(now, &[fingerprint]),
             false => is_proof(&counted),
@@ -292,7 +294,7 @@
         };
         match mark.exposure {
             Exposure::Crowd => true,
-            Exposure::Trial => cause.is_prompt_part() && crash.trials.contains(&(mark.run, cause)),
+            Exposure::Trial => cause.is_prompt_part() && crash.runs.contains(&(mark.run, cause)),
             Exposure::Alone | Exposure::Lost => false,
         }
     }
@@ -332,15 +334,17 @@
 
     /// The number of runs that were on trial at a crash and may have caused it.
     fn trials_at(&self, crash: CrashId) -> usize {
-        let trials = self.crashes.get(&crash).map(|c| c.trials.as_slice());
-        let open = trials.into_iter().flatten();
-        let open = open.filter(|(_, suspect)| self.is_open(*suspect, crash));
-        let runs: HashSet<u32> = open.map(|(run, _)| *run).collect();
+        let subjects = self.crashes.get(&crash).map(|c| c.requests.as_slice());
+        let marks = subjects.into_iter().flatten().flat_map(|s| self.marks(*s));
+        let trials = marks.filter(|mark| {
+            mark.crash == crash && mark.exposure == Exposure::Trial && !mark.cleared
+        });
+        let runs: HashSet<u32> = trials.map(|mark| mark.run).collect();
         runs.len()
     }
 
     /// Whether a crash counts against the suspect, as far as it has not been cleared.
-    pub(crate) fn is_open(&self, suspect: Fingerprint, crash: CrashId) -> bool {
+    fn is_open(&self, suspect: Fingerprint, crash: CrashId) -> bool {
         let mut marks = self.marks(suspect);
         marks.any(|mark| mark.crash == crash && !mark.cleared)
     }
@@ -350,13 +354,12 @@
         self.requests.get(&fingerprint).into_iter().flatten()
     }
 
-    /// The suspects that were on trial in one run at a crash and may have caused it.
-    pub(crate) fn suspects_of_run(&self, crash: CrashId, run: u32) -> Vec<Fingerprint> {
-        let trials = self.crashes.get(&crash).map(|c| c.trials.as_slice());
-        let trials = trials.into_iter().flatten();
-        let trials =
-            trials.filter(|(number, suspect)| *number == run && self.is_open(*suspect, crash));
-        trials.map(|(_, suspect)| *suspect).collect()
+    /// What may have caused a crash, of all that a run on trial there consisted of.
+    pub(crate) fn causes_in_run(&self, crash: CrashId, run: u32) -> Vec<Fingerprint> {
+        let runs = self.crashes.get(&crash).map(|c| c.runs.as_slice());
+        let parts = runs.into_iter().flatten();
+        let open = parts.filter(|(number, cause)| *number == run && self.is_open(*cause, crash));
+        open.map(|(_, cause)| *cause).collect()
     }
 
     /// Returns what is known of each request that is not allowed to run beside others: the refused first, then those
@@ -514,13 +517,13 @@
             Crash {
                 crashed_at,
                 requests: Vec::new(),
-                trials: Vec::new(),
+                runs: Vec::new(),
                 cause: None,
             }
         });
         crash.requests.push(mark.fingerprint);
-        if mark.exposure == Exposure::Trial {
-            crash.trials.push((mark.run, mark.fingerprint));
+        if mark.run != 0 {
+            crash.runs.push((mark.run, mark.fingerprint));
         }
     }
 
--- a/lib/tests/prompt_parts.rs
+++ b/lib/tests/prompt_parts.rs
@@ -20,8 +20,7 @@
 const PROOF_TIME: Duration = Duration::from_secs(5);
 const MAX_LATE: usize = 3;
 
-/// How long the fleet serves sound requests alone, and how long deadly ones come beside them, in milliseconds.
-const CALM_MS: u64 = 5_000;
+/// How long deadly requests come, in milliseconds.
 const LENGTH_MS: u64 = 25_000;
 
 const SERVERS: usize = 12;
@@ -40,6 +39,10 @@
     sound_interval_ms: u64,
     // Whether servers have answered on the part before.
     was_sound: bool,
+    // How long sound requests come alone, in milliseconds.
+    calm_ms: u64,
+    // When sound requests begin to come, in milliseconds.
+    sound_from_ms: u64,
 }
 
 const PLAY: Play = Play {
@@ -51,6 +54,8 @@
     interval_ms: 200,
     sound_interval_ms: 50,
     was_sound: false,
+    calm_ms: 5_000,
+    sound_from_ms: 0,
 };
 
 /// What came of it.
@@ -78,10 +83,10 @@
         fleet.net = self.net;
         let mut later = Vec::new();
         let mut request = 0;
-        for ms in 0..CALM_MS + LENGTH_MS {
+        for ms in 0..self.calm_ms + LENGTH_MS {
             let now = begin() + Duration::from_millis(ms);
-            let since = ms.checked_sub(CALM_MS);
-            if ms % self.sound_interval_ms == 0 {
+            let since = ms.checked_sub(self.calm_ms);
+            if ms >= self.sound_from_ms && ms % self.sound_interval_ms == 0 {
                 request += 1;
                 let has_part = self.was_sound && since.is_none();
                 fleet.send(now, &self.subjects(request, has_part), false);
@@ -164,7 +169,7 @@
     for at_once in [6, 20] {
         let play = Play { at_once, ..PLAY };
         let outcome = play.run(at_once as u64);
-        let first = begin() + Duration::from_millis(CALM_MS) + RUN * 3;
+        let first = begin() + Duration::from_millis(PLAY.calm_ms) + RUN * 3;
         let at_once = outcome.fleet.crashes.iter().filter(|at| **at <= first);
         assert!(outcome.crashes() <= at_once.count() + 2, "{play:?}");
         assert_eq!(outcome.late(), 0, "{play:?}");
@@ -183,11 +188,30 @@
             ..PLAY
         };
         let outcome = play.run(entries as u64);
-        assert!(outcome.late() <= MAX_LATE, "{play:?}");
+        assert!(outcome.crashes() <= PROOF + MAX_LATE, "{play:?}");
+        assert_eq!(outcome.late(), 0, "{play:?}");
         assert!(outcome.served() > 0.95, "{play:?} {}", outcome.served());
     }
 }
 
+/// Guards against neighbours of a deadly part that are convicted with it since no server has answered on them before.
+#[test]
+fn parts_that_nobody_knows_yet_are_told_apart() {
+    for entries in [1, 4, 29] {
+        for sound_from_ms in [0, 3_000, 8_000] {
+            let play = Play {
+                entries,
+                sound_from_ms,
+                calm_ms: 0,
+                ..PLAY
+            };
+            let outcome = play.run(entries as u64);
+            assert!(outcome.crashes() <= MAX_CRASHES, "{play:?}");
+            assert!(outcome.served() > 0.99, "{play:?} {}", outcome.served());
+        }
+    }
+}
+
 /// Guards against sound parts that are convicted with a deadly one since they are seldom seen without it.
 #[test]
 fn parts_that_are_seldom_sent_without_the_deadly_one_are_not_convicted() {
--- a/lib/tests/suspects.rs
+++ b/lib/tests/suspects.rs
@@ -217,7 +217,10 @@
         fingerprint,
         crash: CrashId(crash),
         exposure,
-        run: fingerprint.0 as u32,
+        run: match exposure {
+            Exposure::Trial => fingerprint.0 as u32,
+            _ => 0,
+        },
         cleared: false,
         age: 0,
     }
--- a/lib/testutils/src/suspect_fleet.rs
+++ b/lib/testutils/src/suspect_fleet.rs
@@ -243,7 +243,7 @@
                 if copy.is_deadly && until <= now && !is_down {
                     self.crash(now, server);
                 } else if until <= now && !is_down {
-                    entry.record_success(&copy.subjects);
+                    entry.record_success(now, &copy.subjects);
                     self.served.insert(copy.subjects[0]);
                     entry.end_trial(now, copy.trial, false);
                     return Stage::Ended;
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -330,7 +330,9 @@
         if self.poison.has_evidence() || call.trial().is_some() {
             self.clear(call, &call.subjects());
         } else if !call.shared_parts().is_empty() {
-            self.poison.lock().record_sound(call.shared_parts());
+            self.poison
+                .lock()
+                .record_sound(self.now(), call.shared_parts());
         }
     }
 
@@ -344,7 +346,7 @@
     /// Clears subjects of a request, and ends its trial.
     fn clear(&self, call: &Call, subjects: &[Fingerprint]) {
         let mut quarantine = self.poison.lock();
-        if quarantine.record_success(subjects) {
+        if quarantine.record_success(self.now(), subjects) {
             self.poison.announce(&quarantine);
         }
         drop(quarantine);
@@ -376,7 +378,7 @@
     pub fn clear_suspects(&self, fingerprints: &[Fingerprint]) {
         for fingerprint in fingerprints {
             let mut quarantine = self.poison.lock();
-            if quarantine.record_success(&[*fingerprint]) {
+            if quarantine.record_success(self.now(), &[*fingerprint]) {
                 self.poison.announce(&quarantine);
                 tracing::info!(%fingerprint, "poison: cleared by the settings");
             }
