relay: the head of a backend server's answer has a limit, informational answers included

What callers saw: while a server sent one 1xx answer after another without end, requests at the same relay had their answers 3 s after their route's time limit.

Cause: each informational answer is valid, so that the HTTP library goes on parsing as long as bytes are there, on the thread that serves all requests; it bounds one head, not their sequence.

--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -7,6 +7,7 @@
 mod chaos_faults;
 pub mod cluster;
 pub mod deployment;
+pub mod endless;
 pub mod engine;
 mod engine_api;
 pub mod engine_core;
--- a/lib/testutils/src/raw_answer.rs
+++ b/lib/testutils/src/raw_answer.rs
@@ -10,6 +10,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+use crate::endless::Endless;
 use crate::http_server::Body;
 
 /// What marks the end of a body.
@@ -21,6 +22,8 @@
     Chunks,
     /// The end of the connection.
     Close,
+    /// Nothing: the bytes of the answer have no end.
+    Endless(Endless),
 }
 
 /// An answer with a framing of its own. Its connection ends with it.
@@ -59,6 +62,12 @@
     async fn write_all(self, stream: &mut TcpStream) -> io::Result<()> {
         let framing = self.framing;
         let (parts, mut body) = self.response.into_parts();
+        if let BodyFraming::Endless(endless) = framing {
+            let headers = parts.headers.iter();
+            let headers = headers
+                .filter_map(|(name, value)| Some(format!("{name}: {}\r\n", value.to_str().ok()?)));
+            return endless.write(&headers.collect::<String>(), stream).await;
+        }
         let mut head = Vec::new();
         write!(head, "HTTP/1.1 {}\r\n", parts.status)?;
         for (name, value) in &parts.headers {
@@ -72,6 +81,7 @@
             }
             BodyFraming::Chunks => write!(head, "{}: chunked\r\n", header::TRANSFER_ENCODING)?,
             BodyFraming::Close => write!(head, "{}: close\r\n", header::CONNECTION)?,
+            BodyFraming::Endless(_) => {}
         }
         head.extend_from_slice(b"\r\n");
         stream.write_all(&head).await?;
@@ -92,7 +102,9 @@
                         .write_all(&[size.as_bytes(), &data, b"\r\n"].concat())
                         .await?;
                 }
-                BodyFraming::Length(_) | BodyFraming::Close => stream.write_all(&data).await?,
+                BodyFraming::Length(_) | BodyFraming::Close | BodyFraming::Endless(_) => {
+                    stream.write_all(&data).await?
+                }
             }
         }
         if framing == BodyFraming::Chunks {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod event_queue;
 mod exchange;
 mod freeze_recovery;
+mod head_limit;
 mod held_state;
 mod identity;
 mod incarnation_check;
--- a/relay/src/upstream.rs
+++ b/relay/src/upstream.rs
@@ -6,6 +6,9 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +26,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::head_limit::HeadLimited;
+
 /// A second connection attempt starts after this time or three round trips, whichever is longer, in parallel with the
 /// first one: the first one's SYN may be lost, and the kernel retransmits it only after a second.
 const SECOND_ATTEMPT_DELAY: Duration = Duration::from_millis(180);
@@ -67,6 +72,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     connection: Connection,
     opened: Instant,
+    head_ended: Arc<AtomicBool>,
 }
 
 /// Opens a connection to a server at the given round-trip time.
@@ -85,6 +91,8 @@
         Err(_) => return Err(SendError::NotSent("timed out while connecting".into())),
     };
     set_socket_options(&stream).map_err(|error| SendError::NotSent(error.to_string()))?;
+    let head_ended = Arc::new(AtomicBool::new(false));
+    let stream = HeadLimited::new(stream, head_ended.clone());
     let opened = http1::handshake(TokioIo::new(stream)).await;
     let (sender, driver) = opened.map_err(|error| SendError::NotSent(error.to_string()))?;
     let connection = Connection(tokio::spawn(async move {
@@ -96,6 +104,7 @@
         sender,
         connection,
         opened: Instant::now(),
+        head_ended,
     })
 }
 
@@ -145,10 +154,13 @@
     /// Sends the request, and returns when the head of the answer has arrived.
     pub(crate) async fn send(mut self, request: Request<Full<Bytes>>) -> Result<Answer, SendError> {
         match self.sender.send_request(request).await {
-            Ok(response) => Ok(Answer {
-                response,
-                connection: self.connection,
-            }),
+            Ok(response) => {
+                self.head_ended.store(true, Ordering::Relaxed);
+                Ok(Answer {
+                    response,
+                    connection: self.connection,
+                })
+            }
             Err(error) => Err(SendError::Lost(error.to_string())),
         }
     }
