--- a/daemon/tests/relay_one_entry.rs
+++ b/daemon/tests/relay_one_entry.rs
@@ -6,13 +6,12 @@
 
 use cicada_standins::caller::Ask;
 use cicada_standins::caller::Heard;
+use cicada_standins::caller::send_at_interval;
 use cicada_standins::deployment::Deployment;
 use cicada_standins::deployment::KEY;
 use eyre::Result;
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 
 const RELAYS: usize = 8;
 const SERVERS: [&str; 4] = ["a", "a", "a", "a"];
@@ -36,23 +35,13 @@
 
 /// Sends requests to one relay after the other, and returns for each when it was sent and whether it was served.
 async fn send_for(duration: Duration, relays: &[SocketAddr]) -> Vec<(Instant, bool)> {
-    let until = Instant::now() + duration;
-    let mut requests = JoinSet::new();
-    let mut next = Instant::now();
-    for relay in relays.iter().copied().cycle() {
-        if next >= until {
-            break;
-        }
-        requests.spawn(async move {
-            let at = Instant::now();
-            let id = format!("r-{:x}", fastrand::u64(..));
-            let heard = Ask::new("GET", "/slots/7", &id, KEY).send(relay).await;
-            (at, heard.as_ref().is_ok_and(Heard::whole_success))
-        });
-        next += INTERVAL;
-        sleep_until(next).await;
-    }
-    requests.join_all().await
+    send_at_interval(duration, INTERVAL, relays, |relay| async move {
+        let at = Instant::now();
+        let id = format!("r-{:x}", fastrand::u64(..));
+        let heard = Ask::new("GET", "/slots/7", &id, KEY).send(relay).await;
+        (at, heard.as_ref().is_ok_and(Heard::whole_success))
+    })
+    .await
 }
 
 fn served_since(sent: &[(Instant, bool)], since: Instant) -> f64 {
--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -6,6 +6,7 @@
 
 use cicada_standins::caller::Ask;
 use cicada_standins::caller::Heard;
+use cicada_standins::caller::send_at_interval;
 use cicada_standins::crashes::Crash;
 use cicada_standins::crashes::CrashPlan;
 use cicada_standins::deployment::Deployment;
@@ -15,9 +16,7 @@
 use http::StatusCode;
 use testutils::cluster::Signal;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 
 /// Servers in the relays' zone.
 const SERVERS: [&str; 3] = ["a", "a", "a"];
@@ -116,18 +115,7 @@
         relays: Vec<SocketAddr>,
         interval: Duration,
     ) -> Vec<Result<Heard>> {
-        let until = Instant::now() + duration;
-        let mut requests = JoinSet::new();
-        let mut next = Instant::now();
-        for relay in relays.iter().copied().cycle() {
-            if next >= until {
-                break;
-            }
-            requests.spawn(self.send(relay));
-            next += interval;
-            sleep_until(next).await;
-        }
-        requests.join_all().await
+        send_at_interval(duration, interval, &relays, |relay| self.send(relay)).await
     }
 }
 
--- a/daemon/tests/relay_poison_parts.rs
+++ b/daemon/tests/relay_poison_parts.rs
@@ -6,6 +6,7 @@
 
 use cicada_standins::caller::Ask;
 use cicada_standins::caller::Heard;
+use cicada_standins::caller::send_at_interval;
 use cicada_standins::crashes::Crash;
 use cicada_standins::crashes::CrashPlan;
 use cicada_standins::crashes::Moment;
@@ -18,7 +19,6 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::sleep_until;
 
 /// How long an engine that crashed is down.
 const DOWN: Duration = Duration::from_millis(2_000);
@@ -97,22 +97,12 @@
 
     /// Sends requests of which no two are alike, to one relay after the other.
     async fn send_for(self, duration: Duration, relays: Vec<SocketAddr>) -> Vec<Sent> {
-        let until = Instant::now() + duration;
-        let mut requests = JoinSet::new();
-        let mut next = Instant::now();
-        for relay in relays.iter().copied().cycle() {
-            if next >= until {
-                break;
-            }
-            requests.spawn(async move {
-                let at = Instant::now();
-                let heard = self.ask().send(relay).await;
-                Sent { at, heard }
-            });
-            next += self.interval;
-            sleep_until(next).await;
-        }
-        requests.join_all().await
+        send_at_interval(duration, self.interval, &relays, move |relay| async move {
+            let at = Instant::now();
+            let heard = self.ask().send(relay).await;
+            Sent { at, heard }
+        })
+        .await
     }
 }
 
