--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -161,6 +161,10 @@
         avoid: on("avoid"),
         shares: on("shares"),
         ask: on("ask"),
+        handoff: on("handoff"),
+        rescue: on("rescue"),
+        wait: on("wait"),
+        lend: on("lend"),
     }
 }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::entry_shares::EntryShares;
 use crate::fleet_server::Server;
 use crate::ids::Name;
+use crate::migration::event_gaps::EventGaps;
 use crate::round_trips::RoundTrips;
 use crate::routing::ServerKey;
 use crate::server_incarnations::ServerIncarnations;
@@ -267,6 +268,18 @@
         (server.used_tokens(now), age)
     }
 
+    /// The observed event gaps of an engine; `None` without a recent report.
+    pub fn event_gaps(&self, now: Time, key: ServerKey) -> Option<EventGaps> {
+        let report = self.servers.get(key)?.fresh_report(now)?;
+        Some(report.gaps)
+    }
+
+    /// The fraction of the last seconds in which an engine had a prompt to prefill; `None` without a recent report.
+    pub fn prefill_use(&self, now: Time, key: ServerKey) -> Option<f64> {
+        let report = self.servers.get(key)?.fresh_report(now)?;
+        Some(report.prefill_use)
+    }
+
     /// The estimated time for prefill of the prompts already at the engine.
     pub fn prefill_backlog(&self, now: Time, key: ServerKey) -> Duration {
         let server = self.servers.get(key);
--- a/lib/src/fleet_news.rs
+++ b/lib/src/fleet_news.rs
@@ -125,6 +125,8 @@
             requests: load.running + load.queued,
             failure_rate: f64::from(load.failure_percent) / 100.0,
             interval: Duration::from_millis(u64::from(load.interval_ms)),
+            gaps: load.gaps,
+            prefill_use: f64::from(load.prefill_percent.min(100)) / 100.0,
         });
         server
             .cold
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -9,6 +9,7 @@
 use crate::busy_limit::BusyLimit;
 use crate::cold_start::ColdState;
 use crate::ids::Name;
+use crate::migration::event_gaps::EventGaps;
 use crate::prefill_rate;
 use crate::residency::ANY_REGION;
 use crate::residency::AllowedRegions;
@@ -186,6 +187,9 @@
     pub(crate) failure_rate: f64,
     // The interval between reports while the load changes.
     pub(crate) interval: Duration,
+    pub(crate) gaps: EventGaps,
+    // The fraction of the last seconds in which it had a prompt to prefill, 0 to 1.
+    pub(crate) prefill_use: f64,
 }
 
 /// A request that was sent too recently to be included in a report.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -79,6 +79,7 @@
 pub mod lost_answers;
 pub mod membership;
 pub mod memory_plan;
+pub mod migration;
 pub mod move_plan;
 pub mod order;
 pub mod orders;
--- /dev/null
+++ b/lib/src/migration/mod.rs
@@ -0,0 +1,7 @@
+//! Migration of running generations between engines for other reasons than an engine's departure.
+//!
+//! Load pattern: engines of uneven speed prefill long prompts between the tokens of the runs that they generate. A run
+//! at a slow engine then exceeds the longest gap between two events that its route allows, although another engine
+//! would have kept it.
+
+pub mod event_gaps;
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -8,6 +8,7 @@
 use thiserror::Error;
 
 use crate::ids::Name;
+use crate::migration::event_gaps::EventGaps;
 use crate::recent_rejections::RejectionNotice;
 use crate::revision::Revision;
 use crate::server_leaving::LeavingReport;
@@ -60,6 +61,10 @@
         pub leaves: Option<u32>,
         /// Milliseconds between two reports to the same subscriber while the load changes.
         pub interval_ms: u32,
+        /// Observed gaps between the events of its runs.
+        pub gaps: EventGaps,
+        /// Percentage of the last seconds in which it had a prompt to prefill.
+        pub prefill_percent: u8,
     }
 
     /// A scout's report of its engine's load.
--- a/relay/src/relay_settings.rs
+++ b/relay/src/relay_settings.rs
@@ -58,4 +58,12 @@
     pub shares: bool,
     /// Probe scouts for the load of their engines if reports arrive too seldom.
     pub ask: bool,
+    /// Prefill long prompts at some engines of each zone, and generate at others.
+    pub handoff: bool,
+    /// Move runs off engines where they would exceed the longest gap that their route allows.
+    pub rescue: bool,
+    /// Let streams wait for room where their route's objective allows it.
+    pub wait: bool,
+    /// Lend unused parts of servers' request limits to other relays.
+    pub lend: bool,
 }
