migration: the risk of a run to exceed the longest gap

Relays will decide by it which runs move and which engines prefill; nothing calls it yet, so callers see no change. Cause: the mean gap of an engine does not tell how often a run of many events meets one over its route's limit.

--- a/lib/src/migration/mod.rs
+++ b/lib/src/migration/mod.rs
@@ -5,3 +5,4 @@
 //! would have kept it.
 
 pub mod event_gaps;
+pub mod pause_risk;
