cli: tables of first events and longest gaps from relays' logs

Operators saw single lines of a stream, and no way to tell whether prompts at an engine cost the runs there their gaps. Change: `cicada log-tables [FILE]` reads `stream: placed` and `stream: ended` of relays' JSON logs, and prints the time to the first event by prefill queued ahead and the longest gap by prompts placed at the run's engine meanwhile, as text or JSON. A log without such lines is an error with exit code 2.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -15,10 +15,21 @@
 pub(crate) enum Args {
     /// Print a text and end.
     Text(String),
+    /// Print tables from relays' logs.
+    LogTables(LogTablesArgs),
     /// Run statements.
     Run(Box<Run>),
 }
 
+/// What `log-tables` reads and prints.
+#[derive(Debug)]
+pub(crate) struct LogTablesArgs {
+    /// The file; `None` for standard input.
+    pub(crate) file: Option<PathBuf>,
+    /// Whether to print JSON.
+    pub(crate) json: bool,
+}
+
 /// How statements are run.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Run {
@@ -53,6 +64,9 @@
     pub(crate) value: String,
 }
 
+// The command that reads a log and needs no platform.
+const LOG_TABLES: &str = "log-tables";
+
 // A flag and the setting that it overrides.
 const SETTING_FLAGS: [(&str, &str, &str); 5] = [
     ("platform", "platform", "address"),
@@ -108,6 +122,9 @@
         let text = "statements are given twice, by --file and as words";
         return Err(Error::Usage(text.to_owned()));
     }
+    if matches.free.first().is_some_and(|word| word == LOG_TABLES) {
+        return log_tables(&matches);
+    }
     Ok(Args::Run(Box::new(Run {
         config: matches.opt_str("config").map(PathBuf::from),
         flags: flags(&matches),
@@ -121,6 +138,21 @@
     })))
 }
 
+fn log_tables(matches: &Matches) -> Result<Args> {
+    let file = match &matches.free[1..] {
+        [] => None,
+        [file] => Some(PathBuf::from(file)),
+        _ => {
+            let text = format!("{LOG_TABLES} takes one file; join several with `cat`");
+            return Err(Error::Usage(text));
+        }
+    };
+    Ok(Args::LogTables(LogTablesArgs {
+        file,
+        json: matches.opt_present("json"),
+    }))
+}
+
 fn flags(matches: &Matches) -> Vec<Flag> {
     let flag = |(name, section, key): &(&str, &'static str, &'static str)| {
         let value = matches.opt_str(name)?;
@@ -142,9 +174,11 @@
 }
 
 fn help(options: &Options) -> String {
-    let brief = "Usage: cicada [OPTIONS] STATEMENT...\n\n\
+    let brief = "Usage: cicada [OPTIONS] STATEMENT...\n       \
+        cicada [--json] log-tables [FILE]\n\n\
         Runs statements given as words, in a file (-f), or on standard input.\n\
-        `cicada help` lists the statements.";
+        `cicada help` lists the statements. `log-tables` reads relays' logs in JSON and prints\n\
+        the time to the first event and the longest gap by what engines had to prefill.";
     let codes = "\nExit codes: 0 done, 1 internal, 2 arguments or settings, 3 statement, \
         4 not valid,\n5 somebody was first, 6 platform, nothing changed, 7 not known whether it \
         changed,\n8 not permitted, 9 committed but not yet everywhere, 10 configuration unusable";
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -48,6 +48,11 @@
     /// A file cannot be read.
     #[error("{0}: {1}\nHint: see that the file is there and may be read")]
     File(String, io::Error),
+    /// A log lacks the lines that are asked for.
+    #[error(
+        "{0}: there is no line '{1}' in JSON\nHint: give the log of a relay with `[log] format = json` and level info"
+    )]
+    Log(String, &'static str),
     /// The runtime cannot be started.
     #[error("the tool cannot start: {0}\nHint: see the host's limits")]
     Runtime(io::Error),
@@ -58,7 +63,7 @@
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
             Error::Runtime(_) => 1,
-            Error::Usage(_) | Error::Settings(_) | Error::File(..) => 2,
+            Error::Usage(_) | Error::Settings(_) | Error::File(..) | Error::Log(..) => 2,
             Error::Query(..) => 3,
             Error::Invalid(_) => 4,
             Error::LostRace(_) => 5,
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,8 +8,11 @@
 mod cmd_collect;
 mod cmd_explain;
 mod cmd_help;
+mod cmd_log_tables;
 mod cmd_show;
 mod error;
+mod log_lines;
+mod log_tables;
 mod output;
 mod script;
 mod session;
@@ -42,6 +45,7 @@
             println!("{text}");
             Ok(())
         }
+        Args::LogTables(args) => cmd_log_tables::run(&args),
         Args::Run(run) => {
             let settings = settings::read(&run)?;
             let source = script::source(&run)?;
