admission: streams with slack wait at the relay for capacity

A retry finds whatever is free at that moment, however much was free meanwhile.

A stream that is rejected for memory, prefill or slots at its first choice now waits at the relay, where its route's objective is 500 ms or more over the tightest objective of the service's streaming routes. It waits for that slack at most, less its own prefill and the time since its first attempt, and only if the rate at which waiting and returning requests were placed lately serves it in that time; otherwise it is rejected at once as before. The waiting requests take turns: the first one looks for capacity when a report arrives, a run of this relay ends, or every 300 ms. It probes engines whose latest report shows capacity, of all zones of the region or else of other regions. New requests of the same or a less urgent kind do not overtake it. Route, key and regions are checked again before it is sent; a drain, a caller that leaves and the loss of all engines end the wait at once. Routes without that slack, and relays with wait = off, work as before.

What a deployment gains is not measured yet.

--- a/lib/src/admission/mod.rs
+++ b/lib/src/admission/mod.rs
@@ -1,4 +1,5 @@
-//! Admission to an agent's queue, and `Retry-After` times for rejected requests.
+//! Admission to an agent's queue, and `Retry-After` times for rejected requests. [`wait_line`] holds the streams that wait
+//! at a relay.
 //!
 //! Load pattern: more work arrives than the engine can do, in bursts or for hours. An unbounded queue
 //! grows until every answer arrives after its caller has gone, and the engine's work is wasted.
@@ -10,6 +11,10 @@
 
 use crate::time::Time;
 
+mod placement_rate;
+pub mod room_search;
+pub mod wait_line;
+
 /// Window over which the drain rate is measured: about 25 engine steps.
 const WINDOW: Duration = Duration::from_secs(1);
 
--- a/lib/src/route_table.rs
+++ b/lib/src/route_table.rs
@@ -36,6 +36,15 @@
     BadKey,
 }
 
+/// Why an admitted request may not be sent under a later configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmissionChange {
+    /// It would be denied.
+    Denied(Denied),
+    /// Its route no longer leads to its service.
+    Rerouted,
+}
+
 /// The route and workspace of an admitted request.
 #[derive(Clone, Debug)]
 pub struct Admitted {
@@ -108,6 +117,38 @@
         priorities.len() as u32
     }
 
+    /// Returns the tightest objective for the first event among the streaming routes to the service.
+    pub fn tightest_objective(&self, service: &Name) -> Option<Duration> {
+        let streaming = self.config.routes.iter().filter(|route| {
+            let uses_service = route.shares.iter().any(|share| &share.service == service);
+            uses_service && route.kind == CallKind::Streaming
+        });
+        streaming.map(|route| route.objective).min()
+    }
+
+    /// Checks that an earlier admitted request may still be sent: its route is there and leads to the service, and its
+    /// key still belongs to its workspace.
+    pub fn check_again(
+        &self,
+        admitted: &Admitted,
+        service: &Name,
+        key: Option<&str>,
+    ) -> Result<(), AdmissionChange> {
+        if admitted.version == self.config.version {
+            return Ok(());
+        }
+        let mut routes = self.config.routes.iter();
+        let route = routes.find(|route| route.name == admitted.route.name);
+        let route = route.ok_or(AdmissionChange::Denied(Denied::NoRoute))?;
+        let workspace = self.workspace(route, key);
+        let workspace = workspace.map_err(AdmissionChange::Denied)?;
+        if workspace.map(|w| &w.name) != admitted.workspace.as_ref() {
+            return Err(AdmissionChange::Denied(Denied::BadKey));
+        }
+        let leads_there = route.shares.iter().any(|share| &share.service == service);
+        leads_there.then_some(()).ok_or(AdmissionChange::Rerouted)
+    }
+
     /// Finds the route and workspace of a request. `host` may include a port; `path` has no query.
     pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Result<Admitted, Denied> {
         let route = self.route(host, path).ok_or(Denied::NoRoute)?;
--- a/lib/src/stream_admission.rs
+++ b/lib/src/stream_admission.rs
@@ -89,6 +89,8 @@
         Prefill,
         /// All slots of the engine are in use.
         Slots,
+        /// Other streams wait for capacity already.
+        Line,
     }
 }
 
@@ -99,6 +101,7 @@
             Bottleneck::Memory => "memory",
             Bottleneck::Prefill => "reading",
             Bottleneck::Slots => "slots",
+            Bottleneck::Line => "line",
         }
     }
 }
--- a/lib/tests/route_table.rs
+++ b/lib/tests/route_table.rs
@@ -5,6 +5,7 @@
 
 use cicada_lib::ids::Name;
 use cicada_lib::residency::AllowedRegions;
+use cicada_lib::route_table::AdmissionChange;
 use cicada_lib::route_table::Denied;
 use cicada_lib::route_table::RouteTable;
 use cicada_lib::route_table::pick_service;
@@ -148,3 +149,60 @@
     assert_eq!(time_limit(&route, Some(secs(9))), secs(2));
     assert_eq!(time_limit(&route, None), secs(2));
 }
+
+/// Guards against a request that is sent after the configuration has dropped its route, its key or its service.
+#[test]
+fn an_admitted_request_is_checked_against_a_later_configuration() -> Result<(), Denied> {
+    let table = table();
+    let admitted = table.admit("rites.example", "/slots/3", Some("key-1"))?;
+    let check = |change: &dyn Fn(&mut SiteConfig)| {
+        let mut config = SiteConfig::clone(table.config());
+        config.version += 1;
+        change(&mut config);
+        let later = RouteTable::new(Arc::new(config));
+        later.check_again(&admitted, &Name::new("booking"), Some("key-1"))
+    };
+    let denied = |why| Err(AdmissionChange::Denied(why));
+    assert_eq!(check(&|_| {}), Ok(()));
+    assert_eq!(
+        check(&|config| {
+            config.routes.remove(1);
+        }),
+        denied(Denied::NoRoute)
+    );
+    assert_eq!(
+        check(&|config| config.workspaces[0].keys.clear()),
+        denied(Denied::BadKey)
+    );
+    let moved = check(&|config| {
+        let key = config.workspaces[0].keys.remove(0);
+        config.workspaces[1].keys.push(key);
+    });
+    assert_eq!(moved, denied(Denied::BadKey));
+    let rerouted = check(&|config| config.routes[1].shares = vec![share("vestry", 1)]);
+    assert_eq!(rerouted, Err(AdmissionChange::Rerouted));
+    Ok(())
+}
+
+/// Guards against slack that is counted over the objective of a plain route, or of a route to another service.
+#[test]
+fn the_tightest_objective_is_that_of_the_streaming_routes_to_the_service() {
+    let streaming = |name, objective, service| Route {
+        kind: CallKind::Streaming,
+        objective: Duration::from_millis(objective),
+        shares: vec![share(service, 1)],
+        ..route(name, "/", false)
+    };
+    let table = RouteTable::new(Arc::new(SiteConfig {
+        routes: vec![
+            streaming("drafts", 4_000, "llm"),
+            streaming("checks", 1_500, "llm"),
+            streaming("others", 900, "small"),
+            route("plain", "/plain/", false),
+        ],
+        ..SiteConfig::default()
+    }));
+    let tightest = |service| table.tightest_objective(&Name::new(service));
+    assert_eq!(tightest("llm"), Some(Duration::from_millis(1_500)));
+    assert_eq!(tightest("booking"), None);
+}
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -3,13 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cicada_lib::admission::room_search::RoomSearch;
 use cicada_lib::fleet::Exclusion;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::PlacementRequest;
+use cicada_lib::residency::AllowedRegions;
 use cicada_lib::retry_after::RejectionCause;
 use cicada_lib::routing::ServerKey;
 use cicada_lib::stream_admission::AdmissionError;
 use cicada_lib::stream_admission::AdmissionRequest;
+use cicada_lib::stream_admission::Bottleneck;
+use cicada_lib::stream_admission::Rejection;
 
 use crate::choice;
 use crate::exchange::Call;
@@ -17,6 +21,7 @@
 use crate::relay::Relay;
 use crate::retries::RetryCause;
 use crate::send::NoAnswer;
+use crate::wait_room::Try;
 
 /// Maximum number of servers chosen for one request, since each unreachable one costs the caller time.
 const MAX_SERVERS_CHOSEN: usize = 4;
@@ -49,6 +54,22 @@
     exclusion_wait: Option<(Exclusion, Duration)>,
 }
 
+fn placement_request<'a>(
+    relay: &Relay,
+    call: &'a Call,
+    tokens: u64,
+    regions: &'a AllowedRegions,
+    tried: &'a [ServerKey],
+) -> PlacementRequest<'a> {
+    let table = relay.table();
+    PlacementRequest {
+        tried,
+        regions,
+        rank: table.count_higher_priorities(&call.service, &call.admitted.route),
+        ..PlacementRequest::new(&call.service, u64::from(call.head.prompt), tokens)
+    }
+}
+
 impl Attempts {
     /// Creates a record without sends.
     pub(crate) fn new() -> Self {
@@ -115,32 +136,75 @@
         }
         self.servers_chosen += 1;
         let avoided: Vec<ServerKey> = self.tried.iter().chain(&self.failed).copied().collect();
+        let tried = self.tried.clone();
         let regions = relay.table().regions_now(&call.admitted);
-        let prompt = u64::from(call.head.prompt);
-        let table = relay.table();
-        let rank = table.count_higher_priorities(&call.service, &call.admitted.route);
-        let request = |tried| PlacementRequest {
-            tried,
-            regions: &regions,
-            rank,
-            ..PlacementRequest::new(&call.service, prompt, tokens)
-        };
+        let request = |tried| placement_request(relay, call, tokens, &regions, tried);
         let id = call.head.id.as_ref();
         let result = match choice::place(relay, id, &request(&avoided), &call.spec, admission).await
         {
             Err(AdmissionError::NoServer(_)) => {
-                choice::place(relay, id, &request(&self.tried), &call.spec, admission).await
+                choice::place(relay, id, &request(&tried), &call.spec, admission).await
             }
             result => result,
         };
+        self.record_choice(relay, call, &request(&tried), result)
+    }
+
+    /// Looks for a server for a request that waits for capacity, at its `turn`. Returns `None` without probing scouts if
+    /// no report shows capacity and none are to be probed.
+    pub(crate) async fn place_waiting(
+        &mut self,
+        relay: &Arc<Relay>,
+        call: &Call,
+        tokens: u64,
+        admission: &AdmissionRequest,
+        turn: &Try,
+    ) -> Option<Result<PlacedRequest, AdmissionError>> {
+        let regions = relay.table().regions_now(&call.admitted);
+        let tried = self.tried.clone();
+        let request = placement_request(relay, call, tokens, &regions, &tried);
+        let now = relay.now();
+        let search = RoomSearch::new(&relay.fleet(), now, &request, &call.spec, admission);
+        if !search.has_room() && !search.is_empty() && !turn.must_probe {
+            return None;
+        }
+        let targets = search.probe_targets(&turn.freed, &mut fastrand::Rng::new());
+        let id = call.head.id.as_ref();
+        let result =
+            choice::place_among(relay, id, &request, &call.spec, admission, &targets).await;
+        Some(self.record_choice(relay, call, &request, result))
+    }
+
+    /// The load that the request would meet at the server that would serve it best; `None` if no server is eligible.
+    pub(crate) fn outlook(&self, relay: &Relay, call: &Call, tokens: u64) -> Option<Rejection> {
+        let regions = relay.table().regions_now(&call.admitted);
+        let request = placement_request(relay, call, tokens, &regions, &self.tried);
+        let now = relay.now();
+        let fleet = relay.fleet();
+        let server = fleet.choose(now, &request, &call.spec).ok()?;
+        let expected_load = fleet.expected_load(now, server, &request, &call.spec);
+        Some(Rejection {
+            bottleneck: Bottleneck::Line,
+            server,
+            expected_load,
+        })
+    }
+
+    fn record_choice(
+        &mut self,
+        relay: &Arc<Relay>,
+        call: &Call,
+        request: &PlacementRequest<'_>,
+        result: Result<PlacedRequest, AdmissionError>,
+    ) -> Result<PlacedRequest, AdmissionError> {
         if let Err(AdmissionError::NoServer(why)) = &result {
             self.no_server_reason = Some(*why);
-            let (now, request) = (relay.now(), request(&self.tried));
-            self.exclusion_wait = relay.fleet().exclusion_wait(now, &request, &call.spec);
+            let now = relay.now();
+            self.exclusion_wait = relay.fleet().exclusion_wait(now, request, &call.spec);
         }
         let placed = result?;
-        if tokens > 0 {
-            relay.announce_sent(&placed, id);
+        if request.tokens > 0 {
+            relay.announce_sent(&placed, call.head.id.as_ref());
         }
         Ok(placed)
     }
--- a/relay/src/choice.rs
+++ b/relay/src/choice.rs
@@ -65,6 +65,36 @@
     }
 }
 
+/// Places a request that waits for capacity. Probes only the scouts of the `targets`, in one round, since the request
+/// is tried again.
+pub(crate) async fn place_among(
+    relay: &Arc<Relay>,
+    id: Option<&Name>,
+    request: &PlacementRequest<'_>,
+    spec: &ServiceSpec,
+    admission: &AdmissionRequest,
+    targets: &[ServerKey],
+) -> Result<PlacedRequest, AdmissionError> {
+    let Some(id) = id.filter(|_| should_probe(relay, request)) else {
+        return relay.place(request, spec, Some(admission));
+    };
+    let answered = probe(relay, id, request, targets).await;
+    let among = match answered.is_empty() {
+        true => targets,
+        false => &answered,
+    };
+    let near = PlacementRequest {
+        among: Some(among),
+        ..request.clone()
+    };
+    match relay.place(&near, spec, Some(admission)) {
+        Ok(placed) => Ok(placed.with_probe_counts(targets.len(), answered.len())),
+        // All of them are gone; others may still be there.
+        Err(AdmissionError::NoServer(_)) => relay.place(request, spec, Some(admission)),
+        rejected => rejected,
+    }
+}
+
 /// Whether scouts are probed before the request is placed.
 fn should_probe(relay: &Relay, request: &PlacementRequest<'_>) -> bool {
     let may_probe = relay.policy().ask && request.prompt > 0;
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -50,6 +50,8 @@
 mod stream_run;
 mod suspect_net;
 mod upstream;
+mod wait_room;
+mod waiting;
 mod whole_body;
 mod zone_probes;
 
--- a/relay/src/placed_request.rs
+++ b/relay/src/placed_request.rs
@@ -183,5 +183,8 @@
     fn drop(&mut self) {
         self.record_first_event();
         self.relay.fleet().record_ended(self.key, self.tokens);
+        if self.tokens > 0 {
+            self.relay.wait_room().record_freed(self.key);
+        }
     }
 }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -51,6 +51,7 @@
 use crate::relay_settings::Policy;
 use crate::relay_settings::RelaySettings;
 use crate::relay_settings::ReloadableSettings;
+use crate::wait_room::WaitRoom;
 
 /// Capacity of each queue of messages to other processes.
 const MESSAGE_QUEUE_LEN: usize = 256;
@@ -128,6 +129,8 @@
     // Incremented when the list of servers, or what is known of servers that leave, changes.
     pub(crate) leaving_changes: watch::Sender<u64>,
     pub(crate) moved_runs: MovedRuns,
+    // Streams that wait for capacity.
+    pub(crate) wait_room: Arc<WaitRoom>,
     pub(crate) poison: Poison,
     pub(crate) peers: Mutex<RelayPeers>,
     // The watchers of this relay's region.
@@ -203,6 +206,7 @@
             draining: Mutex::new(None),
             leaving_changes: watch::Sender::new(0),
             moved_runs: MovedRuns::new(),
+            wait_room: WaitRoom::new(clock),
             poison,
             peers: Mutex::default(),
             election: Mutex::default(),
@@ -252,6 +256,11 @@
         &self.moved_runs
     }
 
+    /// The streams that wait for capacity.
+    pub(crate) fn wait_room(&self) -> &Arc<WaitRoom> {
+        &self.wait_room
+    }
+
     /// Applies changed settings.
     pub fn apply_reloaded(&self, reloadable: ReloadableSettings) {
         self.reloadable.store(Arc::new(reloadable));
@@ -387,6 +396,8 @@
     pub(crate) fn set_draining(&self) {
         let mut drain_start = lock(&self.draining);
         drain_start.get_or_insert_with(Instant::now);
+        drop(drain_start);
+        self.wait_room.wake_all();
     }
 
     pub(crate) fn open_requests(&self) -> i64 {
@@ -416,5 +427,6 @@
     /// Notifies running streams that the list of servers, or what is known of servers that leave, has changed.
     pub(crate) fn notify_leaving(&self) {
         self.leaving_changes.send_modify(|count| *count += 1);
+        self.wait_room.record_sign();
     }
 }
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -41,8 +41,10 @@
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
     rests: IntCounter,
+    waits: IntCounterVec,
     first_response_time: Histogram,
     move_gap: Histogram,
+    wait_time: Histogram,
 }
 
 // Histogram buckets in seconds, from one decoding step of an engine to far beyond what callers wait.
@@ -159,11 +161,20 @@
                 "relay_rests_total",
                 "Refusals by backend servers that asked this relay for rest",
             )?,
+            waits: counter(
+                "relay_waits_total",
+                "Streams that waited for capacity, or were refused that, by what became of them",
+                "outcome",
+            )?,
             first_response_time: histogram(
                 "relay_first_seconds",
                 "Time to the first event or the answer",
             )?,
             move_gap: histogram("relay_move_gap_seconds", "Pause of a stream by a move")?,
+            wait_time: histogram(
+                "relay_wait_seconds",
+                "Time that streams waited for capacity, however their wait ended",
+            )?,
         };
         registry.register(Box::new(metrics.answers.clone()))?;
         registry.register(Box::new(metrics.body_ends.clone()))?;
@@ -191,6 +202,8 @@
         registry.register(Box::new(metrics.held_bytes.clone()))?;
         registry.register(Box::new(metrics.first_response_time.clone()))?;
         registry.register(Box::new(metrics.move_gap.clone()))?;
+        registry.register(Box::new(metrics.waits.clone()))?;
+        registry.register(Box::new(metrics.wait_time.clone()))?;
         Ok(metrics)
     }
 
@@ -295,6 +308,15 @@
         self.move_gap.observe(time.as_secs_f64());
     }
 
+    /// Counts what became of a stream that was to wait for capacity.
+    pub(crate) fn count_wait(&self, outcome: &str) {
+        self.waits.with_label_values(&[outcome]).inc();
+    }
+
+    pub(crate) fn observe_wait(&self, time: Duration) {
+        self.wait_time.observe(time.as_secs_f64());
+    }
+
     /// Counts a server that is leaving by the source that told so first.
     pub(crate) fn count_leaving(&self, source: &str) {
         self.leaving.with_label_values(&[source]).inc();
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -13,7 +13,6 @@
 use cicada_lib::retry_after;
 use cicada_lib::retry_after::RejectionCause;
 use cicada_lib::stream_admission;
-use cicada_lib::stream_admission::AdmissionError;
 use cicada_lib::stream_admission::AdmissionRequest;
 use http::Response;
 use http::response::Parts;
@@ -35,6 +34,8 @@
 use crate::send::build_own_answer;
 use crate::send::send;
 use crate::stream_run::Run;
+use crate::waiting;
+use crate::waiting::Unplaced;
 
 /// A drain is in its early phase while more than this fraction of the grace period is left.
 const EARLY_DRAIN_FRACTION: f64 = 0.7;
@@ -72,16 +73,13 @@
             refusal = Some(why);
             break;
         }
-        let admission_check = relay.policy().refuse.then_some(&admission);
-        let placed = match attempts.place(relay, &call, tokens, admission_check).await {
+        let placed = match waiting::place(relay, &call, &mut attempts, tokens, &admission).await {
             Ok(placed) => {
                 relay.record_usage(&call.service, call.admitted.workspace.as_ref(), tokens);
                 placed
             }
-            Err(AdmissionError::Rejected(rejection)) if attempts.sends() == 0 => {
-                return reject(relay, &call, &admission, &rejection);
-            }
-            Err(_) => break,
+            Err(Unplaced::Answer(response)) => return response,
+            Err(Unplaced::NoServer) => break,
         };
         tracing::info!(
             id = call.id(),
@@ -163,14 +161,14 @@
     }
 }
 
-/// Rejects a request at once because the engines are overloaded.
-fn reject(
+/// Rejects a request because the engines are overloaded. Its caller is to retry after `pause`.
+pub(crate) fn reject(
     relay: &Relay,
     call: &Call,
     admission: &AdmissionRequest,
     rejection: &stream_admission::Rejection,
+    pause: Duration,
 ) -> Response<ResponseBody> {
-    let pause = relay.retry_delay(&call.service, admission, call.time_left());
     let now = relay.now();
     relay
         .recent_rejections()
