quarantine: a crash beside a request as suspect pauses no trial

Seen by callers: a request that crashes nothing was refused for 60 s (503, `reason=suspect`) since a server crashed under it on trial.

Cause, found by printing the marks and the true cause at each wrong refusal: once one of several poison requests is proved, the only crash of others is explained by it, and all entries let these run beside other requests again. Their copies crash servers under sound suspects on trial there. The pause looked only for others on trial at that crash and for a proved cause, and that one is proved only later or, with one crash on trial, never.

The pause now also needs that no other request which ran at that server has two points of evidence or more, as many as the one on trial. Crashes that others explain count there. A bystander at the crashes of one moment has one point and ends no pause. It is decided in `trial_pause.rs`.

51 tests of poison, suspects, quarantine, trials and prompt parts pass.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -128,6 +128,7 @@
 pub mod suspects;
 pub mod time;
 pub mod transcript;
+pub mod trial_pause;
 pub mod watch_election;
 pub mod wire;
 pub mod workspace_usage;
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -53,10 +53,6 @@
 /// in 64 crashes within a lifetime; at about 100 bytes each, they take less than 2 MB.
 pub const MAX_MARKS: usize = 16_384;
 
-/// Time after a crash on trial until the next trial of the same request. Most such requests are poison, and each further
-/// trial of one takes a server with all that runs there.
-pub const TRIAL_BACKOFF: Duration = Duration::from_secs(60);
-
 copy_type! {
     /// Identifies one crash of one backend server.
     pub struct CrashId(pub u64);
@@ -306,41 +302,16 @@
         (verdict(&counted) == Verdict::Refuse).then(|| MARK_LIFETIME - now.since(oldest))
     }
 
-    /// Returns how long the request must not be tried again, if a server has just crashed under it on trial.
-    pub fn paused_for(&self, now: Time, fingerprint: Fingerprint) -> Option<Duration> {
-        let counted = self.counted(now, fingerprint).into_iter();
-        let trials = counted.filter(|m| m.exposure == Exposure::Trial);
-        let latest = trials.max_by_key(|mark| mark.crashed_at)?;
-        self.pause_after(now, latest, &[fingerprint])
-    }
-
-    /// How long what crashed a server on trial must not be tried again. No time if another suspect was on trial there, or
-    /// something else is proved to be the cause.
-    pub(crate) fn pause_after(
-        &self,
-        now: Time,
-        latest: &StoredMark,
-        subjects: &[Fingerprint],
-    ) -> Option<Duration> {
-        let cause = self.crashes.get(&latest.crash).and_then(|c| c.cause);
-        let has_other_cause = cause.is_some_and(|cause| !subjects.contains(&cause));
-        if self.trials_at(latest.crash) > 1 || has_other_cause {
-            return None;
-        }
-        TRIAL_BACKOFF
-            .checked_sub(now.since(latest.crashed_at))
-            .filter(|left| !left.is_zero())
+    /// Whether something besides these subjects is proved to have caused the crash.
+    pub(crate) fn has_other_cause(&self, crash: CrashId, subjects: &[Fingerprint]) -> bool {
+        let cause = self.crashes.get(&crash).and_then(|c| c.cause);
+        cause.is_some_and(|cause| !subjects.contains(&cause))
     }
 
-    /// The number of runs that were on trial at a crash and may have caused it.
-    fn trials_at(&self, crash: CrashId) -> usize {
-        let subjects = self.crashes.get(&crash).map(|c| c.requests.as_slice());
-        let marks = subjects.into_iter().flatten().flat_map(|s| self.marks(*s));
-        let trials = marks.filter(|mark| {
-            mark.crash == crash && mark.exposure == Exposure::Trial && !mark.cleared
-        });
-        let runs: HashSet<u32> = trials.map(|mark| mark.run).collect();
-        runs.len()
+    /// The requests and prompt parts that were in flight at a crash, those that did not cause it included.
+    pub(crate) fn in_flight_at(&self, crash: CrashId) -> &[Fingerprint] {
+        let crash = self.crashes.get(&crash);
+        crash.map_or(&[], |crash| crash.requests.as_slice())
     }
 
     /// Whether a crash counts against the suspect, as far as it has not been cleared.
--- a/lib/tests/suspects.rs
+++ b/lib/tests/suspects.rs
@@ -11,9 +11,9 @@
 use cicada_lib::suspects::MAX_MARKS;
 use cicada_lib::suspects::News;
 use cicada_lib::suspects::Suspects;
-use cicada_lib::suspects::TRIAL_BACKOFF;
 use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Time;
+use cicada_lib::trial_pause::TRIAL_BACKOFF;
 use quickcheck::QuickCheck;
 
 const POISON: Fingerprint = Fingerprint(1);
@@ -368,6 +368,42 @@
     assert_eq!(suspects.verdict(now, bystander), Verdict::Isolate);
 }
 
+/// Guards against a sound request that waits for a minute since a poison request, let go when another one was proved to be
+/// the cause of its first crash, crashed the server of its trial.
+#[test]
+fn a_crash_beside_a_request_as_suspect_delays_no_trial() {
+    let (sound, rival) = (Fingerprint(2), Fingerprint(3));
+    let (begun, now) = (Time::from_millis(1), Time::from_millis(10_000));
+    let mut suspects = Suspects::new();
+    suspects.merge(begun, &[mark(rival, 1, Exposure::Crowd)]);
+    suspects.merge(now, &[mark(sound, 2, Exposure::Crowd)]);
+    suspects.merge(now, &[mark(sound, 3, Exposure::Trial)]);
+    assert_eq!(suspects.paused_for(now, sound), Some(TRIAL_BACKOFF));
+    suspects.merge(now, &[mark(rival, 3, Exposure::Crowd)]);
+    assert_eq!(suspects.paused_for(now, sound), None);
+    // The server of its trial was not that of the rival's last crash.
+    let elsewhere = Fingerprint(4);
+    suspects.merge(now, &[mark(elsewhere, 4, Exposure::Trial)]);
+    suspects.merge(now, &[mark(rival, 5, Exposure::Crowd)]);
+    assert_eq!(suspects.paused_for(now, elsewhere), Some(TRIAL_BACKOFF));
+    suspects.record_success(rival);
+    assert_eq!(suspects.paused_for(now, sound), Some(TRIAL_BACKOFF));
+}
+
+/// Guards against a poison request that is tried again and again since a request that many callers send was in flight at
+/// its crashes of one moment.
+#[test]
+fn a_bystander_at_the_crashes_of_one_moment_ends_no_pause() {
+    let now = Time::from_millis(1);
+    let bystander = Fingerprint(2);
+    let mut suspects = Suspects::new();
+    for (crash, exposure) in [(1, Exposure::Crowd), (2, Exposure::Trial)] {
+        suspects.merge(now, &[mark(POISON, crash, exposure)]);
+        suspects.merge(now, &[mark(bystander, crash, Exposure::Crowd)]);
+    }
+    assert_eq!(suspects.paused_for(now, POISON), Some(TRIAL_BACKOFF));
+}
+
 /// Guards against two relays that take one crash for two since one of them notices it late.
 #[test]
 fn a_crash_is_another_one_only_if_the_server_accepted_connections_since() {
