relay: log when the directory counts as unreachable; the test waits for that

Seen: `all_relays_hear_of_an_engine_that_the_store_cannot_name` failed beside six busy processes, since not all of 18 relays had logged a failed call to the store within 20 s. The test waited for the wrong thing, a log line of each relay's own call; all 18 together make one call each 0.15 s by design, so that the last of 18 comes late by chance.

The change of that state had no log line. It has one now, and the test waits until it holds at all relays, by the latest of both lines, as the store may be unwatched for a second at the start. The pause of 1 s that covered for the wrong condition is gone, so that all relays must accept the engine at once. Bound (20 s), relays (18) and the last condition are as they were. No more calls to the store are made, and nothing else of the relays changes.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -546,15 +546,16 @@
     // Wait until the relays know each other.
     sleep(Duration::from_millis(1_500)).await;
     deployment.store.set_busy(true);
+    // A relay need not call the store itself: it takes the store for unreachable once no relay of its region watches.
     let noticed = |relay: usize| {
         let log = deployment.relays[relay].process.log();
-        log.contains("directory: no news of the backend servers")
+        let reached = log.rfind("directory: reached again");
+        log.rfind("directory: counts as unreachable") > reached
     };
     wait_until("all relays have noticed the outage", || {
         (0..RELAY_COUNT).all(noticed)
     })
     .await?;
-    sleep(Duration::from_secs(1)).await;
     deployment.add_engine()?;
     let knows_engine = |relay: usize| {
         let log = deployment.relays[relay].process.log();
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -360,10 +360,16 @@
         }
     }
 
-    /// Records whether the directory is unreachable.
+    /// Records whether the directory is unreachable. While it is, engines are accepted on their scouts' announcements.
     pub(crate) fn set_directory_unreachable(&self, unreachable: bool) {
-        self.directory_unreachable
-            .store(unreachable, Ordering::Relaxed);
+        let before = self
+            .directory_unreachable
+            .swap(unreachable, Ordering::Relaxed);
+        match (before, unreachable) {
+            (false, true) => tracing::info!("directory: counts as unreachable"),
+            (true, false) => tracing::info!("directory: reached again"),
+            _ => {}
+        }
     }
 
     /// The number of known servers of a service.
