limits: relays lend each other unused parts of servers' request limits

Each announced limit is divided equally between all relays, whatever comes to them.

A relay whose demand exceeds its share now asks relays with little demand for parts of theirs. The lender lowers its share before it answers and raises it 2.5 s after the grant; the borrower uses the loan for 2 s from its request, so the use ends first whatever happens to messages. A quarter of each share is never lent, and a new process uses and lends nothing beyond it for 2.5 s. Token buckets accrue at the lower of the shares before and after a change. Switch `[relay] lend`.

--- a/daemon/tests/relay_pull.rs
+++ b/daemon/tests/relay_pull.rs
@@ -77,6 +77,7 @@
             evacuated: EvacuatedZones::default(),
             limits: Vec::new(),
             leaving: Vec::new(),
+            demands: Vec::new(),
         };
         let message = peer_messages::encode(&Datagram::Hello(hello))?;
         self.datagrams.send_to(&message, self.relay).await?;
--- a/lib/src/entry_shares.rs
+++ b/lib/src/entry_shares.rs
@@ -25,15 +25,20 @@
 struct Entries {
     own: u64,
     others: Vec<u64>,
+    digest: u32,
 }
 
 impl EntryShares {
     /// Sets all known entries, whether they are alive or not.
     pub fn set_entries(&mut self, own: SocketAddr, others: impl IntoIterator<Item = SocketAddr>) {
         let others = others.into_iter().filter(|other| *other != own);
+        let own = hash_address(own);
+        let others: Vec<u64> = others.map(hash_address).collect();
+        let digest = others.iter().fold(mix(own), |all, other| all ^ mix(*other));
         self.entries = Some(Entries {
-            own: hash_address(own),
-            others: others.map(hash_address).collect(),
+            own,
+            others,
+            digest: digest as u32,
         });
     }
 
@@ -43,6 +48,30 @@
         Some(entries.others.len() + 1)
     }
 
+    /// A digest of all entries, this one included, which is the same at entries that know the same ones; `None` until the
+    /// others are known.
+    pub fn digest(&self) -> Option<u32> {
+        Some(self.entries.as_ref()?.digest)
+    }
+
+    /// The entries among those given that are among the `count` entries selected for the server. As
+    /// [`EntryShares::is_selected`], for other entries.
+    pub(crate) fn selected_of(&self, server: SocketAddr, count: usize, of: &[u64]) -> Vec<bool> {
+        let Some(entries) = &self.entries else {
+            return vec![false; of.len()];
+        };
+        let key = hash_address(server);
+        let all = entries.others.iter().chain([&entries.own]);
+        let mut ranks: Vec<u64> = all.map(|entry| mix(entry ^ key)).collect();
+        if count >= ranks.len() {
+            return vec![true; of.len()];
+        }
+        let (_, threshold, _) = ranks.select_nth_unstable_by(count, |a, b| b.cmp(a));
+        of.iter()
+            .map(|entry| mix(entry ^ key) > *threshold)
+            .collect()
+    }
+
     /// Whether this entry is one of the `count` entries selected for the server by rendezvous
     /// hashing.
     pub fn is_selected(&self, server: SocketAddr, count: usize) -> bool {
@@ -67,6 +96,9 @@
         let Some(entries) = &self.entries else {
             return false;
         };
+        if count > entries.others.len() {
+            return true;
+        }
         let own = mix(entries.own ^ key);
         let ahead = entries.others.iter();
         let ahead = ahead.filter(|other| mix(**other ^ key) > own);
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::entry_shares::EntryShares;
 use crate::fleet_server::Server;
 use crate::ids::Name;
+use crate::limits::ShareLedger;
 use crate::migration::event_gaps::EventGaps;
 use crate::round_trips::RoundTrips;
 use crate::routing::ServerKey;
@@ -94,6 +95,8 @@
     initial_list_applied: bool,
     pub(crate) evacuated: EvacuatedZones,
     pub(crate) entry_shares: EntryShares,
+    // Which parts of the shares are lent or borrowed.
+    pub(crate) ledger: ShareLedger,
     pub(crate) round_trips: RoundTrips,
     // Mean work time for each plain service.
     pub(crate) service_times: HashMap<Name, ServiceTime>,
@@ -112,6 +115,7 @@
             initial_list_applied: false,
             evacuated: EvacuatedZones::default(),
             entry_shares: EntryShares::default(),
+            ledger: ShareLedger::default(),
             round_trips: RoundTrips::default(),
             service_times: HashMap::new(),
         }
@@ -217,6 +221,10 @@
     /// Sets the entries among which servers' limits are divided; this one has the address `own`.
     pub fn set_entries(&mut self, own: SocketAddr, others: impl IntoIterator<Item = SocketAddr>) {
         self.entry_shares.set_entries(own, others);
+        // Loans are fractions of the former equal shares.
+        for server in self.servers.values_mut() {
+            server.limit.end_loans();
+        }
     }
 
     /// The known entries among which servers' limits are divided.
@@ -316,7 +324,14 @@
             server.record_unreported(now, request.prompt, request.tokens);
             server.cold.record_send(now);
             let address = server.record.address;
-            server.limit.record_sent(now, address, &self.entry_shares);
+            if server.limit.rate().is_some() {
+                let service = &server.record.service;
+                let kept = self.ledger.kept_fraction(now, service);
+                server
+                    .limit
+                    .record_sent(now, address, &self.entry_shares, kept);
+                self.ledger.record_demand(now, service);
+            }
             server.rest.record_sent(now);
         }
     }
--- a/lib/src/fleet_limits.rs
+++ b/lib/src/fleet_limits.rs
@@ -91,7 +91,11 @@
 
     /// How long until this entry has a share of the server's limit; `None` if it never has.
     pub(crate) fn limit_wait(&self, now: Time, server: &Server) -> Option<Duration> {
+        if server.limit.rate().is_none() {
+            return Some(Duration::ZERO);
+        }
         let address = server.record.address;
-        server.limit.wait(now, address, &self.entry_shares)
+        let kept = self.ledger.kept_fraction(now, &server.record.service);
+        server.limit.wait(now, address, &self.entry_shares, kept)
     }
 }
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -8,6 +8,8 @@
 use thiserror::Error;
 
 use crate::ids::Name;
+use crate::limits::LoanMessage;
+use crate::limits::ServiceDemand;
 use crate::migration::event_gaps::EventGaps;
 use crate::recent_rejections::RejectionNotice;
 use crate::revision::Revision;
@@ -155,6 +157,8 @@
         pub limits: Vec<LimitReport>,
         /// Servers that stated recently that they are leaving.
         pub leaving: Vec<LeavingReport>,
+        /// Its demand for services whose servers announce limits.
+        pub demands: Vec<ServiceDemand>,
     }
 
     /// The relays that a process knows.
@@ -268,6 +272,8 @@
         QuerySuspects,
         /// A message about trials of suspects.
         Trial(TrialMessage),
+        /// A message about loans of shares in servers' request limits.
+        LimitLoan(LoanMessage),
     }
 
     /// A request over a connection.
@@ -306,6 +312,7 @@
             Datagram::StateOffer(_) => "state_offer",
             Datagram::Suspects(_) | Datagram::QuerySuspects => "suspects",
             Datagram::Trial(_) => "trial",
+            Datagram::LimitLoan(_) => "limit_loan",
         }
     }
 }
--- a/lib/src/relay_peers.rs
+++ b/lib/src/relay_peers.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 use crate::ids::Name;
+use crate::limits::Lender;
+use crate::limits::ServiceDemand;
 use crate::peer_messages::RelayHello;
 use crate::peer_messages::RelayList;
 use crate::revision::Revision;
@@ -33,6 +35,9 @@
 /// Maximum silence of a relay that is probed.
 const MAX_PROBED_SILENCE: Duration = Duration::from_secs(5);
 
+/// Maximum silence of a relay that is asked to lend. With 370 relays, a relay hears each other one about every 12 s.
+const MAX_LENDER_SILENCE: Duration = Duration::from_secs(20);
+
 /// Silence of all other relays from which this one counts as cut off from them: several hellos.
 const ISOLATION_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -52,6 +57,7 @@
     revision: Revision,
     relay_count: usize,
     list_complete: bool,
+    demands: Vec<ServiceDemand>,
 }
 
 /// The other relays.
@@ -102,6 +108,7 @@
             revision: hello.revision,
             relay_count: hello.relay_count as usize,
             list_complete: hello.list_complete,
+            demands: hello.demands.clone(),
         };
         self.changed |= self.known.insert(from);
         self.last_hellos.insert(from, last_hello);
@@ -141,6 +148,23 @@
         recent.map(|(peer, hello)| (*peer, hello))
     }
 
+    /// The relays that can be asked for a part of their share in the limits of a service, in random order. A relay that
+    /// states no demand has none.
+    pub fn lenders(&self, now: Time, service: &Name) -> Vec<Lender> {
+        let hellos = self.last_hellos.iter();
+        let reachable = hellos.filter(|(_, hello)| now.since(hello.heard_at) < MAX_LENDER_SILENCE);
+        let lenders = reachable.map(|(relay, hello)| {
+            let demand = hello.demands.iter().find(|d| d.service == *service);
+            Lender {
+                relay: *relay,
+                demand: demand.map_or(0.0, |demand| f64::from(demand.per_second)),
+            }
+        });
+        let mut lenders: Vec<Lender> = lenders.collect();
+        fastrand::shuffle(&mut lenders);
+        lenders
+    }
+
     /// A random recently heard relay of each availability zone other than `own`.
     pub fn sample_other_zones(&self, now: Time, own: &Name) -> Vec<(SocketAddr, Name)> {
         let mut zones: HashMap<&Name, Vec<SocketAddr>> = HashMap::new();
--- a/lib/src/server_limit.rs
+++ b/lib/src/server_limit.rs
@@ -6,7 +6,8 @@
 //! multiple of it. Many entries that each send one request after an idle period exceed it as well.
 //!
 //! The limit is therefore divided among a subset of the entries, one for each request per second and a
-//! few more, and each of these has a token bucket of one request. The other entries send an occasional
+//! few more, and each of these has a token bucket of one request. An entry may lend a part of its share to
+//! another one for a while, see `limits`. The other entries send an occasional
 //! request to find out whether the limit is still in force. Responses can be reordered, so a response
 //! without a limit lifts the limit only if its request was sent after the limit became known.
 
@@ -90,9 +91,9 @@
 
 impl Share {
     fn new(rate: RequestRate, entries: &EntryShares, server: SocketAddr) -> Self {
-        let rate = rate.per_second().max(MIN_RATE);
+        let sharing = sharing_entries(rate, entries);
+        let rate = effective_rate(rate);
         let all = entries.count().unwrap_or(1);
-        let sharing = ((rate + EXTRA_ENTRIES) as usize).min(all);
         match entries.is_selected(server, sharing) {
             true => Share::Rate(rate / sharing as f64),
             false => Share::Sampled(rate * PROBE_FRACTION / all as f64),
@@ -100,6 +101,25 @@
     }
 }
 
+/// The limit in requests per second that entries divide.
+pub(crate) fn effective_rate(rate: RequestRate) -> f64 {
+    rate.per_second().max(MIN_RATE)
+}
+
+/// The number of entries that have a share in the limit.
+pub(crate) fn sharing_entries(rate: RequestRate, entries: &EntryShares) -> usize {
+    let all = entries.count().unwrap_or(1);
+    ((effective_rate(rate) + EXTRA_ENTRIES) as usize).min(all)
+}
+
+/// An entry's equal share in the limit in requests per second; zero if it has none.
+pub(crate) fn equal_share(rate: RequestRate, entries: &EntryShares, server: SocketAddr) -> f64 {
+    match Share::new(rate, entries, server) {
+        Share::Rate(share) => share,
+        Share::Sampled(_) => 0.0,
+    }
+}
+
 /// The known limit of a server, and this entry's token bucket for it.
 #[derive(Clone, Debug, Default)]
 pub struct LimitState {
@@ -108,6 +128,11 @@
     tokens: f64,
     refilled_at: Time,
     last_sent: Time,
+    // The share in requests per second at the last settlement; `None` if shares never change by loans.
+    settled_share: Option<f64>,
+    // The fraction of the limit that is borrowed, and when the first of the loans ends.
+    borrowed: f64,
+    borrowed_until: Time,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -164,21 +189,33 @@
             (None, Some(rate)) => {
                 self.tokens = 0.0;
                 self.refilled_at = now;
+                self.settled_share = None;
+                self.end_loans();
                 Some(LimitChange::Named(rate))
             }
-            (Some(before), Some(rate)) if before != rate => Some(LimitChange::Changed(rate)),
+            (Some(before), Some(rate)) if before != rate => {
+                // Another number of entries may have a share.
+                self.end_loans();
+                Some(LimitChange::Changed(rate))
+            }
             (Some(_), None) => Some(LimitChange::Lifted),
             _ => None,
         }
     }
 
-    /// How long until this entry may send a request to the server at the address; zero if it may send
-    /// one now, `None` if it has no share.
-    pub fn wait(&self, now: Time, server: SocketAddr, entries: &EntryShares) -> Option<Duration> {
+    /// How long until this entry may send a request to the server at the address, if it keeps this
+    /// fraction of its own share; zero if it may send one now, `None` if it has no share.
+    pub(crate) fn wait(
+        &self,
+        now: Time,
+        server: SocketAddr,
+        entries: &EntryShares,
+        kept: f64,
+    ) -> Option<Duration> {
         let Some(rate) = self.rate() else {
             return Some(Duration::ZERO);
         };
-        match Share::new(rate, entries, server) {
+        match self.share(now, rate, server, entries, kept) {
             Share::Rate(share) => {
                 let missing = (1.0 - self.available_tokens(now, share)).max(0.0);
                 Some(Duration::from_secs_f64(missing / share))
@@ -192,20 +229,86 @@
     }
 
     /// Records a request sent to the server at the address.
-    pub(crate) fn record_sent(&mut self, now: Time, server: SocketAddr, entries: &EntryShares) {
+    pub(crate) fn record_sent(
+        &mut self,
+        now: Time,
+        server: SocketAddr,
+        entries: &EntryShares,
+        kept: f64,
+    ) {
         let Some(rate) = self.rate() else {
             return;
         };
-        if let Share::Rate(share) = Share::new(rate, entries, server) {
+        if let Share::Rate(share) = self.share(now, rate, server, entries, kept) {
             self.tokens = self.available_tokens(now, share) - 1.0;
             self.refilled_at = now;
         }
         self.last_sent = now;
     }
 
+    /// Sets what this entry has borrowed: this fraction of the limit until `until`. The time that has passed counts at
+    /// the lower one of the shares before and after. Must be called regularly.
+    pub(crate) fn settle(
+        &mut self,
+        now: Time,
+        server: SocketAddr,
+        entries: &EntryShares,
+        kept: f64,
+        (borrowed, until): (f64, Time),
+    ) {
+        let Some(rate) = self.rate() else {
+            return;
+        };
+        (self.borrowed, self.borrowed_until) = (borrowed, until);
+        let share = match self.share(now, rate, server, entries, kept) {
+            Share::Rate(share) => share,
+            // Without this, each entry could keep a request from a former loan.
+            Share::Sampled(_) => {
+                self.tokens = self.tokens.min(0.0);
+                0.0
+            }
+        };
+        self.tokens = self.available_tokens(now, share);
+        self.refilled_at = now;
+        self.settled_share = Some(share);
+    }
+
+    /// Stops using what was borrowed until the next settlement.
+    pub(crate) fn end_loans(&mut self) {
+        self.borrowed_until = Time::ZERO;
+    }
+
+    /// Returns to a share that does not change by loans.
+    pub(crate) fn end_settlement(&mut self) {
+        self.settled_share = None;
+        self.end_loans();
+    }
+
+    fn share(
+        &self,
+        now: Time,
+        rate: RequestRate,
+        server: SocketAddr,
+        entries: &EntryShares,
+        kept: f64,
+    ) -> Share {
+        let borrowed = match now < self.borrowed_until {
+            true => self.borrowed * effective_rate(rate),
+            false => 0.0,
+        };
+        match Share::new(rate, entries, server) {
+            Share::Rate(own) => Share::Rate(own * kept + borrowed),
+            Share::Sampled(_) if borrowed > 0.0 => Share::Rate(borrowed),
+            sampled => sampled,
+        }
+    }
+
     fn available_tokens(&self, now: Time, share: f64) -> f64 {
         let capacity = (share * BURST_PERIOD.as_secs_f64()).max(1.0);
-        let refill = share * now.since(self.refilled_at).as_secs_f64();
+        let refilling = self
+            .settled_share
+            .map_or(share, |settled| settled.min(share));
+        let refill = refilling * now.since(self.refilled_at).as_secs_f64();
         (self.tokens + refill).min(capacity)
     }
 }
--- a/lib/tests/relay_sim/mod.rs
+++ b/lib/tests/relay_sim/mod.rs
@@ -107,6 +107,7 @@
             evacuated: EvacuatedZones::default(),
             limits: Vec::new(),
             leaving: Vec::new(),
+            demands: Vec::new(),
         }
     }
 
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -136,7 +136,11 @@
         if let Err(AdmissionError::NoServer(why)) = &result {
             self.no_server_reason = Some(*why);
             let (now, request) = (relay.now(), request(&self.tried));
-            self.exclusion_wait = relay.fleet().exclusion_wait(now, &request, &call.spec);
+            let mut fleet = relay.fleet();
+            self.exclusion_wait = fleet.exclusion_wait(now, &request, &call.spec);
+            if *why == NoServer::Excluded(Exclusion::Limited) {
+                fleet.record_limit_rejection(now, &call.service);
+            }
         }
         let placed = result?;
         if tokens > 0 {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod held_state;
 mod identity;
 mod incarnation_check;
+mod limit_loans;
 mod load_probes;
 mod lock;
 mod moved_runs;
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cicada_lib::limits::SETTLE_INTERVAL;
 use cicada_lib::peer_messages;
 use cicada_lib::peer_messages::Datagram;
 use cicada_lib::peer_messages::LoadProbe;
@@ -94,6 +95,8 @@
         zone_probes.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut rejections = interval(REJECTIONS_INTERVAL);
         rejections.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut loans = interval(SETTLE_INTERVAL);
+        loans.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = [0; peer_messages::MAX_DATAGRAM];
         loop {
             tokio::select! {
@@ -112,6 +115,7 @@
                     self.send_suspects().await;
                 }
                 _ = zone_probes.tick() => self.send_zone_probes().await,
+                _ = loans.tick() => self.request_loans().await,
                 Some(news) = news.recv() => self.send_server_changes(news).await,
                 Some(probes) = load_probes.recv() => self.send_load_probes(probes).await,
                 Some(sent) = sent.recv() => self.send_request_notice(sent).await,
@@ -257,6 +261,7 @@
             evacuated: self.relay.evacuated(),
             limits: self.relay.limit_reports(),
             leaving: self.relay.leaving_reports(),
+            demands: self.relay.service_demands(),
         })
     }
 
@@ -355,6 +360,7 @@
                 let answers = self.relay.poison.handle_trial(now, relays, message);
                 self.send_trials(answers).await;
             }
+            Ok(Datagram::LimitLoan(message)) => self.handle_loan(from, message).await,
             Ok(Datagram::QuerySuspects) => self.send_evidence(Some(from)).await,
             _ => {
                 if let Some(datagram) = self.apply_datagram(bytes, from) {
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -41,6 +41,7 @@
 use tokio::time::Instant;
 
 use crate::caller_server;
+use crate::limit_loans;
 use crate::load_probes::LoadProbes;
 use crate::lock::lock;
 use crate::moved_runs::MovedRuns;
@@ -183,7 +184,7 @@
             hello_due: Notify::new(),
             receivers: Mutex::new(Some(receivers)),
             reloadable: ArcSwap::from_pointee(settings.reloadable),
-            fleet: Mutex::new(Fleet::new(settings.place.clone())),
+            fleet: Mutex::new(limit_loans::new_fleet(&settings, clock.now())),
             bodies: BodyAdmission::new(budget.clone()),
             budget,
             settings,
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -35,6 +35,8 @@
     first_events: IntCounterVec,
     open_requests: IntGauge,
     limited_servers: IntGauge,
+    loans: IntCounterVec,
+    loan_shares: GaugeVec,
     held_bytes: IntGauge,
     leaving: IntCounterVec,
     directory_calls: IntCounterVec,
@@ -129,6 +131,18 @@
                 "relay_limited_servers",
                 "Backend servers that name a limit in their answers",
             )?,
+            loans: counter(
+                "relay_loans_total",
+                "Loans of shares in servers' request limits, by what this relay did or was told",
+                "event",
+            )?,
+            loan_shares: GaugeVec::new(
+                Opts::new(
+                    "relay_loan_shares",
+                    "Equal shares in servers' request limits that this relay has lent, and those that it has borrowed",
+                ),
+                &["service", "part"],
+            )?,
             held_bytes: IntGauge::new(
                 "relay_held_bytes",
                 "Bytes of request bodies, answers and events that are held for callers",
@@ -188,6 +202,8 @@
         registry.register(Box::new(metrics.rests.clone()))?;
         registry.register(Box::new(metrics.open_requests.clone()))?;
         registry.register(Box::new(metrics.limited_servers.clone()))?;
+        registry.register(Box::new(metrics.loans.clone()))?;
+        registry.register(Box::new(metrics.loan_shares.clone()))?;
         registry.register(Box::new(metrics.held_bytes.clone()))?;
         registry.register(Box::new(metrics.first_response_time.clone()))?;
         registry.register(Box::new(metrics.move_gap.clone()))?;
@@ -324,6 +340,20 @@
         self.limited_servers.set(servers as i64);
     }
 
+    /// Counts a message about loans: `asked`, `borrowed`, `refused` or `ignored` at a borrower, `lent` or `denied` at a
+    /// lender.
+    pub(crate) fn count_loan(&self, event: &str) {
+        self.loans.with_label_values(&[event]).inc();
+    }
+
+    /// Sets the equal shares of a service that are lent and borrowed.
+    pub(crate) fn set_loan_shares(&self, service: &Name, lent: f64, borrowed: f64) {
+        for (part, value) in [("lent", lent), ("borrowed", borrowed)] {
+            let labels = [service.as_str(), part];
+            self.loan_shares.with_label_values(&labels).set(value);
+        }
+    }
+
     /// Sets the bytes that are held for callers.
     pub fn set_held_bytes(&self, bytes: usize) {
         self.held_bytes.set(bytes as i64);
