--- a/lib/tests/limit_loans.rs
+++ b/lib/tests/limit_loans.rs
@@ -514,6 +514,35 @@
     assert_eq!(kept(3_900), 100.0);
 }
 
+/// Guards against a lender that goes on sending its whole share when requests come back to it.
+#[test]
+fn a_lender_sends_no_more_than_it_kept() {
+    let mut process = Process::start(0, 0, 8, 40.0, 1);
+    let position = process.fleet.entry_shares().digest();
+    let request = LoanRequest {
+        relays: position.expect("the relays are known"),
+        ..loan_request(1, 0.75)
+    };
+    let at = Time::from_millis;
+    process.fleet.settle_shares(at(4_000));
+    let grant = process.fleet.grant_loan(at(4_000), relay(1), &request);
+    assert_eq!(grant.expect("a grant").fraction.value(), 0.75);
+    let (service, spec) = (service(), plain());
+    let request = PlacementRequest::new(&service, 0, 0);
+    let mut sent = 0;
+    for millis in (4_000..6_000).step_by(10) {
+        process.fleet.settle_shares(at(millis));
+        if let Ok(key) = process.fleet.choose(at(millis), &request, &spec) {
+            process.fleet.record_sent(at(millis), key, &request);
+            process.fleet.record_ended(key, 0);
+            sent += 1;
+        }
+    }
+    // A quarter of 5 a second at each server in 2 s, and one request saved up at each.
+    let most = SERVERS as f64 * (0.25 * 5.0 * 2.0 + 1.0);
+    assert!(sent as f64 <= most, "{sent} sent, of {most}");
+}
+
 /// Guards against a loan between relays whose equal shares differ, since they know different relays.
 #[test]
 fn relays_that_know_different_relays_do_not_lend() {
