migration: relays hand off runs after prefill and rescue runs at risk

Callers saw gaps over the limit of their route at slow engines beside other prompts; relays moved runs only off engines that leave. Moves off leaving engines are as before. Log lines `migration: ...`; counters relay_migrations_total, relay_runs_at_risk_total and relay_prefill_group_engines.

--- a/relay/src/moved_runs.rs
+++ b/relay/src/moved_runs.rs
@@ -89,8 +89,13 @@
             Some(run) => run.moving = true,
             None => return,
         }
+        self.open_ahead(&moving.id, target, round_trip);
+    }
+
+    /// Opens a connection to the engine at `target` for a run whose stream is here.
+    pub(crate) fn open_ahead(&self, id: &Name, target: SocketAddr, round_trip: Duration) {
         let local = self.local.clone();
-        let id = moving.id.clone();
+        let id = id.clone();
         tokio::spawn(async move {
             match upstream::open(target, round_trip).await {
                 Ok(opened) => {
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -46,7 +46,9 @@
 use crate::moved_runs::MovedRuns;
 use crate::peer_net::PeerNet;
 use crate::peer_pull;
+use crate::planned_moves::PlannedMoves;
 use crate::poison::Poison;
+use crate::prefill_groups;
 use crate::relay_metrics::RelayMetrics;
 use crate::relay_settings::Policy;
 use crate::relay_settings::RelaySettings;
@@ -128,6 +130,7 @@
     // Incremented when the list of servers, or what is known of servers that leave, changes.
     pub(crate) leaving_changes: watch::Sender<u64>,
     pub(crate) moved_runs: MovedRuns,
+    pub(crate) planned_moves: PlannedMoves,
     pub(crate) poison: Poison,
     pub(crate) peers: Mutex<RelayPeers>,
     // The watchers of this relay's region.
@@ -203,6 +206,7 @@
             draining: Mutex::new(None),
             leaving_changes: watch::Sender::new(0),
             moved_runs: MovedRuns::new(),
+            planned_moves: PlannedMoves::default(),
             poison,
             peers: Mutex::default(),
             election: Mutex::default(),
@@ -229,6 +233,7 @@
         let ready = caller_server::listen(self.settings.ready)?;
         tokio::spawn(caller_server::serve_callers(self.clone(), callers));
         tokio::spawn(caller_server::serve_readiness(self.clone(), ready));
+        tokio::spawn(prefill_groups::run(self.clone()));
         Ok(())
     }
 
@@ -252,6 +257,10 @@
         &self.moved_runs
     }
 
+    pub(crate) fn planned_moves(&self) -> &PlannedMoves {
+        &self.planned_moves
+    }
+
     /// Applies changed settings.
     pub fn apply_reloaded(&self, reloadable: ReloadableSettings) {
         self.reloadable.store(Arc::new(reloadable));
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cicada_lib::body_end::Framing;
+use cicada_lib::fleet_migration::GroupSize;
 use cicada_lib::ids::Name;
 use cicada_lib::retry_share::RetryUsage;
 use prometheus::GaugeVec;
@@ -11,6 +12,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 
@@ -30,6 +32,9 @@
     retry_usage: GaugeVec,
     known_entries: IntGauge,
     moves: IntCounterVec,
+    migrations: IntCounterVec,
+    runs_at_risk: IntCounter,
+    prefill_groups: IntGaugeVec,
     overdue: IntCounterVec,
     load_probes: IntCounterVec,
     first_events: IntCounterVec,
@@ -109,6 +114,24 @@
                 "Entries that share limits, this one included",
             )?,
             moves: counter("relay_moves_total", "Moves of runs by outcome", "outcome")?,
+            migrations: IntCounterVec::new(
+                Opts::new(
+                    "relay_migrations_total",
+                    "Moves of runs whose engines stay, by reason and outcome",
+                ),
+                &["reason", "outcome"],
+            )?,
+            runs_at_risk: IntCounter::new(
+                "relay_runs_at_risk_total",
+                "Runs that would probably exceed the longest gap of their route at their engine",
+            )?,
+            prefill_groups: IntGaugeVec::new(
+                Opts::new(
+                    "relay_prefill_group_engines",
+                    "Engines that prefill new prompts, by zone and service; zero without a group",
+                ),
+                &["zone", "service"],
+            )?,
             overdue: counter(
                 "relay_overdue_total",
                 "Connections closed as overdue",
@@ -178,6 +201,9 @@
         registry.register(Box::new(metrics.retry_usage.clone()))?;
         registry.register(Box::new(metrics.known_entries.clone()))?;
         registry.register(Box::new(metrics.moves.clone()))?;
+        registry.register(Box::new(metrics.migrations.clone()))?;
+        registry.register(Box::new(metrics.runs_at_risk.clone()))?;
+        registry.register(Box::new(metrics.prefill_groups.clone()))?;
         registry.register(Box::new(metrics.overdue.clone()))?;
         registry.register(Box::new(metrics.load_probes.clone()))?;
         registry.register(Box::new(metrics.first_events.clone()))?;
@@ -264,6 +290,26 @@
         self.moves.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a move of a run whose engine stays, or why there was none.
+    pub(crate) fn count_migration(&self, reason: &str, outcome: &str) {
+        self.migrations.with_label_values(&[reason, outcome]).inc();
+    }
+
+    /// Counts a run that was found at risk.
+    pub(crate) fn count_run_at_risk(&self) {
+        self.runs_at_risk.inc();
+    }
+
+    /// Sets the sizes of the prefill groups.
+    pub(crate) fn set_prefill_groups(&self, sizes: &[GroupSize]) {
+        self.prefill_groups.reset();
+        for size in sizes {
+            let labels = [size.zone.as_str(), size.service.as_str()];
+            let gauge = self.prefill_groups.with_label_values(&labels);
+            gauge.set(size.members as i64);
+        }
+    }
+
     pub(crate) fn count_overdue(&self, what: &str) {
         self.overdue.with_label_values(&[what]).inc();
     }
--- a/relay/src/relay_places.rs
+++ b/relay/src/relay_places.rs
@@ -13,6 +13,7 @@
 use cicada_lib::peer_messages::RequestSent;
 use cicada_lib::recent_rejections::RecentRejections;
 use cicada_lib::residency::ANY_REGION;
+use cicada_lib::routing::ServerKey;
 use cicada_lib::server_limit::RequestRate;
 use cicada_lib::site::ServiceSpec;
 use cicada_lib::stream_admission;
@@ -125,6 +126,24 @@
         Some(PlacedRequest::new(self, key, record, request))
     }
 
+    /// Counts a run at the engine to which this relay moves it. Returns `None` if the run is not permitted there, or the
+    /// engine takes no work any more.
+    pub(crate) fn place_at(
+        self: &Arc<Self>,
+        key: ServerKey,
+        request: &PlacementRequest<'_>,
+    ) -> Option<PlacedRequest> {
+        let now = self.now();
+        let mut fleet = self.fleet();
+        if !fleet.takes_work(key) || !fleet.is_permitted_at(key, request.regions) {
+            return None;
+        }
+        let record = fleet.record(key).cloned()?;
+        fleet.record_sent(now, key, request);
+        drop(fleet);
+        Some(PlacedRequest::new(self, key, record, request))
+    }
+
     /// Announces a request that was sent to an engine to the engine's scout and to other relays, ahead of the engine's
     /// next load report.
     pub(crate) fn announce_sent(&self, placed: &PlacedRequest, id: Option<&Name>) {
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -58,13 +58,7 @@
         if self.moving.is_some() || self.placed.leaving_since().is_none() {
             return;
         }
-        let supported = self
-            .call
-            .spec
-            .engine
-            .as_ref()
-            .is_some_and(|engine| engine.supports_moves);
-        if !supported
+        if !self.supports_moves()
             || self.failed_moves >= MAX_FAILED_MOVES
             || self.expected_remaining_time() < MIN_REMAINING_TIME
         {
@@ -114,6 +108,7 @@
             target,
             step,
             outcome: Box::pin(outcome),
+            plan: None,
         });
     }
 
@@ -122,6 +117,10 @@
         let Some(moving) = self.moving.take() else {
             return true;
         };
+        if let Some(plan) = moving.plan {
+            let PendingMove { target, step, .. } = moving;
+            return self.finish_planned_step(plan, target, step, outcome).await;
+        }
         let id = self.call.id();
         let (from, to) = (
             self.placed.record.id.as_str(),
@@ -160,7 +159,7 @@
     }
 
     /// Forwards the events of a stopped run that are still in transit.
-    async fn read_tail(&mut self) {
+    pub(crate) async fn read_tail(&mut self) {
         let until = Instant::now() + TAIL_TIMEOUT;
         while let Some((body, _)) = &mut self.source {
             let frame = timeout_at(until, body.frame()).await;
@@ -216,7 +215,7 @@
     }
 
     /// Resumes a stopped run at its own engine. Returns `false` if the run is lost.
-    async fn resume_at_source(&mut self, handle: &Name) -> bool {
+    pub(crate) async fn resume_at_source(&mut self, handle: &Name) -> bool {
         let paused_since = self.last_event_at;
         let key = self.placed.key;
         let regions = self.relay.table().regions_now(&self.call.admitted);
@@ -247,7 +246,7 @@
     }
 
     /// Builds the start of a run from the memory that the engine at `from` holds.
-    fn start_from_memory(&self, from: SocketAddr, handle: &Name) -> RunStart {
+    pub(crate) fn start_from_memory(&self, from: SocketAddr, handle: &Name) -> RunStart {
         RunStart::Moved {
             memory: RunMemory {
                 from,
@@ -257,12 +256,16 @@
         }
     }
 
+    /// Whether the engines of the run's service support moves.
+    pub(crate) fn supports_moves(&self) -> bool {
+        let engine = self.call.spec.engine.as_ref();
+        engine.is_some_and(|engine| engine.supports_moves)
+    }
+
     /// Whether the run may be stopped for a move now: the relay or a scout is at it, or the engine leaves.
     pub(crate) fn expects_stop(&self) -> bool {
-        let engine = self.call.spec.engine.as_ref();
-        let supported = engine.is_some_and(|engine| engine.supports_moves);
         let announced = |id| self.relay.moved_runs().is_moving(id);
-        supported
+        self.supports_moves()
             && (self.moving.is_some()
                 || self.placed.leaving_since().is_some()
                 || self.call.head.id.as_ref().is_some_and(announced))
@@ -335,7 +338,7 @@
     }
 
     /// Estimates how much longer the run takes.
-    fn expected_remaining_time(&self) -> Duration {
+    pub(crate) fn expected_remaining_time(&self) -> Duration {
         let stride = self.call.tokens_per_event();
         let made_events = self.events.count() as u32;
         let token_time = match made_events {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -346,6 +346,10 @@
     tokens: u64,
     attempts: Attempts,
 ) -> Response<ResponseBody> {
+    if !call.admitted.route.event_gap.is_zero() {
+        let events = expected_output(&call) / call.tokens_per_event();
+        relay.fleet().record_run_length(&call.service, events);
+    }
     let (sender, receiver) = event_queue(relay.budget().holder());
     let response = response_from(&answered.parts, ResponseBody::from_events(receiver));
     let run = Run::new(relay, call, placed, answered, tokens, attempts, sender);
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -29,6 +29,8 @@
 use crate::moved_runs::LocalRunGuard;
 use crate::placed_request::PlacedRequest;
 use crate::relay::Relay;
+use crate::run_handoff::MoveState;
+use crate::run_handoff::PlannedMove;
 use crate::send::NoAnswer;
 use crate::send::StartedAnswer;
 use crate::stream::RunStart;
@@ -36,7 +38,7 @@
 use crate::stream::send_run;
 use crate::upstream::Connection;
 
-type MoveFuture = Pin<Box<dyn Future<Output = Result<Copied, MoveError>> + Send>>;
+pub(crate) type MoveFuture = Pin<Box<dyn Future<Output = Result<Copied, MoveError>> + Send>>;
 
 /// A streamed run, and the state of relaying it to its caller.
 pub(crate) struct Run {
@@ -61,6 +63,7 @@
     pub(crate) started_at: Instant,
     pub(crate) moving: Option<PendingMove>,
     pub(crate) failed_moves: u32,
+    pub(crate) planned: MoveState,
     // When to consider a move again while the engine drains. A point in time, because events arrive faster than a
     // timer that starts anew at each of them would elapse.
     pub(crate) next_move_check: Instant,
@@ -81,6 +84,8 @@
     pub(crate) target: PlacedRequest,
     pub(crate) step: MoveStep,
     pub(crate) outcome: MoveFuture,
+    // `None` for a move off a leaving engine.
+    pub(crate) plan: Option<PlannedMove>,
 }
 
 /// Why the task of a stream woke up.
@@ -90,6 +95,7 @@
     Data(Bytes),
     BodyEnded(Stop),
     ConsiderMove,
+    ConsiderPlannedMove,
     NoProgress,
     MoveStepDone(Result<Copied, MoveError>),
 }
@@ -139,6 +145,7 @@
             started_at: now,
             moving: None,
             failed_moves: 0,
+            planned: MoveState::default(),
             next_move_check: now,
             _registration: registration,
             refused_target: None,
@@ -205,6 +212,7 @@
                     }
                 }
                 Wake::ConsiderMove => self.consider_move(),
+                Wake::ConsiderPlannedMove => self.consider_planned_move(),
                 Wake::NoProgress => {
                     if !self.restart(NoAnswer::Silent).await {
                         return StreamEnd::Lost;
@@ -223,6 +231,7 @@
 
     async fn next_wake(&mut self, leaving: &mut watch::Receiver<u64>) -> Wake {
         let check_move = self.placed.leaving_since().is_some() && self.moving.is_none();
+        let planned_check = self.next_planned_check().filter(|_| !check_move);
         let deadline = self.progress_deadline();
         let moving = async {
             match &mut self.moving {
@@ -247,6 +256,7 @@
             outcome = moving => Wake::MoveStepDone(outcome),
             _ = leaving.changed() => Wake::ConsiderMove,
             () = sleep_until(self.next_move_check), if check_move => Wake::ConsiderMove,
+            () = sleep_until(planned_check.unwrap_or(self.call.timer_deadline)), if planned_check.is_some() => Wake::ConsiderPlannedMove,
             () = sleep_until(deadline.unwrap_or(self.call.timer_deadline)), if deadline.is_some() => Wake::NoProgress,
             () = sleep_until(self.call.timer_deadline) => Wake::TimeOver,
         }
