--- a/lib/src/migration/mod.rs
+++ b/lib/src/migration/mod.rs
@@ -4,11 +4,14 @@
 //! at a slow engine then exceeds the longest gap between two events that its route allows, although another engine
 //! would have kept it.
 
+mod decayed_gaps;
 pub mod event_gaps;
+pub mod gap_tracker;
 pub mod handoff;
 pub mod move_bounds;
 pub mod move_target;
 pub mod pause_risk;
 pub mod prefill_group;
+mod prefill_use;
 pub mod rescue;
 pub mod run_risk;
