--- a/relay/src/run_handoff.rs
+++ b/relay/src/run_handoff.rs
@@ -322,13 +322,16 @@
             }
             // The target's process has ended, or has stated that it does not run it.
             Err(
-                NoAnswer::Refused
+                no_answer @ (NoAnswer::Refused
                 | NoAnswer::Unreached
                 | NoAnswer::Withdrawn
                 | NoAnswer::Suspect
                 | NoAnswer::Elsewhere
-                | NoAnswer::Crashed,
+                | NoAnswer::Crashed),
             ) => {
+                if matches!(no_answer, NoAnswer::Unreached | NoAnswer::Crashed) {
+                    target.record_failure(true);
+                }
                 self.record_refusal(&target);
                 self.end_planned_move(plan, &target, "refused");
                 self.return_to_source(handle).await
