--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -62,6 +62,7 @@
 mod fleet_leaving;
 mod fleet_limits;
 mod fleet_loans;
+pub mod fleet_migration;
 mod fleet_news;
 mod fleet_rest;
 mod fleet_server;
--- a/lib/src/migration/mod.rs
+++ b/lib/src/migration/mod.rs
@@ -7,5 +7,11 @@
 mod decayed_gaps;
 pub mod event_gaps;
 pub mod gap_tracker;
+pub mod handoff;
+pub mod move_bounds;
+pub mod move_target;
 pub mod pause_risk;
+pub mod prefill_group;
 mod prefill_use;
+pub mod rescue;
+pub mod run_risk;
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -47,7 +47,9 @@
 use crate::moved_runs::MovedRuns;
 use crate::peer_net::PeerNet;
 use crate::peer_pull;
+use crate::planned_moves::PlannedMoves;
 use crate::poison::Poison;
+use crate::prefill_groups;
 use crate::relay_metrics::RelayMetrics;
 use crate::relay_settings::Policy;
 use crate::relay_settings::RelaySettings;
@@ -132,6 +134,7 @@
     pub(crate) moved_runs: MovedRuns,
     // Streams that wait for capacity.
     pub(crate) wait_room: Arc<WaitRoom>,
+    pub(crate) planned_moves: PlannedMoves,
     pub(crate) poison: Poison,
     pub(crate) peers: Mutex<RelayPeers>,
     // The watchers of this relay's region.
@@ -208,6 +211,7 @@
             leaving_changes: watch::Sender::new(0),
             moved_runs: MovedRuns::new(),
             wait_room: WaitRoom::new(clock),
+            planned_moves: PlannedMoves::default(),
             poison,
             peers: Mutex::default(),
             election: Mutex::default(),
@@ -234,6 +238,7 @@
         let ready = caller_server::listen(self.settings.ready)?;
         tokio::spawn(caller_server::serve_callers(self.clone(), callers));
         tokio::spawn(caller_server::serve_readiness(self.clone(), ready));
+        tokio::spawn(prefill_groups::run(self.clone()));
         Ok(())
     }
 
@@ -262,6 +267,10 @@
         &self.wait_room
     }
 
+    pub(crate) fn planned_moves(&self) -> &PlannedMoves {
+        &self.planned_moves
+    }
+
     /// Applies changed settings.
     pub fn apply_reloaded(&self, reloadable: ReloadableSettings) {
         self.reloadable.store(Arc::new(reloadable));
