migration: rounds of copying until the links are free; handoff and rescue are off by default

A relay now copies in rounds, and stops the run once a round took at most a fifth of the gap limit; it abandons the move after eight.

The engines prefill for about half of the time, so that a group that takes all prompts leaves too few engines to generate. Both switches are therefore off by default. One move at a time for each engine and relay, for the same links.

--- a/daemon/tests/relay_rescue.rs
+++ b/daemon/tests/relay_rescue.rs
@@ -38,10 +38,22 @@
     source: usize,
 }
 
+/// Starts a relay that moves runs whose engines stay, which is off by default, and two engines.
+async fn start_moving() -> Result<Deployment> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let mut deployment = Deployment::start(daemon, 1, 2, 0).await?;
+    deployment.set(0, "grace = 8\n", "grace = 8\nhandoff = on\nrescue = on\n")?;
+    let process = &deployment.relays[0].process;
+    wait_until("the settings were read again", || {
+        process.log().contains("were read again")
+    })
+    .await?;
+    Ok(deployment)
+}
+
 /// Starts a run of this prompt at one of two engines, which then becomes slow.
 async fn start(prompt: u32, prepare: impl Fn(&Deployment, usize)) -> Result<Slowed> {
-    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
-    let deployment = Deployment::start(daemon, 1, 2, 0).await?;
+    let deployment = start_moving().await?;
     for host in &deployment.engines {
         host.engine.set_pace(FAST);
     }
@@ -180,8 +192,7 @@
 /// repeated by a handoff.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_run_leaves_the_prefill_group_after_its_first_event() -> Result<()> {
-    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
-    let deployment = Deployment::start(daemon, 1, 2, 0).await?;
+    let deployment = start_moving().await?;
     let engines = || deployment.engines.iter().map(|host| &host.engine);
     let log = || deployment.relays[0].process.log();
     sleep(START).await;
--- a/lib/src/migration/mod.rs
+++ b/lib/src/migration/mod.rs
@@ -11,6 +11,7 @@
 pub mod move_bounds;
 pub mod move_target;
 pub mod pause_risk;
+pub mod precopy;
 pub mod prefill_group;
 mod prefill_use;
 pub mod rescue;
--- a/lib/tests/run_moves.rs
+++ b/lib/tests/run_moves.rs
@@ -10,6 +10,8 @@
 use cicada_lib::migration::move_target;
 use cicada_lib::migration::move_target::MoveTarget;
 use cicada_lib::migration::move_target::NoTarget;
+use cicada_lib::migration::precopy;
+use cicada_lib::migration::precopy::NextRound;
 use cicada_lib::migration::rescue;
 use cicada_lib::migration::run_risk::EngineState;
 use cicada_lib::migration::run_risk::PrefillRole;
@@ -217,3 +219,15 @@
     }
     assert_eq!(tries, 4);
 }
+
+/// Guards against a run that is stopped while its last part waits for other copies on the links.
+#[test]
+fn a_run_is_stopped_only_after_a_short_round() {
+    let limit = Duration::from_millis(180);
+    let short = Duration::from_millis(30);
+    let long = Duration::from_millis(60);
+    assert_eq!(precopy::next_round(1, long, limit), NextRound::Copy);
+    assert_eq!(precopy::next_round(2, short, limit), NextRound::Stop);
+    assert_eq!(precopy::next_round(7, long, limit), NextRound::Copy);
+    assert_eq!(precopy::next_round(8, long, limit), NextRound::Abandon);
+}
--- a/relay/src/planned_moves.rs
+++ b/relay/src/planned_moves.rs
@@ -24,7 +24,7 @@
 use crate::stream_run::MoveFuture;
 
 /// Concurrent moves off one engine by this relay. Copies from one engine share its link.
-const MAX_CONCURRENT: usize = 2;
+const MAX_CONCURRENT: usize = 1;
 
 /// How long an engine that had no room for a run is not a target: two intervals of sparse reports, after which its
 /// report includes what took the room.
--- a/relay/src/run_handoff.rs
+++ b/relay/src/run_handoff.rs
@@ -13,6 +13,8 @@
 use cicada_lib::migration::move_bounds::MoveBounds;
 use cicada_lib::migration::move_target;
 use cicada_lib::migration::move_target::MoveTarget;
+use cicada_lib::migration::precopy;
+use cicada_lib::migration::precopy::NextRound;
 use cicada_lib::migration::rescue;
 use cicada_lib::migration::run_risk::EngineState;
 use cicada_lib::migration::run_risk::MAX_RISK;
@@ -48,6 +50,9 @@
     slot: SourceSlot,
     // The copy that exists at the target, from the first step until the run has stopped.
     copy: Option<HeldCopy>,
+    // Rounds of copying that have begun, and when the latest one did.
+    rounds: u32,
+    round_began: Instant,
 }
 
 /// A decision to move a run.
@@ -195,11 +200,15 @@
             reason: decision.reason,
             slot,
             copy: None,
+            rounds: 0,
+            round_began: Instant::now(),
         };
         self.start_planned_step(plan, target, MoveStep::Copy);
     }
 
-    fn start_planned_step(&mut self, plan: PlannedMove, target: PlacedRequest, step: MoveStep) {
+    fn start_planned_step(&mut self, mut plan: PlannedMove, target: PlacedRequest, step: MoveStep) {
+        plan.rounds += 1;
+        plan.round_began = Instant::now();
         let engines = self.relay.engines().clone();
         let id = self.call.head.id.clone().unwrap_or_default();
         let (source, address) = (plan.slot.source(), target.record.address);
@@ -224,14 +233,12 @@
         let engines = self.relay.engines().clone();
         match (step, outcome) {
             (MoveStep::Copy, Ok(copied)) => {
-                plan.copy = Some(HeldCopy::new(engines, plan.slot.source(), copied.handle));
-                match self.why_abandon(&plan, &target) {
-                    Some(why) => self.end_planned_move(plan, &target, why),
-                    None => {
-                        self.open_ahead(&target);
-                        self.start_planned_step(plan, target, MoveStep::Stop);
-                    }
+                // Each round extends the same copy.
+                if let Some(copy) = plan.copy.take() {
+                    copy.release();
                 }
+                plan.copy = Some(HeldCopy::new(engines, plan.slot.source(), copied.handle));
+                self.continue_copying(plan, target);
                 true
             }
             (MoveStep::Stop, Ok(copied)) => {
@@ -268,6 +275,24 @@
         }
     }
 
+    /// Copies once more, stops the run, or abandons its move.
+    fn continue_copying(&mut self, plan: PlannedMove, target: PlacedRequest) {
+        if let Some(why) = self.why_abandon(&plan, &target) {
+            self.end_planned_move(plan, &target, why);
+            return;
+        }
+        if plan.rounds == 1 {
+            self.open_ahead(&target);
+        }
+        let took = plan.round_began.elapsed();
+        let gap_limit = self.call.admitted.route.event_gap;
+        match precopy::next_round(plan.rounds, took, gap_limit) {
+            NextRound::Copy => self.start_planned_step(plan, target, MoveStep::Copy),
+            NextRound::Stop => self.start_planned_step(plan, target, MoveStep::Stop),
+            NextRound::Abandon => self.end_planned_move(plan, &target, "links_busy"),
+        }
+    }
+
     /// Why the run is not stopped after its copy: what has changed since the decision.
     fn why_abandon(&self, plan: &PlannedMove, target: &PlacedRequest) -> Option<&'static str> {
         if plan.slot.source() != self.placed.record.address {
