tests: a scout's address is free for TCP as well as for UDP

Seen once in the whole suite: 'Address already in use', since the test had found a port free for datagrams only, and the scout also listens for connections there. Cause traced by the line of the error; free_addr checks both.

--- a/daemon/tests/scout_gaps.rs
+++ b/daemon/tests/scout_gaps.rs
@@ -1,7 +1,6 @@
 //! The event gaps that a scout observes at its engine, as its subscribers receive them.
 
 use std::net::SocketAddr;
-use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,6 +22,7 @@
 use cicada_lib::peer_messages::Subscription;
 use cicada_relay::Scout;
 use eyre::Result;
+use testutils::cluster::free_addr;
 
 /// Time between two events of a run: first one, then the other.
 const GAPS: [Duration; 2] = [Duration::from_millis(30), Duration::from_millis(60)];
@@ -75,7 +75,7 @@
 
 /// The loads that a subscriber receives in [`OBSERVED_FOR`].
 async fn received_loads() -> Result<Vec<EngineLoad>> {
-    let scout_address = UdpSocket::bind("127.0.0.1:0")?.local_addr()?;
+    let scout_address = free_addr()?;
     let engine = EngineLocation {
         address: scout_address,
         service: Name::new("drafts"),
