admission: the names of waiting streams are those of queues

No behaviour changes but one word: a stream that others of its kind wait ahead of is logged and counted with the reason 'queue' instead of 'line'. WaitLine, WaitRoom and LinePlace become WaitQueue, WaitQueues and QueueEntry, RoomSearch CapacitySearch.

--- a/lib/src/admission/room_search.rs
+++ b/lib/src/admission/capacity_search.rs
@@ -23,14 +23,14 @@
 
 /// Where a waiting request may find capacity.
 #[derive(Clone, Debug, Default)]
-pub struct RoomSearch {
+pub struct CapacitySearch {
     /// The engines that are eligible.
     eligible: Vec<Candidate>,
     /// Those of them whose latest report shows capacity.
     roomy: Vec<Candidate>,
 }
 
-impl RoomSearch {
+impl CapacitySearch {
     /// Looks through the reports at hand. O(n) in the engines.
     pub fn new(
         fleet: &Fleet,
@@ -45,7 +45,7 @@
             stream_admission::check(request, &expected_load).is_ok()
         };
         let roomy = eligible.iter().filter(has_room).copied().collect();
-        RoomSearch { eligible, roomy }
+        CapacitySearch { eligible, roomy }
     }
 
     /// Whether the latest report of an engine shows capacity.
--- a/lib/src/admission/mod.rs
+++ b/lib/src/admission/mod.rs
@@ -1,4 +1,4 @@
-//! Admission to an agent's queue, and `Retry-After` times for rejected requests. [`wait_line`] holds the streams that wait
+//! Admission to an agent's queue, and `Retry-After` times for rejected requests. [`wait_queue`] holds the streams that wait
 //! at a relay.
 //!
 //! Load pattern: more work arrives than the engine can do, in bursts or for hours. An unbounded queue
@@ -11,9 +11,9 @@
 
 use crate::time::Time;
 
+pub mod capacity_search;
 mod placement_rate;
-pub mod room_search;
-pub mod wait_line;
+pub mod wait_queue;
 
 /// Window over which the drain rate is measured: about 25 engine steps.
 const WINDOW: Duration = Duration::from_secs(1);
--- a/lib/src/admission/placement_rate.rs
+++ b/lib/src/admission/placement_rate.rs
@@ -1,4 +1,4 @@
-//! The rate at which waiting requests are placed, by which the length of their line is bounded.
+//! The rate at which waiting requests are placed, by which the length of their queue is bounded.
 //!
 //! Load pattern: capacity that runs free while requests wait varies within seconds, and a relay places a request per
 //! second or less. So the rate is the number of placements over the time in which requests waited, both with exponential
--- a/lib/src/admission/wait_line.rs
+++ b/lib/src/admission/wait_queue.rs
@@ -1,4 +1,4 @@
-//! The line of streams that wait at a relay until an engine has capacity for them.
+//! The queue of streams that wait at a relay until an engine has capacity for them.
 //!
 //! Load pattern: all engines are full for some seconds, and runs end at them all the time. A relay that rejects a stream
 //! at once tells its caller to retry later, and the retry finds whatever capacity there is at that moment, however much
@@ -26,11 +26,11 @@
 /// is mostly in vain.
 pub const MIN_SLACK: Duration = Duration::from_millis(500);
 
-/// Maximum number of waiting requests in a line: 2.5 s of waiting at a hundred placements per second, which is more than
+/// Maximum number of waiting requests in a queue: 2.5 s of waiting at a hundred placements per second, which is more than
 /// a relay places.
 const MAX_WAITING: usize = 256;
 
-/// A request at most this large, as a fraction of the first one in the line, may be tried after the first one did not
+/// A request at most this large, as a fraction of the first one in the queue, may be tried after the first one did not
 /// fit: an engine without memory for a large request often has memory for one of half its size.
 const SMALLER_FRACTION: f64 = 0.5;
 
@@ -63,7 +63,7 @@
 }
 
 copy_type! {
-    /// Identifies a waiting request, and orders it among the others of its line.
+    /// Identifies a waiting request, and orders it among the others of its queue.
     pub struct Ticket {
         rank: u32,
         new: bool,
@@ -71,7 +71,7 @@
         arrival: u64,
     }
 
-    /// Why a waiting request leaves the line before its wait is over.
+    /// Why a waiting request leaves the queue before its wait is over.
     pub enum Departure {
         /// It was placed at an engine.
         Placed,
@@ -82,10 +82,10 @@
 
 /// Why a request may not wait.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LineFull {
+pub struct QueueFull {
     /// The number of waiting requests that would be served earlier.
     pub ahead: usize,
-    /// After how long the line is expected to be short enough for the request.
+    /// After how long the queue is expected to be short enough for the request.
     pub shorter_in: Duration,
 }
 
@@ -98,7 +98,7 @@
 
 /// The streams that wait for capacity, of one service and the same allowed regions.
 #[derive(Clone, Debug, Default)]
-pub struct WaitLine {
+pub struct WaitQueue {
     waiting: BTreeMap<Ticket, Waiting>,
     arrivals: u64,
     rate: PlacementRate,
@@ -106,10 +106,10 @@
     unfit: Option<Ticket>,
 }
 
-impl WaitLine {
-    /// Creates an empty line.
+impl WaitQueue {
+    /// Creates an empty queue.
     pub fn new() -> Self {
-        WaitLine::default()
+        WaitQueue::default()
     }
 
     /// The number of waiting requests.
@@ -134,7 +134,7 @@
     }
 
     /// Adds a request, if it is expected to be placed in time.
-    pub fn enter(&mut self, now: Time, request: &WaitRequest) -> Result<Ticket, LineFull> {
+    pub fn enter(&mut self, now: Time, request: &WaitRequest) -> Result<Ticket, QueueFull> {
         self.rate.observe(now, !self.is_empty());
         let ticket = Ticket {
             rank: request.rank,
@@ -146,7 +146,7 @@
         let expected = Duration::from_secs_f64((ahead + 1) as f64 / self.rate.per_second());
         if expected > request.limit || self.len() >= MAX_WAITING {
             let shorter_in = expected.saturating_sub(request.limit);
-            return Err(LineFull { ahead, shorter_in });
+            return Err(QueueFull { ahead, shorter_in });
         }
         self.arrivals += 1;
         let waiting = Waiting {
@@ -176,7 +176,7 @@
         self.unfit = is_first.then_some(ticket);
     }
 
-    /// Removes a request, and returns how long it waited; `None` if it is not in the line.
+    /// Removes a request, and returns how long it waited; `None` if it is not in the queue.
     pub fn leave(&mut self, now: Time, ticket: Ticket, why: Departure) -> Option<Duration> {
         self.rate.observe(now, !self.is_empty());
         let waiting = self.waiting.remove(&ticket)?;
--- a/lib/src/stream_admission.rs
+++ b/lib/src/stream_admission.rs
@@ -95,7 +95,7 @@
         /// All slots of the engine are in use.
         Slots,
         /// Other streams wait for capacity already.
-        Line,
+        Queue,
     }
 }
 
@@ -106,7 +106,7 @@
             Bottleneck::Memory => "memory",
             Bottleneck::Prefill => "reading",
             Bottleneck::Slots => "slots",
-            Bottleneck::Line => "line",
+            Bottleneck::Queue => "queue",
         }
     }
 }
--- a/lib/tests/burst/mod.rs
+++ b/lib/tests/burst/mod.rs
@@ -11,11 +11,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cicada_lib::admission::wait_line;
-use cicada_lib::admission::wait_line::Departure;
-use cicada_lib::admission::wait_line::Ticket;
-use cicada_lib::admission::wait_line::WaitLine;
-use cicada_lib::admission::wait_line::WaitRequest;
+use cicada_lib::admission::wait_queue;
+use cicada_lib::admission::wait_queue::Departure;
+use cicada_lib::admission::wait_queue::Ticket;
+use cicada_lib::admission::wait_queue::WaitQueue;
+use cicada_lib::admission::wait_queue::WaitRequest;
 use cicada_lib::dialect::EngineReport;
 use cicada_lib::dialect::EngineRun;
 use cicada_lib::engine_load_tracker::EngineLoadTracker;
@@ -206,7 +206,7 @@
     comebacks: RetryPacer,
     returns: RecentRejections,
     usage: WorkspaceUsage,
-    line: WaitLine,
+    line: WaitQueue,
     waiting: BTreeMap<Ticket, Waiter>,
     // When the line was last tried in vain.
     tried_at: u64,
@@ -284,7 +284,7 @@
         comebacks: RetryPacer::new(),
         returns: RecentRejections::new(),
         usage: WorkspaceUsage::new(),
-        line: WaitLine::new(),
+        line: WaitQueue::new(),
         waiting: BTreeMap::new(),
         tried_at: 0,
     }
@@ -455,7 +455,7 @@
             .map(|kind| kind.objective)
             .min()?;
         let own = Duration::from_millis(caller.prompt / 7);
-        wait_line::wait_limit(asking.objective, tightest, own, asking.age)
+        wait_queue::wait_limit(asking.objective, tightest, own, asking.age)
     }
 
     fn wait_or_refuse(&mut self, entry: usize, caller: Caller, asking: AdmissionRequest) {
--- a/lib/tests/room_search.rs
+++ b/lib/tests/capacity_search.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cicada_lib::admission::room_search::RoomSearch;
+use cicada_lib::admission::capacity_search::CapacitySearch;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::fleet::Location;
 use cicada_lib::fleet::PlacementRequest;
@@ -72,7 +72,7 @@
         waiting: true,
     };
     let spec = site::engine_service(24, CAPACITY);
-    let search = RoomSearch::new(fleet, NOW, &need, &spec, &request);
+    let search = CapacitySearch::new(fleet, NOW, &need, &spec, &request);
     search.probe_targets(freed, &mut fastrand::Rng::with_seed(seed))
 }
 
--- a/lib/tests/wait_line.rs
+++ b/lib/tests/wait_queue.rs
@@ -1,13 +1,13 @@
-//! The rules of the line of waiting streams: who may wait, for how long, and in which order.
+//! The rules of the queue of waiting streams: who may wait, for how long, and in which order.
 
 use std::time::Duration;
 
-use cicada_lib::admission::wait_line;
-use cicada_lib::admission::wait_line::Departure;
-use cicada_lib::admission::wait_line::LineFull;
-use cicada_lib::admission::wait_line::Ticket;
-use cicada_lib::admission::wait_line::WaitLine;
-use cicada_lib::admission::wait_line::WaitRequest;
+use cicada_lib::admission::wait_queue;
+use cicada_lib::admission::wait_queue::Departure;
+use cicada_lib::admission::wait_queue::QueueFull;
+use cicada_lib::admission::wait_queue::Ticket;
+use cicada_lib::admission::wait_queue::WaitQueue;
+use cicada_lib::admission::wait_queue::WaitRequest;
 use cicada_lib::time::Time;
 
 /// A new request of the most urgent kind that may wait for long.
@@ -24,10 +24,10 @@
 }
 
 /// Serves all waiting requests, and returns them in the order of their turns.
-fn serve_all(line: &mut WaitLine, now: Time) -> Vec<Ticket> {
+fn serve_all(queue: &mut WaitQueue, now: Time) -> Vec<Ticket> {
     let turns = std::iter::from_fn(|| {
-        let ticket = line.next()?;
-        line.leave(now, ticket, Departure::Placed)?;
+        let ticket = queue.next()?;
+        queue.leave(now, ticket, Departure::Placed)?;
         Some(ticket)
     });
     turns.collect()
@@ -39,7 +39,7 @@
 fn only_slack_over_the_tightest_objective_may_be_spent_waiting() {
     let limit = |objective, own_prefill, age| {
         let (objective, tightest) = (millis(objective), millis(1_500));
-        wait_line::wait_limit(objective, tightest, millis(own_prefill), millis(age))
+        wait_queue::wait_limit(objective, tightest, millis(own_prefill), millis(age))
     };
     assert_eq!(limit(4_000, 250, 0), Some(millis(2_250)));
     assert_eq!(limit(4_000, 250, 800), Some(millis(1_450)));
@@ -53,8 +53,8 @@
 
 /// Guards against a less urgent, new or greedy caller that goes before others.
 #[test]
-fn urgent_then_returning_then_modest_then_early_requests_go_first() -> Result<(), LineFull> {
-    let mut line = WaitLine::new();
+fn urgent_then_returning_then_modest_then_early_requests_go_first() -> Result<(), QueueFull> {
+    let mut queue = WaitQueue::new();
     let requests = [
         WaitRequest { rank: 1, ..REQUEST },
         WaitRequest {
@@ -78,56 +78,56 @@
             ..REQUEST
         },
     ];
-    let tickets = requests.iter().map(|r| line.enter(Time::ZERO, r));
-    let tickets: Vec<Ticket> = tickets.collect::<Result<_, LineFull>>()?;
+    let tickets = requests.iter().map(|r| queue.enter(Time::ZERO, r));
+    let tickets: Vec<Ticket> = tickets.collect::<Result<_, QueueFull>>()?;
     let order = [5, 4, 2, 3, 1, 6, 0].map(|index| tickets[index]);
-    assert_eq!(serve_all(&mut line, Time::from_millis(10)), order);
-    assert!(line.is_empty());
+    assert_eq!(serve_all(&mut queue, Time::from_millis(10)), order);
+    assert!(queue.is_empty());
     Ok(())
 }
 
 /// Guards against new requests that overtake a waiting one of their kind, and against urgent ones that are held up.
 #[test]
-fn only_more_urgent_requests_overtake() -> Result<(), LineFull> {
-    let mut line = WaitLine::new();
-    assert!(!line.is_ahead_of(2));
-    line.enter(Time::ZERO, &WaitRequest { rank: 1, ..REQUEST })?;
-    assert!(!line.is_ahead_of(0));
-    assert!(line.is_ahead_of(1));
-    assert!(line.is_ahead_of(2));
+fn only_more_urgent_requests_overtake() -> Result<(), QueueFull> {
+    let mut queue = WaitQueue::new();
+    assert!(!queue.is_ahead_of(2));
+    queue.enter(Time::ZERO, &WaitRequest { rank: 1, ..REQUEST })?;
+    assert!(!queue.is_ahead_of(0));
+    assert!(queue.is_ahead_of(1));
+    assert!(queue.is_ahead_of(2));
     Ok(())
 }
 
-/// Guards against a line that grows beyond what is served in time, at a known rate and without one.
+/// Guards against a queue that grows beyond what is served in time, at a known rate and without one.
 #[test]
 fn the_length_follows_the_rate_of_placements() {
     let wait = WaitRequest {
         limit: millis(2_500),
         ..REQUEST
     };
-    let fill = |line: &mut WaitLine, now| {
-        let entered = std::iter::from_fn(|| line.enter(now, &wait).ok());
+    let fill = |queue: &mut WaitQueue, now| {
+        let entered = std::iter::from_fn(|| queue.enter(now, &wait).ok());
         entered.count()
     };
-    let mut line = WaitLine::new();
-    let unknown = fill(&mut line, Time::ZERO);
+    let mut queue = WaitQueue::new();
+    let unknown = fill(&mut queue, Time::ZERO);
     assert_eq!(unknown, 5);
     // Ten placements a second.
     for at in (100..=10_000).step_by(100) {
         let now = Time::from_millis(at);
-        if let Some(ticket) = line.next() {
-            line.leave(now, ticket, Departure::Placed);
+        if let Some(ticket) = queue.next() {
+            queue.leave(now, ticket, Departure::Placed);
         }
-        fill(&mut line, now);
+        fill(&mut queue, now);
     }
-    assert!((18..=26).contains(&line.len()), "{}", line.len());
+    assert!((18..=26).contains(&queue.len()), "{}", queue.len());
     let now = Time::from_millis(10_000);
-    let full = line.enter(now, &wait).expect_err("line is full");
-    assert_eq!(full.ahead, line.len());
+    let full = queue.enter(now, &wait).expect_err("queue is full");
+    assert_eq!(full.ahead, queue.len());
     assert!(full.shorter_in <= millis(200), "{full:?}");
 }
 
-/// Guards against callers that wait in vain one after the other once nothing is placed any more, and against a line that
+/// Guards against callers that wait in vain one after the other once nothing is placed any more, and against a queue that
 /// nobody enters again after that.
 #[test]
 fn a_line_whose_rate_falls_to_zero_closes_and_opens_again() {
@@ -135,74 +135,74 @@
         limit: millis(2_500),
         ..REQUEST
     };
-    let mut line = WaitLine::new();
+    let mut queue = WaitQueue::new();
     let mut in_vain = 0;
     let mut refused = 0;
     for at in (0..30_000).step_by(100) {
         let now = Time::from_millis(at);
-        in_vain += line.expire(now).len();
-        refused += usize::from(line.enter(now, &wait).is_err());
+        in_vain += queue.expire(now).len();
+        refused += usize::from(queue.enter(now, &wait).is_err());
     }
     // Of 300 requests, those of the first moment and then a single one every few seconds.
     assert!((5..=12).contains(&in_vain), "{in_vain}");
     assert!(refused >= 285, "{refused}");
-    line.expire(Time::from_millis(33_000));
+    queue.expire(Time::from_millis(33_000));
     let later = Time::from_millis(60_000);
-    let entered = (0..10).filter(|_| line.enter(later, &wait).is_ok());
+    let entered = (0..10).filter(|_| queue.enter(later, &wait).is_ok());
     assert!(entered.count() >= 4);
 }
 
 /// Guards against places that stay taken by requests whose callers left or whose wait is over.
 #[test]
-fn requests_leave_when_their_callers_do_or_their_time_is_up() -> Result<(), LineFull> {
-    let mut line = WaitLine::new();
-    let short = line.enter(
+fn requests_leave_when_their_callers_do_or_their_time_is_up() -> Result<(), QueueFull> {
+    let mut queue = WaitQueue::new();
+    let short = queue.enter(
         Time::ZERO,
         &WaitRequest {
             limit: millis(600),
             ..REQUEST
         },
     )?;
-    let long = line.enter(Time::ZERO, &REQUEST)?;
-    assert_eq!(line.expire(Time::from_millis(599)), []);
-    assert_eq!(line.expire(Time::from_millis(600)), [short]);
+    let long = queue.enter(Time::ZERO, &REQUEST)?;
+    assert_eq!(queue.expire(Time::from_millis(599)), []);
+    assert_eq!(queue.expire(Time::from_millis(600)), [short]);
     let now = Time::from_millis(700);
-    assert_eq!(line.leave(now, short, Departure::Withdrawn), None);
+    assert_eq!(queue.leave(now, short, Departure::Withdrawn), None);
     assert_eq!(
-        line.leave(now, long, Departure::Withdrawn),
+        queue.leave(now, long, Departure::Withdrawn),
         Some(millis(700))
     );
-    assert!(line.is_empty());
+    assert!(queue.is_empty());
     Ok(())
 }
 
 /// Guards against a long request at the head that holds up short ones for which there is memory, and against short ones
 /// that take all its turns.
 #[test]
-fn a_long_request_that_does_not_fit_alternates_with_shorter_ones() -> Result<(), LineFull> {
-    let mut line = WaitLine::new();
-    let long = line.enter(
+fn a_long_request_that_does_not_fit_alternates_with_shorter_ones() -> Result<(), QueueFull> {
+    let mut queue = WaitQueue::new();
+    let long = queue.enter(
         Time::ZERO,
         &WaitRequest {
             tokens: 12_000,
             ..REQUEST
         },
     )?;
-    let medium = line.enter(
+    let medium = queue.enter(
         Time::ZERO,
         &WaitRequest {
             tokens: 9_000,
             ..REQUEST
         },
     )?;
-    let short = line.enter(Time::ZERO, &REQUEST)?;
+    let short = queue.enter(Time::ZERO, &REQUEST)?;
     for _ in 0..2 {
-        assert_eq!(line.next(), Some(long));
-        line.record_unfit(long);
-        assert_eq!(line.next(), Some(short));
-        line.record_unfit(short);
+        assert_eq!(queue.next(), Some(long));
+        queue.record_unfit(long);
+        assert_eq!(queue.next(), Some(short));
+        queue.record_unfit(short);
     }
-    line.leave(Time::ZERO, long, Departure::Placed);
-    assert_eq!(line.next(), Some(medium));
+    queue.leave(Time::ZERO, long, Departure::Placed);
+    assert_eq!(queue.next(), Some(medium));
     Ok(())
 }
--- a/relay/src/attempts.rs
+++ b/relay/src/attempts.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cicada_lib::admission::room_search::RoomSearch;
+use cicada_lib::admission::capacity_search::CapacitySearch;
 use cicada_lib::fleet::Exclusion;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::PlacementRequest;
@@ -21,7 +21,7 @@
 use crate::relay::Relay;
 use crate::retries::RetryCause;
 use crate::send::NoAnswer;
-use crate::wait_room::Try;
+use crate::wait_queues::Try;
 
 /// Maximum number of servers chosen for one request, since each unreachable one costs the caller time.
 const MAX_SERVERS_CHOSEN: usize = 4;
@@ -164,7 +164,7 @@
         let tried = self.tried.clone();
         let request = placement_request(relay, call, tokens, &regions, &tried);
         let now = relay.now();
-        let search = RoomSearch::new(&relay.fleet(), now, &request, &call.spec, admission);
+        let search = CapacitySearch::new(&relay.fleet(), now, &request, &call.spec, admission);
         if !search.has_room() && !search.is_empty() && !turn.must_probe {
             return None;
         }
@@ -184,7 +184,7 @@
         let server = fleet.choose(now, &request, &call.spec).ok()?;
         let expected_load = fleet.expected_load(now, server, &request, &call.spec);
         Some(Rejection {
-            bottleneck: Bottleneck::Line,
+            bottleneck: Bottleneck::Queue,
             server,
             expected_load,
         })
--- a/relay/src/engine_reports.rs
+++ b/relay/src/engine_reports.rs
@@ -15,7 +15,7 @@
         let load = self.effective_load(&report.load);
         let started_leaving = self.fleet().apply_report(self.now(), &report.engine, &load);
         self.handle_leaving_engine(started_leaving, report);
-        self.wait_room().record_sign();
+        self.wait_queues().record_sign();
     }
 
     /// Applies the answer to a load probe.
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -54,7 +54,7 @@
 mod stream_run;
 mod suspect_net;
 mod upstream;
-mod wait_room;
+mod wait_queues;
 mod waiting;
 mod whole_body;
 mod zone_probes;
--- a/relay/src/placed_request.rs
+++ b/relay/src/placed_request.rs
@@ -184,7 +184,7 @@
         self.record_first_event();
         self.relay.fleet().record_ended(self.key, self.tokens);
         if self.tokens > 0 {
-            self.relay.wait_room().record_freed(self.key);
+            self.relay.wait_queues().record_freed(self.key);
         }
     }
 }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -54,7 +54,7 @@
 use crate::relay_settings::Policy;
 use crate::relay_settings::RelaySettings;
 use crate::relay_settings::ReloadableSettings;
-use crate::wait_room::WaitRoom;
+use crate::wait_queues::WaitQueues;
 
 /// Capacity of each queue of messages to other processes.
 const MESSAGE_QUEUE_LEN: usize = 256;
@@ -133,7 +133,7 @@
     pub(crate) leaving_changes: watch::Sender<u64>,
     pub(crate) moved_runs: MovedRuns,
     // Streams that wait for capacity.
-    pub(crate) wait_room: Arc<WaitRoom>,
+    pub(crate) wait_queues: Arc<WaitQueues>,
     pub(crate) planned_moves: PlannedMoves,
     pub(crate) poison: Poison,
     pub(crate) peers: Mutex<RelayPeers>,
@@ -210,7 +210,7 @@
             draining: Mutex::new(None),
             leaving_changes: watch::Sender::new(0),
             moved_runs: MovedRuns::new(),
-            wait_room: WaitRoom::new(clock),
+            wait_queues: WaitQueues::new(clock),
             planned_moves: PlannedMoves::default(),
             poison,
             peers: Mutex::default(),
@@ -263,8 +263,8 @@
     }
 
     /// The streams that wait for capacity.
-    pub(crate) fn wait_room(&self) -> &Arc<WaitRoom> {
-        &self.wait_room
+    pub(crate) fn wait_queues(&self) -> &Arc<WaitQueues> {
+        &self.wait_queues
     }
 
     pub(crate) fn planned_moves(&self) -> &PlannedMoves {
@@ -407,7 +407,7 @@
         let mut drain_start = lock(&self.draining);
         drain_start.get_or_insert_with(Instant::now);
         drop(drain_start);
-        self.wait_room.wake_all();
+        self.wait_queues.wake_all();
     }
 
     pub(crate) fn open_requests(&self) -> i64 {
@@ -437,6 +437,6 @@
     /// Notifies running streams that the list of servers, or what is known of servers that leave, has changed.
     pub(crate) fn notify_leaving(&self) {
         self.leaving_changes.send_modify(|count| *count += 1);
-        self.wait_room.record_sign();
+        self.wait_queues.record_sign();
     }
 }
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -65,7 +65,7 @@
             "config: a version came into force"
         );
         self.table.store(Arc::new(RouteTable::new(config)));
-        self.wait_room().wake_all();
+        self.wait_queues().wake_all();
         true
     }
 
--- a/relay/src/wait_room.rs
+++ b/relay/src/wait_queues.rs
@@ -1,6 +1,6 @@
-//! The lines of streams that wait at this relay, and the turns at which one of them looks for capacity.
+//! The queues of streams that wait at this relay, and the turns at which one of them looks for capacity.
 //!
-//! The waiting tasks take turns, so that a line costs the same however many wait: the first one tries when an engine's
+//! The waiting tasks take turns, so that a queue costs the same however many wait: the first one tries when an engine's
 //! report arrived or a run ended, or after an interval, and hands its turn on.
 
 use std::collections::HashMap;
@@ -10,11 +10,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cicada_lib::admission::wait_line::Departure;
-use cicada_lib::admission::wait_line::LineFull;
-use cicada_lib::admission::wait_line::Ticket;
-use cicada_lib::admission::wait_line::WaitLine;
-use cicada_lib::admission::wait_line::WaitRequest;
+use cicada_lib::admission::wait_queue::Departure;
+use cicada_lib::admission::wait_queue::QueueFull;
+use cicada_lib::admission::wait_queue::Ticket;
+use cicada_lib::admission::wait_queue::WaitQueue;
+use cicada_lib::admission::wait_queue::WaitRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::residency::AllowedRegions;
 use cicada_lib::routing::ServerKey;
@@ -24,11 +24,11 @@
 
 use crate::lock::lock;
 
-/// Interval between two tries of a line without any sign of capacity. Each probes five scouts: a relay whose line is
+/// Interval between two tries of a queue without any sign of capacity. Each probes five scouts: a relay whose queue is
 /// never empty sends 17 probes a second, and with 370 such relays and 1,000 engines each scout answers 6 a second.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Least time from a try that found no capacity to the next one of the line: about an engine's step, or a scout's poll.
+/// Least time from a try that found no capacity to the next one of the queue: about an engine's step, or a scout's poll.
 const TRY_SPACING: Duration = Duration::from_millis(50);
 
 /// After how long a scout knows that a run of its engine ended: it polls the engine every 30 ms.
@@ -40,19 +40,19 @@
 /// The requests that wait together: those of a service that may be served in the same regions. A request that is
 /// restricted to full regions then holds up no other.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
-pub(crate) struct LineKey {
+pub(crate) struct QueueKey {
     pub(crate) service: Name,
     pub(crate) regions: AllowedRegions,
 }
 
-/// One line and its turns.
+/// One queue and its turns.
 #[derive(Debug, Default)]
-struct Room {
-    line: WaitLine,
+struct QueueState {
+    queue: WaitQueue,
     wakers: HashMap<Ticket, Arc<Notify>>,
     // When the latest try found no capacity; `None` if it found some.
     failed_at: Option<Instant>,
-    // When scouts were last probed for this line.
+    // When scouts were last probed for this queue.
     probed_at: Option<Instant>,
     // Whether there was a sign of capacity since the latest try.
     hinted: bool,
@@ -70,28 +70,28 @@
     pub(crate) freed: Vec<ServerKey>,
 }
 
-/// All lines of a relay.
+/// All queues of a relay.
 #[derive(Debug)]
-pub(crate) struct WaitRoom {
+pub(crate) struct WaitQueues {
     clock: Clock,
-    rooms: Mutex<HashMap<LineKey, Room>>,
-    // The number of waiting requests of all lines.
+    queues: Mutex<HashMap<QueueKey, QueueState>>,
+    // The number of waiting requests of all queues.
     waiting: AtomicUsize,
 }
 
-/// A request's place in a line, until dropped.
+/// A request's place in a queue, until dropped.
 #[derive(Debug)]
-pub(crate) struct LinePlace {
-    room: Arc<WaitRoom>,
-    key: LineKey,
+pub(crate) struct QueueEntry {
+    queues: Arc<WaitQueues>,
+    key: QueueKey,
     ticket: Ticket,
     waker: Arc<Notify>,
 }
 
-impl Room {
+impl QueueState {
     /// When the request may try; `None` if it is not its turn.
     fn due(&self, ticket: Ticket) -> Option<Instant> {
-        if self.line.next() != Some(ticket) {
+        if self.queue.next() != Some(ticket) {
             return None;
         }
         let Some(failed_at) = self.failed_at else {
@@ -117,61 +117,61 @@
     }
 
     fn wake_next(&self) {
-        let next = self.line.next();
+        let next = self.queue.next();
         if let Some(waker) = next.and_then(|ticket| self.wakers.get(&ticket)) {
             waker.notify_one();
         }
     }
 }
 
-impl WaitRoom {
-    /// Creates a room in which nobody waits.
+impl WaitQueues {
+    /// Creates a state in which nobody waits.
     pub(crate) fn new(clock: Clock) -> Arc<Self> {
-        Arc::new(WaitRoom {
+        Arc::new(WaitQueues {
             clock,
-            rooms: Mutex::default(),
+            queues: Mutex::default(),
             waiting: AtomicUsize::new(0),
         })
     }
 
     /// Whether a new request of this rank would overtake one that waits.
-    pub(crate) fn is_ahead_of(&self, key: &LineKey, rank: u32) -> bool {
-        let rooms = lock(&self.rooms);
-        rooms
+    pub(crate) fn is_ahead_of(&self, key: &QueueKey, rank: u32) -> bool {
+        let queues = lock(&self.queues);
+        queues
             .get(key)
-            .is_some_and(|room| room.line.is_ahead_of(rank))
+            .is_some_and(|state| state.queue.is_ahead_of(rank))
     }
 
-    /// Adds a request to its line, if it is expected to be placed in time.
+    /// Adds a request to its queue, if it is expected to be placed in time.
     pub(crate) fn enter(
         self: &Arc<Self>,
-        key: LineKey,
+        key: QueueKey,
         request: &WaitRequest,
-    ) -> Result<LinePlace, LineFull> {
-        let mut rooms = lock(&self.rooms);
-        let room = rooms.entry(key.clone()).or_default();
+    ) -> Result<QueueEntry, QueueFull> {
+        let mut queues = lock(&self.queues);
+        let state = queues.entry(key.clone()).or_default();
         let now = self.clock.now();
         // Those whose task has not noticed yet that their wait is over are not ahead of it.
-        room.line.expire(now);
-        let was_empty = room.line.is_empty();
-        let ticket = room.line.enter(now, request)?;
+        state.queue.expire(now);
+        let was_empty = state.queue.is_empty();
+        let ticket = state.queue.enter(now, request)?;
         if was_empty {
             // It was just rejected at its first choice, and signs of capacity before that are outdated.
             let now = Instant::now();
-            *room = Room {
-                line: std::mem::take(&mut room.line),
-                wakers: std::mem::take(&mut room.wakers),
+            *state = QueueState {
+                queue: std::mem::take(&mut state.queue),
+                wakers: std::mem::take(&mut state.wakers),
                 failed_at: Some(now),
                 probed_at: Some(now),
-                ..Room::default()
+                ..QueueState::default()
             };
         }
         let waker = Arc::new(Notify::new());
-        room.wakers.insert(ticket, waker.clone());
+        state.wakers.insert(ticket, waker.clone());
         self.waiting.fetch_add(1, Ordering::Relaxed);
-        drop(rooms);
-        Ok(LinePlace {
-            room: self.clone(),
+        drop(queues);
+        Ok(QueueEntry {
+            queues: self.clone(),
             key,
             ticket,
             waker,
@@ -179,58 +179,58 @@
     }
 
     /// Records that the request of a returning caller was placed without waiting.
-    pub(crate) fn record_returned(&self, key: &LineKey) {
-        let mut rooms = lock(&self.rooms);
-        if let Some(room) = rooms.get_mut(key) {
-            room.line.record_returned(self.clock.now());
+    pub(crate) fn record_returned(&self, key: &QueueKey) {
+        let mut queues = lock(&self.queues);
+        if let Some(state) = queues.get_mut(key) {
+            state.queue.record_returned(self.clock.now());
         }
     }
 
-    /// The number of waiting requests of a line, and the rate at which they are placed.
-    pub(crate) fn outlook(&self, key: &LineKey) -> (usize, f64) {
-        let rooms = lock(&self.rooms);
-        rooms
+    /// The number of waiting requests of a queue, and the rate at which they are placed.
+    pub(crate) fn outlook(&self, key: &QueueKey) -> (usize, f64) {
+        let queues = lock(&self.queues);
+        queues
             .get(key)
-            .map_or((0, 0.0), |room| (room.line.len(), room.line.rate()))
+            .map_or((0, 0.0), |state| (state.queue.len(), state.queue.rate()))
     }
 
     /// Records a sign that an engine may have capacity: its load report, or a change of the list of servers.
     pub(crate) fn record_sign(&self) {
-        self.wake(|room| !std::mem::replace(&mut room.hinted, true));
+        self.wake(|state| !std::mem::replace(&mut state.hinted, true));
     }
 
     /// Records that a run of this relay ended at an engine.
     pub(crate) fn record_freed(&self, engine: ServerKey) {
-        self.wake(|room| {
-            if room.freed.len() < MAX_FREED && !room.freed.contains(&engine) {
-                room.freed.push(engine);
+        self.wake(|state| {
+            if state.freed.len() < MAX_FREED && !state.freed.contains(&engine) {
+                state.freed.push(engine);
             }
-            room.freed_at = Some(Instant::now());
+            state.freed_at = Some(Instant::now());
             true
         });
     }
 
     /// Wakes all waiting requests: the configuration has changed, or this relay drains.
     pub(crate) fn wake_all(&self) {
-        for room in lock(&self.rooms).values() {
-            room.wakers.values().for_each(|waker| waker.notify_one());
+        for state in lock(&self.queues).values() {
+            state.wakers.values().for_each(|waker| waker.notify_one());
         }
     }
 
-    /// Applies `sign` to each line that is not empty, and wakes those whose turn it is where it returns true.
-    fn wake(&self, mut sign: impl FnMut(&mut Room) -> bool) {
+    /// Applies `sign` to each queue that is not empty, and wakes those whose turn it is where it returns true.
+    fn wake(&self, mut sign: impl FnMut(&mut QueueState) -> bool) {
         if self.waiting.load(Ordering::Relaxed) == 0 {
             return;
         }
-        for room in lock(&self.rooms).values_mut() {
-            if !room.line.is_empty() && sign(room) {
-                room.wake_next();
+        for state in lock(&self.queues).values_mut() {
+            if !state.queue.is_empty() && sign(state) {
+                state.wake_next();
             }
         }
     }
 }
 
-impl LinePlace {
+impl QueueEntry {
     /// Waits until the turn of this request may have come, or something else has changed.
     pub(crate) async fn woken(&self) {
         self.waker.notified().await;
@@ -238,57 +238,57 @@
 
     /// When this request may try; `None` if it is not its turn.
     pub(crate) fn due(&self) -> Option<Instant> {
-        self.with_room(|room| room.due(self.ticket))
+        self.with_state(|state| state.due(self.ticket))
     }
 
     /// Begins a try if it is still this request's turn.
     pub(crate) fn begin_try(&self) -> Option<Try> {
-        self.with_room(|room| {
-            let due = room.due(self.ticket)?;
-            (due <= Instant::now()).then(|| room.begin_try())
+        self.with_state(|state| {
+            let due = state.due(self.ticket)?;
+            (due <= Instant::now()).then(|| state.begin_try())
         })
     }
 
     /// Records that no engine had capacity, and hands the turn on.
     pub(crate) fn record_unfit(&self) {
-        self.with_room(|room| {
-            room.line.record_unfit(self.ticket);
-            room.failed_at = Some(Instant::now());
+        self.with_state(|state| {
+            state.queue.record_unfit(self.ticket);
+            state.failed_at = Some(Instant::now());
             // A smaller request is tried soon after.
-            room.hinted |= room.line.next() != Some(self.ticket);
-            room.wake_next();
+            state.hinted |= state.queue.next() != Some(self.ticket);
+            state.wake_next();
         });
     }
 
     /// Lets the next request try at once: this one was placed, or learned that no engine is left.
     pub(crate) fn hand_on(&self) {
-        self.with_room(|room| room.failed_at = None);
+        self.with_state(|state| state.failed_at = None);
     }
 
-    /// Leaves the line, placed at an engine.
+    /// Leaves the queue, placed at an engine.
     pub(crate) fn leave_placed(self) {
         self.hand_on();
         self.leave(Departure::Placed);
     }
 
     fn leave(&self, why: Departure) {
-        let now = self.room.clock.now();
-        self.with_room(|room| {
-            if room.wakers.remove(&self.ticket).is_some() {
-                room.line.leave(now, self.ticket, why);
-                self.room.waiting.fetch_sub(1, Ordering::Relaxed);
-                room.wake_next();
+        let now = self.queues.clock.now();
+        self.with_state(|state| {
+            if state.wakers.remove(&self.ticket).is_some() {
+                state.queue.leave(now, self.ticket, why);
+                self.queues.waiting.fetch_sub(1, Ordering::Relaxed);
+                state.wake_next();
             }
         });
     }
 
-    fn with_room<T>(&self, action: impl FnOnce(&mut Room) -> T) -> T {
-        let mut rooms = lock(&self.room.rooms);
-        action(rooms.entry(self.key.clone()).or_default())
+    fn with_state<T>(&self, action: impl FnOnce(&mut QueueState) -> T) -> T {
+        let mut queues = lock(&self.queues.queues);
+        action(queues.entry(self.key.clone()).or_default())
     }
 }
 
-impl Drop for LinePlace {
+impl Drop for QueueEntry {
     fn drop(&mut self) {
         self.leave(Departure::Withdrawn);
     }
--- a/relay/src/waiting.rs
+++ b/relay/src/waiting.rs
@@ -1,12 +1,12 @@
 //! Places streams, and lets those wait for which no engine has capacity and whose route's objective allows it.
-//! `cicada_lib::admission::wait_line` decides who waits, for how long and in which order.
+//! `cicada_lib::admission::wait_queue` decides who waits, for how long and in which order.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use cicada_lib::admission::wait_line;
-use cicada_lib::admission::wait_line::LineFull;
-use cicada_lib::admission::wait_line::WaitRequest;
+use cicada_lib::admission::wait_queue;
+use cicada_lib::admission::wait_queue::QueueFull;
+use cicada_lib::admission::wait_queue::WaitRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::route_table::AdmissionChange;
 use cicada_lib::route_table::Denied;
@@ -25,8 +25,8 @@
 use crate::placed_request::PlacedRequest;
 use crate::relay::Relay;
 use crate::stream;
-use crate::wait_room::LineKey;
-use crate::wait_room::LinePlace;
+use crate::wait_queues::QueueEntry;
+use crate::wait_queues::QueueKey;
 
 /// Callers heed a `Retry-After` of at most this fraction (one third) of their remaining time.
 const HEEDED_DIVISOR: u32 = 3;
@@ -70,10 +70,10 @@
         admission,
     };
     let is_first = attempts.sends() == 0;
-    let key = line_key(relay, call);
+    let key = queue_key(relay, call);
     let may_wait = is_first && waiter.has_slack();
     if may_wait
-        && relay.wait_room().is_ahead_of(&key, admission.rank)
+        && relay.wait_queues().is_ahead_of(&key, admission.rank)
         && let Some(rejection) = attempts.outlook(relay, call, tokens)
         && let Some(limit) = waiter.limit(rejection.expected_load.own_prefill_time)
     {
@@ -83,7 +83,7 @@
     match attempts.place(relay, call, tokens, admission_check).await {
         Ok(placed) => {
             if !admission.age.is_zero() {
-                relay.wait_room().record_returned(&key);
+                relay.wait_queues().record_returned(&key);
             }
             Ok(placed)
         }
@@ -100,8 +100,8 @@
     }
 }
 
-fn line_key(relay: &Relay, call: &Call) -> LineKey {
-    LineKey {
+fn queue_key(relay: &Relay, call: &Call) -> QueueKey {
+    QueueKey {
         service: call.service.clone(),
         regions: relay.table().regions_now(&call.admitted),
     }
@@ -120,7 +120,7 @@
     fn limit(&self, own_prefill: Duration) -> Option<Duration> {
         let tightest = self.relay.table().tightest_objective(&self.call.service)?;
         let (objective, age) = (self.admission.objective, self.admission.age);
-        let limit = wait_line::wait_limit(objective, tightest, own_prefill, age)?;
+        let limit = wait_queue::wait_limit(objective, tightest, own_prefill, age)?;
         let left = self.call.time_left().saturating_sub(tightest + own_prefill);
         Some(limit.min(left)).filter(|limit| !limit.is_zero())
     }
@@ -128,7 +128,7 @@
     async fn wait(
         &self,
         attempts: &mut Attempts,
-        key: &LineKey,
+        key: &QueueKey,
         rejection: &Rejection,
         limit: Duration,
     ) -> Result<PlacedRequest, Unplaced> {
@@ -140,7 +140,7 @@
             tokens: self.tokens,
             limit,
         };
-        let place = match relay.wait_room().enter(key.clone(), &request) {
+        let place = match relay.wait_queues().enter(key.clone(), &request) {
             Ok(place) => place,
             Err(full) => return Err(self.refuse_entry(key, rejection, &full, limit)),
         };
@@ -180,7 +180,7 @@
     async fn wait_for_turns(
         &self,
         attempts: &mut Attempts,
-        place: &LinePlace,
+        place: &QueueEntry,
         until: Instant,
         record: &mut WaitRecord<'_>,
     ) -> Result<PlacedRequest, WaitFailure> {
@@ -249,13 +249,13 @@
     /// Rejects a stream that would not be placed in time behind those that wait already.
     fn refuse_entry(
         &self,
-        key: &LineKey,
+        key: &QueueKey,
         rejection: &Rejection,
-        full: &LineFull,
+        full: &QueueFull,
         limit: Duration,
     ) -> Unplaced {
         let relay = self.relay;
-        let (waiting, rate) = relay.wait_room().outlook(key);
+        let (waiting, rate) = relay.wait_queues().outlook(key);
         relay.metrics().count_wait("refused");
         tracing::info!(
             id = self.call.id(),
@@ -313,8 +313,8 @@
 }
 
 impl<'a> WaitRecord<'a> {
-    fn begin(relay: &'a Relay, call: &'a Call, key: &LineKey, request: &WaitRequest) -> Self {
-        let (waiting, rate) = relay.wait_room().outlook(key);
+    fn begin(relay: &'a Relay, call: &'a Call, key: &QueueKey, request: &WaitRequest) -> Self {
+        let (waiting, rate) = relay.wait_queues().outlook(key);
         relay.metrics().count_wait("entered");
         tracing::info!(
             id = call.id(),
