--- a/lib/src/migration/precopy.rs
+++ b/lib/src/migration/precopy.rs
@@ -1,7 +1,7 @@
 //! Decides after each round of copying a run's memory whether the run is stopped for the last round.
 //!
 //! Load pattern: the copies of several runs queue on the links of two engines, and a run that is stopped waits for all
-//! copies ahead of its last part. With six relays that each move one run at a time, the queue is up to a second long.
+//! copies ahead of its last part. Its caller sees that wait as a gap.
 //!
 //! A round copies only what is new, so it takes milliseconds once the first round is done. If it takes longer, the links
 //! are in use by others, and the run continues until a round is short.
