quarantine: a request that servers have answered needs no trial after a crash beside it

What callers saw: each request in flight at a crash became a suspect, those that many callers send as well, and their copies waited for a trial until one had succeeded. While trials are granted at once that costs 50 to 150 ms; it would cost seconds where a trial has to wait for a server. Cause: relays remembered which parts of prompts servers had answered on, and nothing of whole requests. Change: requests are remembered like parts, apart from them, and excused the crashes within half a second of the first one since. Later crashes count, so that a request that kills from now on is convicted. Evidence: a_request_that_servers_have_answered_needs_no_trial_after_crashes_beside_it fails on the code before (the hot request is asked to wait for a trial). a_request_that_was_sound_before_is_convicted guards the price: at most six crashes, two on trial, with 1, 5 and 29 entries; it passes before as well.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -123,7 +123,7 @@
 pub mod service_time;
 pub mod settings;
 pub mod site;
-mod sound_parts;
+mod sound_subjects;
 pub mod spread_budget;
 pub mod state_holders;
 pub mod stream_admission;
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -18,7 +18,7 @@
 use crate::lost_answers::LostAnswers;
 use crate::peer_messages::SuspectNotice;
 use crate::peer_messages::TrialMessage;
-use crate::sound_parts::SoundParts;
+use crate::sound_subjects::SoundSubjects;
 use crate::spread_budget::SpreadBudget;
 use crate::suspect_trials::Arbiter;
 use crate::suspect_trials::OwnTrials;
@@ -103,7 +103,7 @@
 #[derive(Debug)]
 pub struct Quarantine {
     suspects: Suspects,
-    sound: SoundParts,
+    sound: SoundSubjects,
     lost: LostAnswers,
     // The trials that this entry asks for or holds, and those that it grants.
     own: OwnTrials,
@@ -121,7 +121,7 @@
     pub fn new(own: SocketAddr) -> Self {
         Quarantine {
             suspects: Suspects::new(),
-            sound: SoundParts::default(),
+            sound: SoundSubjects::default(),
             lost: LostAnswers::default(),
             own: OwnTrials::default(),
             arbiter: Arbiter::default(),
@@ -417,11 +417,6 @@
         (crash, self.verdict(now, &run.subjects))
     }
 
-    /// Whether a crash does not count against a part, since servers have answered on it.
-    fn is_excused(&mut self, subject: Fingerprint, crashed_at: Time) -> bool {
-        subject.is_prompt_part() && self.sound.excuses(subject, crashed_at)
-    }
-
     /// Records that the answer to the request was lost, and nothing shows whether its server crashed. `loss` is a random
     /// number. Returns whether the request is a suspect by it.
     pub fn record_loss(&mut self, now: Time, subjects: &[Fingerprint], loss: u64) -> bool {
@@ -430,7 +425,7 @@
             let is_suspicious = self.lost.record_loss(now, *subject);
             if !is_suspicious
                 || self.suspects.verdict(now, *subject) != Verdict::Allow
-                || self.is_excused(*subject, now)
+                || self.sound.excuses(*subject, now)
             {
                 continue;
             }
@@ -458,10 +453,11 @@
         self.suspects.revision() != before
     }
 
-    /// Records that a server answered on these prompt parts, of which none is a suspect here.
+    /// Records that a server answered on these subjects, of which none is a suspect here.
     pub fn record_sound(&mut self, now: Time, subjects: &[Fingerprint]) {
-        let parts = subjects.iter().filter(|subject| subject.is_prompt_part());
-        parts.for_each(|part| self.sound.record_success(now, *part));
+        for subject in subjects {
+            self.sound.record_success(now, *subject);
+        }
     }
 
     /// Takes in what another process tells. Returns whether anything is new.
@@ -470,14 +466,14 @@
         !self.suspects.take_in(now, &marks).is_empty()
     }
 
-    /// Clears the marks of parts that this entry knows to be sound. Others are told, so that all excuse the same crashes.
+    /// Clears the marks of what this entry knows to be sound. Others are told, so that all excuse the same crashes.
     fn excuse_sound(&mut self, now: Time, marks: &[CrashMark]) -> Vec<CrashMark> {
         let excused = marks.iter().map(|mark| {
             let crashed_at = now.before(Duration::from_micros(mark.age));
             let is_sound = self.sound.has_answered_since(mark.fingerprint, crashed_at);
             // Of a run on trial, nothing is excused: the blame would fall on its other parts.
             let is_excusable = mark.exposure == Exposure::Crowd && mark.run == 0 && !is_sound;
-            let is_excused = is_excusable && self.is_excused(mark.fingerprint, crashed_at);
+            let is_excused = is_excusable && self.sound.excuses(mark.fingerprint, crashed_at);
             CrashMark {
                 cleared: mark.cleared || is_sound || is_excused,
                 ..mark.clone()
--- a/lib/tests/quarantine.rs
+++ b/lib/tests/quarantine.rs
@@ -121,6 +121,73 @@
     }
 }
 
+fn crowd_mark(fingerprint: Fingerprint, crash: u64) -> CrashMark {
+    CrashMark {
+        fingerprint,
+        crash: CrashId(crash),
+        exposure: Exposure::Crowd,
+        run: 0,
+        cleared: false,
+        age: 0,
+    }
+}
+
+fn candidate(request: Fingerprint) -> Candidate {
+    Candidate {
+        subjects: vec![request],
+        service: Fingerprint(0),
+        servers: 6,
+    }
+}
+
+/// Guards against a request that many callers send and that waits for a trial after each crash under others.
+#[test]
+fn a_request_that_servers_have_answered_needs_no_trial_after_crashes_beside_it() {
+    let mut entry = Quarantine::new(address(0));
+    let mut other = Quarantine::new(address(1));
+    entry.record_sound(begin(), &[HOT]);
+    let crashed_at = begin() + Duration::from_secs(1);
+    let notice = SuspectNotice {
+        marks: vec![
+            crowd_mark(HOT, 1),
+            crowd_mark(POISON, 1),
+            crowd_mark(HOT, 2),
+        ],
+    };
+    other.merge(crashed_at, &notice);
+    entry.merge(crashed_at, &notice);
+    assert_eq!(entry.admit(crashed_at, &candidate(HOT), 1), Admission::Free);
+    assert_eq!(
+        entry.admit(crashed_at, &candidate(POISON), 2),
+        Admission::Asked
+    );
+    // An entry where no answer on it was seen learns that the crashes do not count.
+    while let Some(notice) = entry.take_unsent(crashed_at) {
+        other.merge(crashed_at, &notice);
+    }
+    assert_eq!(other.admit(crashed_at, &candidate(HOT), 3), Admission::Free);
+}
+
+/// Guards against a request that servers have answered for long and that crashes them from now on.
+#[test]
+fn a_request_that_was_sound_before_is_convicted() {
+    const SOUND_MS: u64 = 5_000;
+    for entries in [1, 5, 29] {
+        for seed in 0..3 {
+            let mut fleet = Fleet::new(seed, entries, 12);
+            for ms in 0..SOUND_MS + 70_000 {
+                let now = begin() + Duration::from_millis(ms);
+                if ms % COPY_INTERVAL_MS == 0 {
+                    fleet.send(now, &[POISON], ms > SOUND_MS);
+                }
+                fleet.step(now);
+            }
+            assert!(fleet.crashes.len() <= 6, "{entries}: {:?}", fleet.crashes);
+            assert_eq!(fleet.trial_crashes[&POISON], 2, "{entries}");
+        }
+    }
+}
+
 /// Sends several poison requests at once through a fleet whose messages fare like this.
 fn several_poisons(seed: u64, entries: usize, servers: usize, poisons: u128, net: Net) -> Fleet {
     let mut fleet = Fleet::new(seed, entries, servers);
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -76,6 +76,9 @@
 /// The maximum number of prompt parts of a request that are judged. A message about a trial has room for them.
 const MAX_SHARED_PARTS: usize = 16;
 
+/// Largest body in bytes that is hashed with each request, as long as there is no evidence against any.
+const MAX_CHEAP_BODY: usize = 64 * 1024;
+
 /// A request that has been read and admitted to a route.
 pub(crate) struct Call {
     pub(crate) method: Method,
@@ -184,6 +187,11 @@
         })
     }
 
+    /// Its fingerprint, unless the body is large.
+    pub(crate) fn cheap_content(&self) -> Option<Fingerprint> {
+        (self.body.len() <= MAX_CHEAP_BODY).then(|| self.content())
+    }
+
     /// The parts of the prompt that other requests may share: all but the last. A bounded number of them.
     pub(crate) fn shared_parts(&self) -> &[Fingerprint] {
         self.shared_parts.get_or_init(|| {
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -329,10 +329,9 @@
     pub(crate) fn record_harmless(&self, call: &Call) {
         if self.poison.has_evidence() || call.trial().is_some() {
             self.clear(call, &call.subjects());
-        } else if !call.shared_parts().is_empty() {
-            self.poison
-                .lock()
-                .record_sound(self.now(), call.shared_parts());
+        } else {
+            self.record_sound(call.cheap_content());
+            self.record_sound(call.shared_parts().iter().copied());
         }
     }
 
@@ -340,6 +339,16 @@
     pub(crate) fn record_survived(&self, call: &Call) {
         if self.poison.has_evidence() || call.trial().is_some() {
             self.clear(call, &[call.content()]);
+        } else {
+            self.record_sound(call.cheap_content());
+        }
+    }
+
+    /// Remembers what servers answered on while there is no evidence against any request.
+    fn record_sound(&self, subjects: impl IntoIterator<Item = Fingerprint>) {
+        let subjects: Vec<Fingerprint> = subjects.into_iter().collect();
+        if !subjects.is_empty() {
+            self.poison.lock().record_sound(self.now(), &subjects);
         }
     }
 
