quarantine: a trial leaves the last server of a service to other requests

What callers saw: two copies of a poison request crash two of three servers before anyone can know, and 40 ms later the relay that lost one of them is granted a trial, which takes the third: nobody is served until a server is back. Cause: the arbiter of trials knew how many servers a service has, and not how many of them run. Change: a trial needs a second server that runs, by the relay's own list and its evidence of crashes, at the arbiter and again at the holder.

--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -21,9 +21,15 @@
 /// Servers in the relays' zone.
 const SERVERS: [&str; 3] = ["a", "a", "a"];
 
+/// Servers and relays in each zone.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
 /// How long a server that crashed is down.
 const DOWN: Duration = Duration::from_millis(900);
 
+/// The same for servers that take long to start.
+const LONG_DOWN: Duration = Duration::from_millis(3_200);
+
 /// Interval between two poison requests, and between two requests of other callers.
 const POISON_INTERVAL: Duration = Duration::from_millis(400);
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -142,6 +148,12 @@
 
 /// Has the servers crash under poison requests, and waits until the relays know each other.
 async fn arm(deployment: &Deployment) {
+    arm_with(deployment, DOWN).await;
+}
+
+/// The same with servers that are down for so long.
+async fn arm_with(deployment: &Deployment, down: Duration) {
+    let plan = || CrashPlan::new("poison", down);
     for (service, _) in &deployment.services {
         service.crashes().set_plan(Some(plan()));
     }
@@ -394,6 +406,49 @@
     Ok(())
 }
 
+/// Guards against a trial that takes the last server, so that nobody is served until another one has restarted.
+#[tokio::test(flavor = "multi_thread")]
+async fn others_are_served_while_copies_of_a_poison_request_come_in_pairs() -> Result<()> {
+    let deployment = Deployment::start_plain(daemon(), &ZONES, &ZONES).await?;
+    arm_with(&deployment, LONG_DOWN).await;
+    let relays = addresses(&deployment);
+    let others = OTHER.send_at_interval(relays.clone(), INTERVAL / 10);
+    let (first, second) = (vec![relays[0]], vec![relays[1]]);
+    let firsts = REPEATABLE.send_at_interval(first, POISON_INTERVAL);
+    let seconds = REPEATABLE.send_at_interval(second, POISON_INTERVAL);
+    let (others, ..) = tokio::join!(others, firsts, seconds);
+    assert!(served(&others) > 0.95, "{} served", served(&others));
+    Ok(())
+}
+
+/// Guards against servers that are taken as soon as they are back, while requests of several kinds crash them, callers crowd
+/// at one relay and configurations change.
+#[tokio::test(flavor = "multi_thread")]
+async fn servers_that_return_together_are_not_taken_again() -> Result<()> {
+    let deployment = Deployment::start_plain(daemon(), &ZONES, &["a", "b", "c", "a"]).await?;
+    arm_with(&deployment, LONG_DOWN).await;
+    let relays = addresses(&deployment);
+    let crowded = vec![relays[0], relays[0], relays[0], relays[1]];
+    let mut sent = JoinSet::new();
+    for poison in [REPEATABLE, ONCE] {
+        // Pairs of copies, one of each at the crowded relay.
+        for relays in [crowded.clone(), relays.clone()] {
+            sent.spawn(poison.send_for(SEVERAL_DURATION, relays, POISON_INTERVAL / 2));
+        }
+    }
+    let others = OTHER.send_for(SEVERAL_DURATION, crowded, INTERVAL / 5);
+    let others = tokio::spawn(others);
+    for route in ["/more/", "/still-more/", "/even-more/", "/most/"] {
+        sleep(SEVERAL_DURATION / 5).await;
+        deployment.add_route(route.trim_matches('/'), route);
+    }
+    let others = others.await?;
+    sent.join_all().await;
+    assert_few_late_crashes(&deployment);
+    assert!(served(&others) > 0.8, "{} served", served(&others));
+    Ok(())
+}
+
 /// Guards against a request that many callers send and that is refused since servers crashed beside it.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_hot_request_is_served_while_servers_crash_under_others() -> Result<()> {
--- a/lib/src/fingerprint.rs
+++ b/lib/src/fingerprint.rs
@@ -26,6 +26,11 @@
         ])
     }
 
+    /// Computes the fingerprint of a service.
+    pub fn of_service(service: &Name) -> Self {
+        Fingerprint::of_parts(&[service.as_str().as_bytes()])
+    }
+
     /// Computes the fingerprint of a request from all parts that make it the same request.
     pub fn of_parts(parts: &[&[u8]]) -> Self {
         let mut hasher = blake3::Hasher::new();
@@ -42,7 +47,7 @@
     /// Computes the fingerprint of a prompt part at a service. Its lower 64 bits are the part's identifier, so that operators
     /// recognize it.
     pub fn of_prompt_part(service: &Name, id: u64) -> Self {
-        let Fingerprint(scope) = Fingerprint::of_parts(&[service.as_str().as_bytes()]);
+        let Fingerprint(scope) = Fingerprint::of_service(service);
         Fingerprint(PART_TAG << 96 | (scope & 0xffff_ffff) << 64 | u128::from(id))
     }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -372,8 +372,9 @@
     }
 
     /// Records that a server served a request, which ends its backoff.
-    pub fn record_success(&mut self, key: ServerKey) {
+    pub fn record_success(&mut self, now: Time, key: ServerKey) {
         if let Some(server) = self.servers.get_mut(key) {
+            server.answered_at = Some(now);
             server.consecutive_failures = 0;
             server.backoff_until = Time::ZERO;
         }
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -166,6 +166,8 @@
     // Failures since the last success, and the end of the resulting backoff.
     pub(crate) consecutive_failures: u32,
     pub(crate) backoff_until: Time,
+    // When it last served one of this entry's requests.
+    pub(crate) answered_at: Option<Time>,
     // Running and waiting requests that a plain server reported, without this entry's.
     pub(crate) other_requests: f64,
     // The slots that it states, which go before those of its record.
@@ -247,6 +249,7 @@
             unreported: Vec::new(),
             consecutive_failures: 0,
             backoff_until: Time::ZERO,
+            answered_at: None,
             other_requests: 0.0,
             stated_slots: None,
             host_speed: HostSpeed::default(),
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -8,6 +8,7 @@
 //! sent only on a trial that the arbiter of its service has granted ([`crate::suspect_trials`], [`crate::arbiter_route`]),
 //! which also tells what it knows of the suspect: whatever is late costs time, not servers.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -18,6 +19,8 @@
 use crate::lost_answers::LostAnswers;
 use crate::peer_messages::SuspectNotice;
 use crate::peer_messages::TrialMessage;
+use crate::server_reserve::ListedServer;
+use crate::server_reserve::ServerReserve;
 use crate::sound_subjects::SoundSubjects;
 use crate::spread_budget::SpreadBudget;
 use crate::suspect_trials::Arbiter;
@@ -46,6 +49,13 @@
 /// How often a request for a trial is passed on to an entry that is taken for the arbiter.
 const MAX_HOPS: u8 = 2;
 
+/// Retry-after of a suspect whose service has no server to spare for a trial.
+const SPARE_RETRY_AFTER: Duration = Duration::from_secs(3);
+
+/// Interval at which an entry takes over the servers of each service, while there is evidence and otherwise.
+const SERVERS_INTERVAL: Duration = Duration::from_millis(200);
+const IDLE_SERVERS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Kinds of news in the order in which they are told.
 const NEWS: [News; 4] = [News::Proof, News::Part, News::Suspicion, News::Clearance];
 
@@ -60,6 +70,8 @@
         OnTrial(Duration),
         /// A server has just crashed under a copy on trial. It is tried again after this time.
         Paused(Duration),
+        /// A trial might take the last server of the service. There may be another one after this time.
+        NoSpareServer(Duration),
     }
 
     /// Whether a request may be sent.
@@ -68,7 +80,7 @@
         Free,
         /// A trial is asked for. It may be sent once that is held.
         Asked,
-        /// Another copy is on trial here, or a trial is asked for it.
+        /// Another copy is on trial here, or a trial is asked for it; or the service has no server to spare for one.
         Wait,
         /// It must not be sent.
         Refused(Refusal),
@@ -104,6 +116,7 @@
 pub struct Quarantine {
     suspects: Suspects,
     sound: SoundSubjects,
+    reserve: ServerReserve,
     lost: LostAnswers,
     // The trials that this entry asks for or holds, and those that it grants.
     own: OwnTrials,
@@ -122,6 +135,7 @@
         Quarantine {
             suspects: Suspects::new(),
             sound: SoundSubjects::default(),
+            reserve: ServerReserve::default(),
             lost: LostAnswers::default(),
             own: OwnTrials::default(),
             arbiter: Arbiter::default(),
@@ -150,6 +164,26 @@
         self.route.record_heard(entry);
     }
 
+    /// Whether the servers that it knows are out of date.
+    pub fn needs_servers(&self, now: Time) -> bool {
+        let interval = match self.has_evidence() {
+            true => SERVERS_INTERVAL,
+            false => IDLE_SERVERS_INTERVAL,
+        };
+        self.reserve.age(now).is_none_or(|age| age >= interval)
+    }
+
+    /// Sets the servers of each service.
+    pub fn set_servers(&mut self, now: Time, listed: HashMap<Fingerprint, Vec<ListedServer>>) {
+        self.reserve.set_listed(now, listed);
+    }
+
+    /// Whether a service has a server to spare while so many trials run.
+    fn spares_one(&self, now: Time, service: Fingerprint, trials: usize) -> bool {
+        self.reserve
+            .spares_one(now, service, trials, &self.suspects)
+    }
+
     /// Decides whether a copy of the request may be sent, and asks for a trial if it needs one. `trial` is a random number
     /// for this copy.
     pub fn admit(&mut self, now: Time, candidate: &Candidate, trial: u64) -> Admission {
@@ -160,6 +194,9 @@
         if suspects.is_empty() {
             return Admission::Free;
         }
+        if !self.spares_one(now, candidate.service, 1) {
+            return Admission::Wait;
+        }
         let request = TrialRequest {
             trial,
             suspects,
@@ -206,6 +243,7 @@
             (Verdict::Allow, _) => true,
             (Verdict::Isolate, Some(trial)) => {
                 self.own.is_held(now, trial)
+                    && self.own_service_spares_one(now, trial)
                     && self.covers(now, trial, subjects)
                     && self.check(now, subjects).is_ok()
             }
@@ -213,6 +251,11 @@
         }
     }
 
+    fn own_service_spares_one(&self, now: Time, trial: u64) -> bool {
+        let service = self.own.service(trial);
+        service.is_none_or(|service| self.spares_one(now, service, 1))
+    }
+
     /// Whether a trial was asked for all suspects that the request has by now.
     pub fn covers(&self, now: Time, trial: u64, subjects: &[Fingerprint]) -> bool {
         let tried = self.own.suspects(trial);
@@ -231,6 +274,14 @@
         paused.or(self.check(now, subjects).err())
     }
 
+    /// Why a request of the service that has waited long enough is refused.
+    pub fn wait_refusal(&self, now: Time, service: Fingerprint) -> Refusal {
+        match self.spares_one(now, service, 1) {
+            true => Refusal::OnTrial(TRIAL_LEASE),
+            false => Refusal::NoSpareServer(SPARE_RETRY_AFTER),
+        }
+    }
+
     /// Whether a trial is held.
     pub fn holds_trial(&self, now: Time, trial: u64) -> bool {
         self.own.is_held(now, trial)
@@ -265,7 +316,9 @@
     }
 
     fn grant(&mut self, now: Time) {
-        for request in self.arbiter.take_grants(now) {
+        let (reserve, suspects) = (&self.reserve, &self.suspects);
+        let spares = |service, trials| reserve.spares_one(now, service, trials, suspects);
+        for request in self.arbiter.take_grants(now, spares) {
             self.reply(now, &request, true);
         }
     }
--- /dev/null
+++ b/lib/src/server_reserve.rs
@@ -0,0 +1,139 @@
+//! Which services have a server to spare for the trial of a suspect.
+//!
+//! Load pattern: copies of a poison request crash most servers of a small service at the same moment, and callers send it
+//! again at once. Without a reserve its next trial takes the last server, and nobody is served until one has restarted.
+//!
+//! A trial needs a second server that runs, unless the service has one server only. Where a crash leaves few, it also waits
+//! until news of others at the same moment would have arrived. The number of a service's servers is
+//! the largest of the last minute, since the directory drops servers that crashed while they restart.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::copy_type;
+use crate::fingerprint::Fingerprint;
+use crate::suspects::CrashId;
+use crate::suspects::Suspects;
+use crate::time::Time;
+
+/// How long a server still belongs to its service after it was listed last, at least.
+const SIZE_MEMORY: Duration = Duration::from_secs(60);
+
+/// Time after a crash from which a server that is listed unchanged counts as running again. Few restarts take longer.
+const MAX_RESTART: Duration = Duration::from_secs(30);
+
+/// Time after a crash until all entries know of others that copies of the same moment caused: their run, a check of the
+/// server's port and a message between regions.
+const NEWS_TIME: Duration = Duration::from_millis(300);
+
+/// Share of a service's servers with which trials need not wait for news of further crashes.
+const AMPLE_SHARE: f64 = 0.75;
+
+copy_type! {
+    /// A server that takes work, as the directory lists it.
+    pub struct ListedServer {
+        /// The identifier of the next crash of this incarnation.
+        pub crash: CrashId,
+        /// When it last answered this entry, if it ever did.
+        pub answered_at: Option<Time>,
+        /// Whether this entry reached it when it tried last.
+        pub is_reachable: bool,
+    }
+}
+
+/// The servers of each service.
+#[derive(Debug, Default)]
+pub(crate) struct ServerReserve {
+    set_at: Option<Time>,
+    services: HashMap<Fingerprint, ServiceServers>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceServers {
+    listed: Vec<ListedServer>,
+    // The largest number listed since `period_from`, and in the period before it.
+    most: usize,
+    most_before: usize,
+    period_from: Time,
+}
+
+impl ServerReserve {
+    /// Sets the servers that are listed. A service that is not named has none at the moment.
+    pub(crate) fn set_listed(
+        &mut self,
+        now: Time,
+        mut listed: HashMap<Fingerprint, Vec<ListedServer>>,
+    ) {
+        self.set_at = Some(now);
+        for (service, servers) in &mut self.services {
+            servers.set_listed(now, listed.remove(service).unwrap_or_default());
+        }
+        for (service, new) in listed {
+            let servers = self.services.entry(service).or_default();
+            servers.set_listed(now, new);
+        }
+        self.services.retain(|_, servers| servers.size() > 0);
+    }
+
+    /// Time since the servers were set.
+    pub(crate) fn age(&self, now: Time) -> Option<Duration> {
+        self.set_at.map(|at| now.since(at))
+    }
+
+    /// Whether a server of the service is left for other requests while so many trials run. Unknown services have one.
+    pub(crate) fn spares_one(
+        &self,
+        now: Time,
+        service: Fingerprint,
+        trials: usize,
+        suspects: &Suspects,
+    ) -> bool {
+        let servers = self.services.get(&service);
+        servers.is_none_or(|servers| servers.spare_one(now, trials, suspects))
+    }
+}
+
+impl ServiceServers {
+    fn set_listed(&mut self, now: Time, listed: Vec<ListedServer>) {
+        if now.since(self.period_from) >= SIZE_MEMORY {
+            self.most_before = std::mem::take(&mut self.most);
+            self.period_from = now;
+        }
+        self.most = self.most.max(listed.len());
+        self.listed = listed;
+    }
+
+    fn spare_one(&self, now: Time, trials: usize, suspects: &Suspects) -> bool {
+        let running = self.listed.iter();
+        let running = running.filter(|server| server.is_running(now, suspects));
+        let running = running.count();
+        let is_ample = running as f64 >= self.size() as f64 * AMPLE_SHARE;
+        let leaves_one = running > trials && (is_ample || self.is_news_complete(now, suspects));
+        self.size() <= 1 || leaves_one
+    }
+
+    /// Whether no server crashed so recently that the crash of another one may not be known yet.
+    fn is_news_complete(&self, now: Time, suspects: &Suspects) -> bool {
+        let crashes = self.listed.iter();
+        let crashes = crashes.filter_map(|server| suspects.latest_crash(server.crash));
+        let latest = crashes.max();
+        latest.is_none_or(|at| now.since(at) >= NEWS_TIME)
+    }
+
+    fn size(&self) -> usize {
+        self.most.max(self.most_before)
+    }
+}
+
+impl ListedServer {
+    fn is_running(&self, now: Time, suspects: &Suspects) -> bool {
+        if !self.is_reachable {
+            return false;
+        }
+        let Some(crashed_at) = suspects.latest_crash(self.crash) else {
+            return true;
+        };
+        let has_answered = self.answered_at.is_some_and(|at| at > crashed_at);
+        has_answered || now.since(crashed_at) >= MAX_RESTART
+    }
+}
--- a/lib/src/suspect_trials.rs
+++ b/lib/src/suspect_trials.rs
@@ -209,12 +209,17 @@
         left.max().filter(|left| !left.is_zero())
     }
 
-    /// Grants what may begin now.
-    pub fn take_grants(&mut self, now: Time) -> Vec<TrialRequest> {
+    /// Grants what may begin now. `spares` tells whether a service can do without the servers of so many trials.
+    pub fn take_grants(
+        &mut self,
+        now: Time,
+        spares: impl Fn(Fingerprint, usize) -> bool,
+    ) -> Vec<TrialRequest> {
         self.remove_lapsed(now);
         let mut queues = std::mem::take(&mut self.queues);
-        let granted = queues.values_mut().flat_map(|queue| {
-            queue.take_grants(now, |suspects| self.paused_for(now, suspects).is_some())
+        let granted = queues.iter_mut().flat_map(|(service, queue)| {
+            let is_paused = |suspects: &[Fingerprint]| self.paused_for(now, suspects).is_some();
+            queue.take_grants(now, is_paused, |trials| spares(*service, trials))
         });
         let granted = granted.collect();
         self.queues = queues;
@@ -242,12 +247,14 @@
         &mut self,
         now: Time,
         is_paused: impl Fn(&[Fingerprint]) -> bool,
+        spares: impl Fn(usize) -> bool,
     ) -> Vec<TrialRequest> {
         let mut order: Vec<TrialRequest> = self.waiting.iter().map(|w| w.request.clone()).collect();
         order.sort_by_key(|request| request.suspects.len());
         let mut granted = Vec::new();
         for request in order {
-            if self.running.len() >= self.max_trials(now, request.servers) {
+            let running = self.running.len();
+            if running >= self.max_trials(now, request.servers) || !spares(running + 1) {
                 break;
             }
             let mut running = self.running.iter();
@@ -390,6 +397,11 @@
             .is_some_and(|until| now < until)
     }
 
+    /// The service of a trial, or of a request for one.
+    pub fn service(&self, trial: u64) -> Option<Fingerprint> {
+        self.trials.get(&trial).map(|own| own.request.service)
+    }
+
     /// The suspects of a trial, or of a request for one.
     pub fn suspects(&self, trial: u64) -> &[Fingerprint] {
         let own = self.trials.get(&trial);
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -253,6 +253,13 @@
         crash
     }
 
+    /// When the server crashed last that is listed with this identifier of its next crash, if it crashed at all.
+    pub(crate) fn latest_crash(&self, crash: CrashId) -> Option<Time> {
+        let crashes = std::iter::successors(Some(crash), |crash| Some(crash.next()));
+        let known = crashes.map_while(|crash| self.crashes.get(&crash));
+        known.last().map(|crash| crash.crashed_at)
+    }
+
     /// Returns how the request, or a request with the prompt part, may be run. Takes O(1).
     pub fn verdict(&self, now: Time, fingerprint: Fingerprint) -> Verdict {
         let counted = self.counted(now, fingerprint);
--- a/lib/tests/quarantine.rs
+++ b/lib/tests/quarantine.rs
@@ -42,6 +42,9 @@
 const LENGTH_MS: u64 = 30_000;
 const COPY_INTERVAL_MS: u64 = 200;
 
+/// When servers crash before copies come, after the entries know the servers.
+const FIRST_CRASH_MS: u64 = 500;
+
 fn is_poison(request: Fingerprint) -> bool {
     request.0 > u128::MAX - 100
 }
@@ -140,6 +143,61 @@
     }
 }
 
+/// Crashes two of three servers under a poison request that comes again and again. Returns the fleet and the milliseconds
+/// in which no server ran.
+fn last_server_fleet(seed: u64, entries: usize, net: Net) -> (Fleet, usize) {
+    let mut fleet = Fleet::new(seed, entries, 3);
+    fleet.net = net;
+    let mut all_down = 0;
+    for ms in 0..LENGTH_MS {
+        let now = begin() + Duration::from_millis(ms);
+        if ms == FIRST_CRASH_MS {
+            (0..2).for_each(|server| fleet.crash_under(now, &[POISON], server));
+        }
+        if ms % COPY_INTERVAL_MS == 0 && ms > FIRST_CRASH_MS {
+            fleet.send(now, &[POISON], true);
+        }
+        fleet.step(now);
+        all_down += usize::from(fleet.down_until.iter().all(|until| *until > now));
+    }
+    (fleet, all_down)
+}
+
+/// Guards against a trial that takes the last server of a small service after its other servers crashed together.
+#[test]
+fn a_trial_leaves_the_last_server_of_a_service() {
+    for entries in [1, 3, 29] {
+        for seed in 0..5 {
+            let (fleet, all_down) = last_server_fleet(seed, entries, SOUND);
+            assert_eq!(all_down, 0, "{entries} {seed}: {:?}", fleet.crashes);
+            assert!(fleet.trial_crashes.contains_key(&POISON), "{entries}");
+        }
+    }
+}
+
+/// Guards against the same by an entry or an arbiter that has not heard of the other server's crash yet.
+#[test]
+fn late_or_lost_news_takes_no_servers_seconds_after_the_first() {
+    let late = Net {
+        delay: (400, 600),
+        loss: 0.0,
+    };
+    let lossy = Net {
+        delay: (1, DELAY_MS),
+        loss: 0.5,
+    };
+    for net in [late, lossy] {
+        for entries in [1, 3, 29] {
+            for seed in 0..5 {
+                let (fleet, _) = last_server_fleet(seed, entries, net);
+                let known_at = fleet.crashes[2] + PROOF_TIME;
+                let late = fleet.crashes.iter().filter(|at| **at > known_at).count();
+                assert!(late <= MAX_LATE, "{entries} {net:?}: {:?}", fleet.crashes);
+            }
+        }
+    }
+}
+
 /// Guards against a request that many callers send and that waits for a trial after each crash under others.
 #[test]
 fn a_request_that_servers_have_answered_needs_no_trial_after_crashes_beside_it() {
--- a/lib/tests/suspect_trials.rs
+++ b/lib/tests/suspect_trials.rs
@@ -36,7 +36,7 @@
 }
 
 fn granted(arbiter: &mut Arbiter, now: Time) -> Vec<u64> {
-    let grants = arbiter.take_grants(now);
+    let grants = arbiter.take_grants(now, |_, _| true);
     grants.iter().map(|request| request.trial).collect()
 }
 
@@ -66,7 +66,7 @@
                 let held = arbiter.ask(now, &request(own as u64, SUSPECT, 3));
                 answers.extend(reached(now).map(|at| (at, own, held)));
             }
-            for grant in arbiter.take_grants(now) {
+            for grant in arbiter.take_grants(now, |_, _| true) {
                 answers.extend(reached(now).map(|at| (at, grant.trial as usize, true)));
             }
             for (_, own, held) in answers.extract_if(.., |a| a.0 <= now) {
--- a/lib/testutils/src/suspect_fleet.rs
+++ b/lib/testutils/src/suspect_fleet.rs
@@ -14,6 +14,7 @@
 use cicada_lib::quarantine::Candidate;
 use cicada_lib::quarantine::CrashedRun;
 use cicada_lib::quarantine::Quarantine;
+use cicada_lib::server_reserve::ListedServer;
 use cicada_lib::suspects::CrashId;
 use cicada_lib::time::Time;
 use fastrand::Rng;
@@ -26,6 +27,9 @@
     Time::ZERO + BEGIN
 }
 
+/// The service of all servers.
+const SERVICE: Fingerprint = Fingerprint(0);
+
 /// Entries that each entry passes news on to.
 const FANOUT: usize = 12;
 
@@ -108,7 +112,7 @@
     fn candidate(&self, servers: usize) -> Candidate {
         Candidate {
             subjects: self.subjects.clone(),
-            service: Fingerprint(0),
+            service: SERVICE,
             servers: servers as u16,
         }
     }
@@ -119,6 +123,10 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 1_000 + entry as u16))
 }
 
+fn crash_id(server: usize, crash: u64) -> CrashId {
+    CrashId((server as u64) << 32 | crash)
+}
+
 impl Fleet {
     /// A fleet of entries that know nothing yet.
     pub fn new(seed: u64, entries: usize, servers: usize) -> Self {
@@ -179,6 +187,8 @@
         self.copies.retain(|copy| copy.stage != Stage::Ended);
         for entry in 0..self.entries.len() {
             if now.micros().is_multiple_of(TICK_MS * 1_000) {
+                let listed = HashMap::from([(SERVICE, self.listed_servers(now))]);
+                self.entries[entry].set_servers(now, listed);
                 let others = (0..self.entries.len()).filter(|e| *e != entry);
                 self.entries[entry].set_entries(others.map(address).collect());
                 self.entries[entry].advance_trials(now);
@@ -188,6 +198,21 @@
         }
     }
 
+    /// The servers as the directory lists them: one that is down as the incarnation that crashed.
+    fn listed_servers(&self, now: Time) -> Vec<ListedServer> {
+        let servers = 0..self.down_until.len();
+        let listed = servers.map(|server| {
+            let is_up = self.down_until[server] <= now;
+            let next_crash = self.incarnations[server] + u64::from(is_up);
+            ListedServer {
+                crash: crash_id(server, next_crash),
+                answered_at: None,
+                is_reachable: true,
+            }
+        });
+        listed.collect()
+    }
+
     /// Sends an entry's messages about trials.
     fn post(&mut self, now: Time, entry: usize) {
         for (to, message) in self.entries[entry].take_outgoing() {
@@ -277,12 +302,25 @@
         self.crashes.push(now);
     }
 
+    /// Crashes a server under a request that is no suspect yet, seen by any entry.
+    pub fn crash_under(&mut self, now: Time, subjects: &[Fingerprint], server: usize) {
+        self.crash(now, server);
+        let copy = Copy {
+            entry: self.rng.usize(..self.entries.len()),
+            subjects: subjects.to_vec(),
+            is_deadly: true,
+            trial: 0,
+            arrived: now,
+            stage: Stage::Ended,
+        };
+        self.note_crash(now, &copy, server, false);
+    }
+
     fn note_crash(&mut self, now: Time, copy: &Copy, server: usize, on_trial: bool) {
-        let crash = (server as u64) << 32 | self.incarnations[server];
         let run = CrashedRun {
             subjects: copy.subjects.clone(),
             trial: on_trial.then_some(copy.trial),
-            crash: CrashId(crash),
+            crash: crash_id(server, self.incarnations[server]),
             opened_at: copy.arrived,
         };
         let entry = &mut self.entries[copy.entry];
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -216,7 +216,7 @@
     pub(crate) fn candidate(&self, servers: usize) -> Candidate {
         Candidate {
             subjects: self.subjects(),
-            service: Fingerprint::of_parts(&[self.service.as_str().as_bytes()]),
+            service: Fingerprint::of_service(&self.service),
             servers: u16::try_from(servers).unwrap_or(u16::MAX),
         }
     }
--- a/relay/src/placed_request.rs
+++ b/relay/src/placed_request.rs
@@ -119,7 +119,8 @@
 
     /// Records that the server completed the request.
     pub(crate) fn record_success(&self) {
-        self.relay.fleet().record_success(self.key);
+        let now = self.relay.now();
+        self.relay.fleet().record_success(now, self.key);
         self.report_outcome(true);
     }
 
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -16,7 +16,6 @@
 use cicada_lib::quarantine::CrashedRun;
 use cicada_lib::quarantine::Quarantine;
 use cicada_lib::quarantine::Refusal;
-use cicada_lib::suspect_trials::TRIAL_LEASE;
 use cicada_lib::suspects::CrashId;
 use cicada_lib::suspects::Exposure;
 use cicada_lib::suspects::Suspicion;
@@ -190,6 +189,15 @@
 }
 
 impl Relay {
+    /// Tells the quarantine which servers each service has, as often as that is due.
+    pub(crate) fn update_trial_servers(&self) {
+        let now = self.now();
+        if self.poison.lock().needs_servers(now) {
+            let listed = self.fleet().listed_servers(now);
+            self.poison.lock().set_servers(now, listed);
+        }
+    }
+
     /// Waits until the request may be sent to a backend server. If it is a suspect, it is on trial from then on.
     pub(crate) async fn clear_to_send(self: &Arc<Self>, call: &Call) -> Result<(), Refusal> {
         if !self.poison.has_evidence() || call.trial().is_some() {
@@ -226,7 +234,8 @@
                 }
             }
             if Instant::now() >= give_up_at {
-                return Err(Refusal::OnTrial(TRIAL_LEASE));
+                let quarantine = self.poison.lock();
+                return Err(quarantine.wait_refusal(self.now(), candidate.service));
             }
         }
     }
@@ -400,6 +409,7 @@
             Refusal::Poison(left) => ("poison", left),
             Refusal::PoisonPart(left) => ("poison_part", left),
             Refusal::OnTrial(left) | Refusal::Paused(left) => ("suspect", left),
+            Refusal::NoSpareServer(left) => ("no_spare_server", left),
         };
         self.metrics().count_refusal(reason);
         self.metrics().count_answer("not_run");
--- a/relay/src/suspect_net.rs
+++ b/relay/src/suspect_net.rs
@@ -44,6 +44,7 @@
     /// Asks for trials of suspects, and grants those of the services whose arbiter this relay is.
     pub(crate) async fn advance_trials(&self) {
         let poison = &self.relay.poison;
+        self.relay.update_trial_servers();
         if !poison.has_evidence() {
             return;
         }
