relay: processes whose messages cannot be read are logged, counted and listed

What operators saw: nothing. A relay of another version dropped what it could not read with a line at debug level, so that a fleet in the middle of a replacement, or with one relay left behind, looked whole while it shared evidence on poison requests, trials and limits among fewer relays. A report of servers that go on crashing could not be told from a fault. Change: a warning a minute for each such process, its address in /status, a gauge and a counter. No message changes. Evidence: a_process_whose_messages_cannot_be_read_is_shown and the tests of the record; the status page of the code before has no such list.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -206,6 +206,8 @@
     resting: Vec<RestingEntry>,
     // Requests that may be poison; the refused ones first.
     suspects: Vec<SuspectEntry>,
+    // Other processes whose messages cannot be read, as they run another version.
+    unreadable: Vec<SocketAddr>,
 }
 
 /// A request that may be poison.
@@ -294,6 +296,7 @@
                 })
                 .collect(),
             suspects: suspects.into_iter().map(SuspectEntry::from).collect(),
+            unreadable: self.relay.unreadable_senders(),
         };
         serde_json::to_vec(&page).unwrap_or_default()
     }
--- a/daemon/tests/relay_pull.rs
+++ b/daemon/tests/relay_pull.rs
@@ -146,3 +146,22 @@
     }
     Ok(())
 }
+
+/// Guards against a relay of another version that nobody notices, since its messages are dropped without a word.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_process_whose_messages_cannot_be_read_is_shown() -> Result<()> {
+    let deployment =
+        Deployment::start_plain(Path::new(env!("CARGO_BIN_EXE_cicadad")), &["a"], &["a"]).await?;
+    let peer = Peer::start(deployment.relays[0].callers).await?;
+    let shown = vec![peer.datagrams.local_addr()?.to_string()];
+    for _ in 0..20 {
+        peer.datagrams.send_to(&[0xff; 40], peer.relay).await?;
+        sleep(Duration::from_millis(20)).await;
+    }
+    let status = deployment.status(0).await?;
+    assert_eq!(status["unreadable"], serde_json::json!(shown));
+    let log = deployment.relays[0].process.log();
+    let lines = log.lines().filter(|line| line.contains("cannot be read"));
+    assert_eq!(lines.count(), 1);
+    Ok(())
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -134,6 +134,7 @@
 pub mod time;
 pub mod transcript;
 pub mod trial_pause;
+pub mod unreadable_senders;
 pub mod watch_election;
 pub mod wire;
 pub mod workspace_usage;
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -53,6 +53,7 @@
 mod stream;
 mod stream_run;
 mod suspect_net;
+mod unreadable;
 mod upstream;
 mod wait_queues;
 mod waiting;
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -434,7 +434,7 @@
                 return Some(Datagram::ForwardedAnnouncement(here));
             }
             Ok(_) => {}
-            Err(error) => tracing::debug!(%from, %error, "peers: ignored an undecodable datagram"),
+            Err(error) => self.relay.record_unreadable(from, &error),
         }
         None
     }
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -33,6 +33,7 @@
 use cicada_lib::suspects::Suspicion;
 use cicada_lib::time::Clock;
 use cicada_lib::time::Time;
+use cicada_lib::unreadable_senders::UnreadableSenders;
 use cicada_lib::watch_election::WatchElection;
 use cicada_lib::workspace_usage::WorkspaceUsage;
 use tokio::sync::Notify;
@@ -136,6 +137,7 @@
     pub(crate) wait_queues: Arc<WaitQueues>,
     pub(crate) planned_moves: PlannedMoves,
     pub(crate) poison: Poison,
+    pub(crate) unreadable: Mutex<UnreadableSenders>,
     pub(crate) peers: Mutex<RelayPeers>,
     // The watchers of this relay's region.
     pub(crate) election: Mutex<WatchElection>,
@@ -186,6 +188,7 @@
             ended_queue,
             server_news_queue,
             load_probes,
+            unreadable: Mutex::default(),
             servers_changed: Notify::new(),
             hello_due: Notify::new(),
             receivers: Mutex::new(Some(receivers)),
@@ -353,6 +356,8 @@
     pub fn update_gauges(&self) {
         self.metrics.set_held_bytes(self.budget.used());
         self.metrics.set_known_entries(self.peers().known_count());
+        self.metrics
+            .set_unreadable_senders(self.unreadable_senders().len());
         self.update_retry_gauges();
     }
 
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -31,6 +31,8 @@
     delayed_suspect_news: IntCounter,
     retry_usage: GaugeVec,
     known_entries: IntGauge,
+    unreadable_senders: IntGauge,
+    unreadable_datagrams: IntCounter,
     moves: IntCounterVec,
     migrations: IntCounterVec,
     runs_at_risk: IntCounter,
@@ -113,6 +115,14 @@
                 ),
                 &["service", "part"],
             )?,
+            unreadable_senders: IntGauge::new(
+                "relay_unreadable_senders",
+                "Other processes whose messages could not be read lately, as they run another version",
+            )?,
+            unreadable_datagrams: IntCounter::new(
+                "relay_unreadable_datagrams_total",
+                "Datagrams of other processes that could not be read",
+            )?,
             known_entries: IntGauge::new(
                 "relay_known_entries",
                 "Entries that share limits, this one included",
@@ -225,6 +235,8 @@
         registry.register(Box::new(metrics.delayed_suspect_news.clone()))?;
         registry.register(Box::new(metrics.retry_usage.clone()))?;
         registry.register(Box::new(metrics.known_entries.clone()))?;
+        registry.register(Box::new(metrics.unreadable_senders.clone()))?;
+        registry.register(Box::new(metrics.unreadable_datagrams.clone()))?;
         registry.register(Box::new(metrics.moves.clone()))?;
         registry.register(Box::new(metrics.migrations.clone()))?;
         registry.register(Box::new(metrics.runs_at_risk.clone()))?;
@@ -310,6 +322,16 @@
         set("level", usage.level);
     }
 
+    /// Sets the number of processes whose messages cannot be read.
+    pub(crate) fn set_unreadable_senders(&self, senders: usize) {
+        self.unreadable_senders.set(senders as i64);
+    }
+
+    /// Counts a datagram that cannot be read.
+    pub(crate) fn count_unreadable_datagram(&self) {
+        self.unreadable_datagrams.inc();
+    }
+
     /// Sets the number of entries that share limits.
     pub(crate) fn set_known_entries(&self, entries: usize) {
         self.known_entries.set(entries as i64);
