--- a/daemon/src/attempts.rs
+++ b/daemon/src/attempts.rs
@@ -1,5 +1,6 @@
 //! How a request gets a stream: of a new attempt, or of the one that runs.
 
+use cicada_lib::crash_mark::Verdict;
 use cicada_lib::ids::Attempt;
 use cicada_lib::ids::Name;
 use cicada_lib::outcome::FailureReason;
@@ -11,7 +12,6 @@
 use cicada_lib::routing::AttemptResult;
 use cicada_lib::routing::RouteRequest;
 use cicada_lib::routing::ServerKey;
-use cicada_lib::suspects::Verdict;
 use cicada_lib::wire::Attach;
 use cicada_lib::wire::Submit;
 use cicada_lib::wire::Work;
--- a/daemon/src/desk_suspects.rs
+++ b/daemon/src/desk_suspects.rs
@@ -1,11 +1,11 @@
 //! The desk's care for requests that end engines.
 
+use cicada_lib::crash_mark::CrashMark;
+use cicada_lib::crash_mark::Verdict;
 use cicada_lib::outcome::FailureReason;
 use cicada_lib::outcome::NotRun;
 use cicada_lib::outcome::Outcome;
 use cicada_lib::outcome::RefusalReason;
-use cicada_lib::suspects::CrashMark;
-use cicada_lib::suspects::Verdict;
 use cicada_lib::wire::ToEntry;
 
 use crate::desk::Desk;
--- a/daemon/src/entry.rs
+++ b/daemon/src/entry.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use cicada_lib::claims::KeyDigest;
+use cicada_lib::crash_mark::CrashMark;
+use cicada_lib::crash_mark::Verdict;
 use cicada_lib::handshake::PeerKey;
 use cicada_lib::ids::Name;
 use cicada_lib::load::LoadSummary;
@@ -19,8 +21,6 @@
 use cicada_lib::routing::ServerKey;
 use cicada_lib::routing::ServerState;
 use cicada_lib::routing::ServerView;
-use cicada_lib::suspects::CrashMark;
-use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Clock;
 
 use crate::attempts::Chosen;
--- a/daemon/src/evidence.rs
+++ b/daemon/src/evidence.rs
@@ -6,10 +6,10 @@
 use std::sync::OnceLock;
 use std::sync::Weak;
 
+use cicada_lib::crash_mark::CrashMark;
+use cicada_lib::crash_mark::Verdict;
 use cicada_lib::fingerprint::Fingerprint;
-use cicada_lib::suspects::CrashMark;
 use cicada_lib::suspects::Suspects;
-use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Clock;
 
 use crate::links::Links;
--- a/daemon/src/isolation.rs
+++ b/daemon/src/isolation.rs
@@ -10,12 +10,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use cicada_lib::crash_mark::CrashId;
+use cicada_lib::crash_mark::CrashMark;
+use cicada_lib::crash_mark::Verdict;
 use cicada_lib::fingerprint::Fingerprint;
-use cicada_lib::suspects::CrashId;
-use cicada_lib::suspects::CrashMark;
 use cicada_lib::suspects::PROBATION_TOKENS;
 use cicada_lib::suspects::Suspects;
-use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Time;
 
 use crate::record::RecordKey;
--- a/daemon/src/link.rs
+++ b/daemon/src/link.rs
@@ -13,12 +13,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cicada_lib::crash_mark::CrashMark;
 use cicada_lib::handshake;
 use cicada_lib::handshake::Peer;
 use cicada_lib::handshake::PeerKey;
 use cicada_lib::ids::Name;
 use cicada_lib::load::LoadSummary;
-use cicada_lib::suspects::CrashMark;
 use cicada_lib::wire::Attach;
 use cicada_lib::wire::MAX_FRAME;
 use cicada_lib::wire::StreamFrame;
--- a/daemon/src/links.rs
+++ b/daemon/src/links.rs
@@ -6,8 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use cicada_lib::crash_mark::CrashMark;
 use cicada_lib::ids::Name;
-use cicada_lib::suspects::CrashMark;
 use tokio::runtime::Handle;
 
 use crate::evidence::Evidence;
--- a/daemon/src/mark_spread.rs
+++ b/daemon/src/mark_spread.rs
@@ -6,10 +6,10 @@
 //! hear of it within a second, and those who do not are told by the next agent that they meet.
 //! Crashes are rare, so that this costs nothing otherwise.
 
+use cicada_lib::crash_mark::CrashMark;
 use cicada_lib::gossip_net::GossipNet;
 use cicada_lib::roster::Member;
 use cicada_lib::roster::MemberState;
-use cicada_lib::suspects::CrashMark;
 use cicada_lib::time::Clock;
 use tokio::runtime::Handle;
 
--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -4,11 +4,11 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use cicada_lib::crash_mark::CrashId;
 use cicada_lib::daemon_settings::Settings;
 use cicada_lib::fleet::Location;
 use cicada_lib::ids::Name;
 use cicada_lib::retry_share::RetryLimit;
-use cicada_lib::suspects::CrashId;
 use cicada_lib::suspects::Suspicion;
 use cicada_platform::HttpEngines;
 use cicada_platform::PlatformDialect;
--- a/lib/src/crash_evidence.rs
+++ b/lib/src/crash_evidence.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
+use crate::crash_mark::CrashId;
+use crate::crash_mark::CrashMark;
+use crate::crash_mark::Exposure;
+use crate::crash_mark::MARK_LIFETIME;
+use crate::crash_mark::News;
+use crate::crash_mark::Verdict;
 use crate::fingerprint::Fingerprint;
-use crate::suspects::CrashId;
-use crate::suspects::CrashMark;
-use crate::suspects::Exposure;
-use crate::suspects::MARK_LIFETIME;
-use crate::suspects::News;
-use crate::suspects::Verdict;
 use crate::time::Time;
 
 /// Crashes within this time count as one moment.
--- a/lib/src/ejection.rs
+++ b/lib/src/ejection.rs
@@ -19,8 +19,8 @@
 use crate::routing::ServerKey;
 use crate::time::Time;
 
-/// A server is ejected when its requests take this many times the median of its peers. In trials,
-/// contention and mixed lengths reached 2; a throttled accelerator reaches 4 and more.
+/// A server is ejected when its requests take this many times the median of its peers: more than
+/// contention and mixed lengths cause.
 pub const SLOW_FACTOR: f64 = 3.0;
 
 /// A server is ejected when it fails this share of its requests and the median of its peers is less
--- a/lib/src/fleet_reserve.rs
+++ b/lib/src/fleet_reserve.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 
+use crate::crash_mark::CrashId;
 use crate::fingerprint::Fingerprint;
 use crate::fleet::Fleet;
 use crate::fleet_server::Server;
 use crate::ids::Name;
 use crate::server_reserve::ListedServer;
-use crate::suspects::CrashId;
 use crate::time::Time;
 
 impl Fleet {
--- a/lib/src/joint_evidence.rs
+++ b/lib/src/joint_evidence.rs
@@ -14,12 +14,12 @@
 use crate::crash_evidence::REFUSED_FROM;
 use crate::crash_evidence::StoredMark;
 use crate::crash_evidence::points;
+use crate::crash_mark::CrashId;
+use crate::crash_mark::Exposure;
+use crate::crash_mark::MARK_LIFETIME;
+use crate::crash_mark::Verdict;
 use crate::fingerprint::Fingerprint;
-use crate::suspects::CrashId;
-use crate::suspects::Exposure;
-use crate::suspects::MARK_LIFETIME;
 use crate::suspects::Suspects;
-use crate::suspects::Verdict;
 use crate::time::Time;
 
 /// Crashes on trial from which parts of a prompt are convicted.
--- a/lib/src/migration/prefill_group.rs
+++ b/lib/src/migration/prefill_group.rs
@@ -23,10 +23,8 @@
 /// How often the groups are derived: a few times between two reports that are 0.5 s apart.
 pub const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// The utilization of the group's prefill up to which prompts start well within their objective: a queue with one server
-/// and equal service times has a mean wait of two of these at 0.8, which is 0.4 s for prompts of 3,000 tokens at 14 per
-/// ms. At 0.6 the others lack the memory for all long runs: in the simulation of `lib/tests/mixed_prompts.rs` 185 of
-/// 2,260 long runs were late instead of 143 of 2,252.
+/// The utilization of the group's prefill up to which prompts start well within their objective. With more engines in the
+/// group, the others lack the memory for all long runs.
 const MAX_UTILIZATION: f64 = 0.8;
 
 /// The fraction of the tightest objective within which the group must prefill the prompts that wait.
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use thiserror::Error;
 
+use crate::crash_mark::CrashMark;
 use crate::ids::Name;
 use crate::limits::LoanMessage;
 use crate::limits::ServiceDemand;
@@ -23,7 +24,6 @@
 use crate::suspect_trials::TrialEnd;
 use crate::suspect_trials::TrialReply;
 use crate::suspect_trials::TrialRequest;
-use crate::suspects::CrashMark;
 use crate::value_type;
 use crate::watch_election::WatchStatement;
 use crate::zone_evacuation::EvacuatedZones;
--- a/lib/src/server_reserve.rs
+++ b/lib/src/server_reserve.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use crate::copy_type;
+use crate::crash_mark::CrashId;
 use crate::fingerprint::Fingerprint;
-use crate::suspects::CrashId;
 use crate::suspects::Suspects;
 use crate::time::Time;
 
--- a/lib/src/spread_budget.rs
+++ b/lib/src/spread_budget.rs
@@ -3,7 +3,7 @@
 //! Load pattern: many backend servers crash at once, each under many requests, and every entry passes on what it hears.
 //! Without a bound the news would take the links of all hosts; with it the rest comes later, the least urgent last.
 
-use crate::suspects::News;
+use crate::crash_mark::News;
 use crate::time::Time;
 
 /// Bytes that may be sent at once for each kind of news, and that are earned in a second. Clearances leave room for suspicions, and
--- a/lib/src/suspect_trials.rs
+++ b/lib/src/suspect_trials.rs
@@ -14,8 +14,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::crash_mark::CrashMark;
 use crate::fingerprint::Fingerprint;
-use crate::suspects::CrashMark;
 use crate::time::Time;
 use crate::value_type;
 
--- a/lib/src/trial_pause.rs
+++ b/lib/src/trial_pause.rs
@@ -10,9 +10,9 @@
 
 use crate::crash_evidence::StoredMark;
 use crate::crash_evidence::points;
+use crate::crash_mark::CrashId;
+use crate::crash_mark::Exposure;
 use crate::fingerprint::Fingerprint;
-use crate::suspects::CrashId;
-use crate::suspects::Exposure;
 use crate::suspects::Suspects;
 use crate::time::Time;
 
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -9,6 +9,7 @@
 use crate::backend::Header;
 use crate::config_apply::ConfigVersionId;
 use crate::config_chunks::ChunkDigest;
+use crate::crash_mark::CrashMark;
 use crate::ids::Attempt;
 use crate::ids::GenerationId;
 use crate::ids::Name;
@@ -16,7 +17,6 @@
 use crate::load::LoadSummary;
 use crate::outcome::Outcome;
 use crate::platform::HostRecord;
-use crate::suspects::CrashMark;
 use crate::value_type;
 
 /// The first bytes of a connection; anything else is no process of this system.
--- a/lib/tests/quarantine.rs
+++ b/lib/tests/quarantine.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use cicada_lib::crash_mark::CrashId;
+use cicada_lib::crash_mark::CrashMark;
+use cicada_lib::crash_mark::Exposure;
 use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::peer_messages;
 use cicada_lib::peer_messages::Datagram;
@@ -14,9 +17,6 @@
 use cicada_lib::suspect_trials::TrialEnd;
 use cicada_lib::suspect_trials::TrialReply;
 use cicada_lib::suspect_trials::TrialRequest;
-use cicada_lib::suspects::CrashId;
-use cicada_lib::suspects::CrashMark;
-use cicada_lib::suspects::Exposure;
 use cicada_lib::time::Time;
 use quickcheck::QuickCheck;
 use testutils::suspect_fleet::DELAY_MS;
--- a/lib/tests/server_reserve.rs
+++ b/lib/tests/server_reserve.rs
@@ -3,6 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use cicada_lib::crash_mark::CrashId;
+use cicada_lib::crash_mark::CrashMark;
+use cicada_lib::crash_mark::Exposure;
 use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::peer_messages::SuspectNotice;
 use cicada_lib::quarantine::Admission;
@@ -10,9 +13,6 @@
 use cicada_lib::quarantine::Quarantine;
 use cicada_lib::quarantine::Refusal;
 use cicada_lib::server_reserve::ListedServer;
-use cicada_lib::suspects::CrashId;
-use cicada_lib::suspects::CrashMark;
-use cicada_lib::suspects::Exposure;
 use cicada_lib::time::Time;
 use testutils::suspect_fleet::address;
 use testutils::suspect_fleet::begin;
--- a/lib/tests/suspects.rs
+++ b/lib/tests/suspects.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
+use cicada_lib::crash_mark::CrashId;
+use cicada_lib::crash_mark::CrashMark;
+use cicada_lib::crash_mark::Exposure;
+use cicada_lib::crash_mark::MARK_LIFETIME;
+use cicada_lib::crash_mark::News;
+use cicada_lib::crash_mark::Verdict;
 use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::ids::Name;
-use cicada_lib::suspects::CrashId;
-use cicada_lib::suspects::CrashMark;
-use cicada_lib::suspects::Exposure;
-use cicada_lib::suspects::MARK_LIFETIME;
 use cicada_lib::suspects::MAX_MARKS;
-use cicada_lib::suspects::News;
 use cicada_lib::suspects::Suspects;
-use cicada_lib::suspects::Verdict;
 use cicada_lib::time::Time;
 use cicada_lib::trial_pause::TRIAL_BACKOFF;
 use quickcheck::QuickCheck;
--- a/lib/testutils/src/suspect_fleet.rs
+++ b/lib/testutils/src/suspect_fleet.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use cicada_lib::crash_mark::CrashId;
 use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::peer_messages;
 use cicada_lib::peer_messages::Datagram;
@@ -15,7 +16,6 @@
 use cicada_lib::quarantine::CrashedRun;
 use cicada_lib::quarantine::Quarantine;
 use cicada_lib::server_reserve::ListedServer;
-use cicada_lib::suspects::CrashId;
 use cicada_lib::time::Time;
 use fastrand::Rng;
 
