quarantine: processes that ask for evidence are told of all refused requests, not always the same few

What callers saw: after a restart of relays, servers crashed again under requests that had been refused for seconds. Cause: a notice holds 20 marks, and the sample that a process sent was always the 20 of the first requests on its list: with three marks each, whoever asked learned of six refused requests, however often it asked. Change: a process that asks is told in up to four notices; the sample that follows each hello is one of these at random. A relay that has some evidence asks one other for the rest, not three, so that a start takes as many bytes as before. Evidence: an_entry_that_starts_learns_of_all_requests_that_others_refuse, with twelve refused requests, leaves six unknown on the code before.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -40,6 +40,9 @@
 /// Maximum number of marks in a notice. They fit into a datagram.
 const MAX_MARKS: usize = 20;
 
+/// Maximum number of notices in which a process that may lack the evidence is told of it.
+const MAX_SAMPLES: usize = 4;
+
 /// Retry-after of a suspect whose service has no server to spare for a trial.
 const SPARE_RETRY_AFTER: Duration = Duration::from_secs(3);
 
@@ -409,9 +412,9 @@
         self.budget.charge(now, bytes);
     }
 
-    /// A sample of the evidence, for a process that may lack it.
-    pub fn sample(&self, now: Time) -> Option<SuspectNotice> {
-        SuspectNotice::sample_of(&self.suspects, now)
+    /// Much of the evidence, for a process that may lack it.
+    pub fn samples(&self, now: Time) -> Vec<SuspectNotice> {
+        SuspectNotice::samples_of(&self.suspects, now)
     }
 
     /// Whether there is evidence against any request, or an answer was lost.
@@ -431,9 +434,14 @@
 }
 
 impl SuspectNotice {
-    /// A notice with some of the evidence, that against refused requests first; `None` if there is none.
-    pub fn sample_of(suspects: &Suspects, now: Time) -> Option<Self> {
-        let marks = suspects.sample(now, MAX_MARKS);
-        (!marks.is_empty()).then_some(SuspectNotice { marks })
+    /// Notices with the evidence, that against refused requests first, as far as it fits into a few.
+    pub fn samples_of(suspects: &Suspects, now: Time) -> Vec<Self> {
+        let marks = suspects.sample(now, MAX_SAMPLES * MAX_MARKS);
+        let notices = marks.chunks(MAX_MARKS);
+        notices
+            .map(|marks| SuspectNotice {
+                marks: marks.to_vec(),
+            })
+            .collect()
     }
 }
--- a/lib/tests/quarantine.rs
+++ b/lib/tests/quarantine.rs
@@ -5,6 +5,7 @@
 use cicada_lib::crash_mark::CrashId;
 use cicada_lib::crash_mark::CrashMark;
 use cicada_lib::crash_mark::Exposure;
+use cicada_lib::crash_mark::Verdict;
 use cicada_lib::fingerprint::Fingerprint;
 use cicada_lib::peer_messages;
 use cicada_lib::peer_messages::Datagram;
@@ -365,6 +366,33 @@
     }
 }
 
+/// Guards against a relay that starts and sends requests that others refuse, since it is only ever told of the same few.
+#[test]
+fn an_entry_that_starts_learns_of_all_requests_that_others_refuse() {
+    const REFUSED: u64 = 12;
+    let now = begin();
+    let mut entry = Quarantine::new(address(0));
+    for request in 0..REFUSED {
+        let exposures = [Exposure::Crowd, Exposure::Trial, Exposure::Trial];
+        let marks = exposures
+            .iter()
+            .enumerate()
+            .map(|(number, exposure)| CrashMark {
+                exposure: *exposure,
+                ..crowd_mark(Fingerprint(request.into()), request * 10 + number as u64)
+            });
+        let marks = marks.collect();
+        entry.merge(now, &SuspectNotice { marks });
+    }
+    let mut starting = Quarantine::new(address(1));
+    for notice in entry.samples(now) {
+        starting.merge(now, &notice);
+    }
+    let requests = (0..REFUSED).map(|request| Fingerprint(request.into()));
+    let unknown = requests.filter(|r| starting.verdict(now, &[*r]) != Verdict::Refuse);
+    assert_eq!(unknown.count(), 0);
+}
+
 /// Guards against a message of a peer that ends each process that receives it.
 #[test]
 fn any_notice_is_taken_in() {
@@ -428,7 +456,7 @@
                 }),
             );
             quarantine.listing(now);
-            quarantine.sample(now);
+            quarantine.samples(now);
             quarantine.take_unsent(now);
         }
         true
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -361,7 +361,7 @@
                 self.send_trials(answers).await;
             }
             Ok(Datagram::LimitLoan(message)) => self.handle_loan(from, message).await,
-            Ok(Datagram::QuerySuspects) => self.send_evidence(Some(from)).await,
+            Ok(Datagram::QuerySuspects) => self.answer_query(from).await,
             _ => {
                 if let Some(datagram) = self.apply_datagram(bytes, from) {
                     self.gossip(&datagram).await;
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -94,9 +94,12 @@
         self.lock().charge(now, bytes);
     }
 
-    /// A sample of the evidence, for a process that may lack it.
-    pub(crate) fn sample(&self, now: Time) -> Option<SuspectNotice> {
-        self.has_evidence().then(|| self.lock().sample(now))?
+    /// Much of the evidence, for a process that may lack it.
+    pub(crate) fn samples(&self, now: Time) -> Vec<SuspectNotice> {
+        match self.has_evidence() {
+            true => self.lock().samples(now),
+            false => Vec::new(),
+        }
     }
 
     /// Takes in what another process tells.
--- a/relay/src/suspect_net.rs
+++ b/relay/src/suspect_net.rs
@@ -66,7 +66,13 @@
             return;
         }
         let peers = self.relay.peers().gossip_targets();
-        let few = &peers[..peers.len().min(QUERIED_RELAYS)];
+        // One is enough to complete what another one has told.
+        let most = if self.relay.poison.has_evidence() {
+            1
+        } else {
+            QUERIED_RELAYS
+        };
+        let few = &peers[..peers.len().min(most)];
         self.socket.send(&Datagram::QuerySuspects, few).await;
         if self.relay.poison.has_evidence() {
             return;
@@ -79,11 +85,18 @@
         self.socket.send(&Datagram::QuerySuspects, &scouts).await;
     }
 
-    /// Sends a sample of the evidence on poison requests, if there is any.
+    /// Sends a part of the evidence on poison requests, if there is any.
     pub(crate) async fn send_evidence(&self, to: Option<SocketAddr>) {
-        let notice = self.relay.poison.sample(self.relay.now());
+        let notice = fastrand::choice(self.relay.poison.samples(self.relay.now()));
         if let (Some(notice), Some(to)) = (notice, to) {
             self.socket.send(&Datagram::Suspects(notice), &[to]).await;
         }
     }
+
+    /// Answers a relay that starts with the evidence on poison requests.
+    pub(crate) async fn answer_query(&self, to: SocketAddr) {
+        for notice in self.relay.poison.samples(self.relay.now()) {
+            self.socket.send(&Datagram::Suspects(notice), &[to]).await;
+        }
+    }
 }
