relay: a relay that starts sends nothing before it has heard what others know of poison requests

What callers saw: relays that were restarted together sent copies of known poison requests in the first tenths of a second, each of which took a server. Cause: a relay served as soon as it had the configuration and the servers; the evidence came with the next answer to its questions, and a process without evidence did not answer, so that it could not be waited for. Change: whoever is asked answers, also that there is none; until the first answer requests wait, 0.3 s each at most.

--- a/daemon/tests/relay_poison.rs
+++ b/daemon/tests/relay_poison.rs
@@ -16,6 +16,7 @@
 use http::StatusCode;
 use testutils::cluster::Signal;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio::time::sleep;
 
 /// Servers in the relays' zone.
@@ -40,6 +41,10 @@
 /// The most servers that one poison request may crash.
 const MAX_CRASHES: usize = 3;
 
+/// Restarts of all relays, and the time of each in which callers send copies.
+const RESTARTS: usize = 4;
+const RESTART_TIME: Duration = Duration::from_secs(3);
+
 /// How long several poison requests are sent at once.
 const SEVERAL_DURATION: Duration = Duration::from_secs(18);
 
@@ -369,6 +374,38 @@
     Ok(())
 }
 
+/// Guards against relays that start together and send copies that come before they know what was refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn relays_that_start_together_send_no_copies_of_suspects() -> Result<()> {
+    let mut deployment = start_with_engines().await?;
+    let relays = addresses(&deployment);
+    REPEATABLE
+        .send_at_interval(relays.clone(), POISON_INTERVAL)
+        .await;
+    let before = crashes(&deployment).len();
+    for _ in 0..RESTARTS {
+        let end = Instant::now() + RESTART_TIME;
+        let mut sent = JoinSet::new();
+        for relay in relays.clone() {
+            sent.spawn(async move {
+                while Instant::now() < end {
+                    // Whatever its caller hears: the crashes are counted.
+                    let _ = REPEATABLE.send(relay).await;
+                    sleep(INTERVAL / 5).await;
+                }
+            });
+        }
+        for relay in 0..relays.len() {
+            deployment.relays[relay].process.signal(Signal::Kill)?;
+            deployment.relays[relay].process.wait_end(PATIENCE).await?;
+            deployment.restart_relay(relay)?;
+        }
+        sent.join_all().await;
+    }
+    assert_eq!(crashes(&deployment).len(), before);
+    Ok(())
+}
+
 /// Guards against a relay that joins and sends what the others know to be poison.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_relay_that_joins_refuses_what_others_refuse() -> Result<()> {
--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -434,6 +434,14 @@
 }
 
 impl SuspectNotice {
+    /// The answer to a process that asks for the evidence: the samples of it, or an empty notice if there is none.
+    pub fn answers(samples: Vec<Self>) -> Vec<Self> {
+        match samples.is_empty() {
+            true => vec![SuspectNotice::default()],
+            false => samples,
+        }
+    }
+
     /// Notices with the evidence, that against refused requests first, as far as it fits into a few.
     pub fn samples_of(suspects: &Suspects, now: Time) -> Vec<Self> {
         let marks = suspects.sample(now, MAX_SAMPLES * MAX_MARKS);
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -37,6 +37,13 @@
 /// Longest wait of a copy for the outcome of another one's trial.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
+/// How long after its start a relay asks others for evidence.
+pub(crate) const EVIDENCE_QUERY_TIME: Duration = Duration::from_secs(3);
+
+/// Longest wait of a request for the first answer to that. One comes within a round trip to a scout or another relay,
+/// unless all of them have just started.
+const MAX_EVIDENCE_WAIT: Duration = Duration::from_millis(300);
+
 /// Maximum number of suspects on the status page.
 const MAX_LISTED: usize = 64;
 
@@ -45,6 +52,8 @@
     quarantine: Mutex<Quarantine>,
     // Whether there is evidence against any request. Requests are not hashed otherwise.
     has_evidence: AtomicBool,
+    // Whether another process has told what it knows, or there was none before this one.
+    is_informed: AtomicBool,
     // Incremented when evidence or trials change.
     changes: watch::Sender<u64>,
     // Notified when there is something to tell other processes.
@@ -69,6 +78,7 @@
         Poison {
             quarantine: Mutex::new(quarantine),
             has_evidence: AtomicBool::new(false),
+            is_informed: AtomicBool::new(first_start),
             changes: watch::Sender::new(0),
             news: Notify::new(),
         }
@@ -102,8 +112,16 @@
         }
     }
 
+    /// Whether this relay has just started and does not know yet what others know.
+    pub(crate) fn awaits_evidence(&self, now: Time) -> bool {
+        !self.is_informed.load(Ordering::Relaxed) && now.since(Time::ZERO) < EVIDENCE_QUERY_TIME
+    }
+
     /// Takes in what another process tells.
     pub(crate) fn merge(&self, now: Time, notice: &SuspectNotice) {
+        if !self.is_informed.swap(true, Ordering::Relaxed) {
+            self.changes.send_modify(|count| *count += 1);
+        }
         let mut quarantine = self.lock();
         let was_refused = quarantine.refused_in(now, notice);
         if quarantine.merge(now, notice) {
@@ -203,6 +221,7 @@
 
     /// Waits until the request may be sent to a backend server. If it is a suspect, it is on trial from then on.
     pub(crate) async fn clear_to_send(self: &Arc<Self>, call: &Call) -> Result<(), Refusal> {
+        self.wait_for_evidence(call).await;
         if !self.poison.has_evidence() || call.trial().is_some() {
             return Ok(());
         }
@@ -243,6 +262,17 @@
         }
     }
 
+    /// Waits after a start until another process has told what it knows of poison requests.
+    async fn wait_for_evidence(&self, call: &Call) {
+        let give_up_at = Instant::now() + MAX_EVIDENCE_WAIT.min(call.time_left() / 4);
+        let mut changes = self.poison.changes.subscribe();
+        while self.poison.awaits_evidence(self.now()) {
+            if timeout_at(give_up_at, changes.changed()).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Waits until the trial is held. Returns `false` if the request needs none any more or another one, or waited long.
     async fn wait_for_trial(
         &self,
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -259,7 +259,7 @@
     /// Sends the evidence on poison requests that is held to a relay that has just started.
     async fn send_evidence(&self, to: SocketAddr) {
         let now = self.clock.now();
-        for notice in SuspectNotice::samples_of(&self.suspects, now) {
+        for notice in SuspectNotice::answers(SuspectNotice::samples_of(&self.suspects, now)) {
             self.socket.send(&Datagram::Suspects(notice), &[to]).await;
         }
     }
--- a/relay/src/suspect_net.rs
+++ b/relay/src/suspect_net.rs
@@ -1,17 +1,17 @@
 //! Exchanges evidence on poison requests, and trials of suspects, with other relays and scouts.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use cicada_lib::peer_messages::Datagram;
+use cicada_lib::peer_messages::SuspectNotice;
 use cicada_lib::peer_messages::TrialMessage;
 use cicada_lib::state_holders;
 use cicada_lib::time::Time;
 
 use crate::peer_net::PeerNet;
+use crate::poison::EVIDENCE_QUERY_TIME;
 
-/// How long after its start a relay asks others for evidence on poison requests, and how many of them at a time.
-const EVIDENCE_QUERY_TIME: Duration = Duration::from_secs(3);
+/// How many others a relay that starts asks for evidence on poison requests at a time.
 const QUERIED_RELAYS: usize = 3;
 
 impl PeerNet {
@@ -93,9 +93,13 @@
         }
     }
 
-    /// Answers a relay that starts with the evidence on poison requests.
+    /// Answers a relay that starts with the evidence on poison requests, or that there is none.
     pub(crate) async fn answer_query(&self, to: SocketAddr) {
-        for notice in self.relay.poison.samples(self.relay.now()) {
+        let now = self.relay.now();
+        if self.relay.poison.awaits_evidence(now) {
+            return;
+        }
+        for notice in SuspectNotice::answers(self.relay.poison.samples(now)) {
             self.socket.send(&Datagram::Suspects(notice), &[to]).await;
         }
     }
