scout: a scout that has just started does not answer that there is no evidence

Cause, read and not traced in logs: the first answer ended the wait, also that of a scout that had started a moment before and had not been given the evidence yet; and the sample after each hello told holders of refused requests only now and then. Change: such a scout answers nothing for 5 s, every other sample is that of the refused requests, and the wait for an answer is 0.3 s after the first request once, not for each.

--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -40,8 +40,8 @@
 /// How long after its start a relay asks others for evidence.
 pub(crate) const EVIDENCE_QUERY_TIME: Duration = Duration::from_secs(3);
 
-/// Longest wait of a request for the first answer to that. One comes within a round trip to a scout or another relay,
-/// unless all of them have just started.
+/// Longest wait of the first request for the first answer to that; later ones do not wait. One comes within a round trip to
+/// a scout or another relay, unless all of them have just started.
 const MAX_EVIDENCE_WAIT: Duration = Duration::from_millis(300);
 
 /// Maximum number of suspects on the status page.
@@ -117,11 +117,16 @@
         !self.is_informed.load(Ordering::Relaxed) && now.since(Time::ZERO) < EVIDENCE_QUERY_TIME
     }
 
-    /// Takes in what another process tells.
-    pub(crate) fn merge(&self, now: Time, notice: &SuspectNotice) {
+    /// Ends the wait for evidence, for all requests.
+    fn set_informed(&self) {
         if !self.is_informed.swap(true, Ordering::Relaxed) {
             self.changes.send_modify(|count| *count += 1);
         }
+    }
+
+    /// Takes in what another process tells.
+    pub(crate) fn merge(&self, now: Time, notice: &SuspectNotice) {
+        self.set_informed();
         let mut quarantine = self.lock();
         let was_refused = quarantine.refused_in(now, notice);
         if quarantine.merge(now, notice) {
@@ -268,7 +273,7 @@
         let mut changes = self.poison.changes.subscribe();
         while self.poison.awaits_evidence(self.now()) {
             if timeout_at(give_up_at, changes.changed()).await.is_err() {
-                return;
+                self.poison.set_informed();
             }
         }
     }
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -69,6 +69,9 @@
 /// announces its engine while it has no subscribers itself.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time after a start in which relays give a scout what they know of poison requests: several of their subscriptions.
+const EVIDENCE_COLLECTION_TIME: Duration = Duration::from_secs(5);
+
 /// How long an engine counts as a neighbour after a relay last named it: about ten renewals of subscriptions,
 /// one of which is enough.
 const NEIGHBOUR_TTL: Duration = Duration::from_secs(8);
@@ -256,10 +259,15 @@
         self.socket.send(&datagram, &[from]).await;
     }
 
-    /// Sends the evidence on poison requests that is held to a relay that has just started.
+    /// Sends the evidence on poison requests that is held to a relay that has just started. Without any it says so, unless
+    /// it has started too lately to have been given what there is.
     async fn send_evidence(&self, to: SocketAddr) {
         let now = self.clock.now();
-        for notice in SuspectNotice::answers(SuspectNotice::samples_of(&self.suspects, now)) {
+        let samples = SuspectNotice::samples_of(&self.suspects, now);
+        if samples.is_empty() && now.since(Time::ZERO) < EVIDENCE_COLLECTION_TIME {
+            return;
+        }
+        for notice in SuspectNotice::answers(samples) {
             self.socket.send(&Datagram::Suspects(notice), &[to]).await;
         }
     }
--- a/relay/src/suspect_net.rs
+++ b/relay/src/suspect_net.rs
@@ -85,9 +85,13 @@
         self.socket.send(&Datagram::QuerySuspects, &scouts).await;
     }
 
-    /// Sends a part of the evidence on poison requests, if there is any.
+    /// Sends a part of the evidence on poison requests, if there is any: every other time what is refused.
     pub(crate) async fn send_evidence(&self, to: Option<SocketAddr>) {
-        let notice = fastrand::choice(self.relay.poison.samples(self.relay.now()));
+        let samples = self.relay.poison.samples(self.relay.now());
+        let notice = match fastrand::bool() {
+            true => samples.into_iter().next(),
+            false => fastrand::choice(samples),
+        };
         if let (Some(notice), Some(to)) = (notice, to) {
             self.socket.send(&Datagram::Suspects(notice), &[to]).await;
         }
