quarantine: a request under which one server crashed may be tried at the last one

What callers saw, before any landing: where one of two servers crashed for another reason, an idempotent call in flight there was not sent to the other one, and its caller got 502. Cause: the reserve kept all suspects from the last server, and each request in flight at a crash is one. Change: only requests under which two servers have crashed are kept back; the others wait 0.3 s for news where few run.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -172,10 +172,11 @@
         self.reserve.set_listed(now, listed);
     }
 
-    /// Whether a service has a server to spare while so many trials run.
-    pub(crate) fn spares_one(&self, now: Time, service: Fingerprint, trials: usize) -> bool {
+    /// Whether the service's servers allow a trial of these suspects.
+    fn allows_trial(&self, now: Time, service: Fingerprint, suspects: &[Fingerprint]) -> bool {
+        let crashes = self.suspects.most_crashes(now, suspects);
         self.reserve
-            .spares_one(now, service, trials, &self.suspects)
+            .allows_trial(now, service, 1, crashes, &self.suspects)
     }
 
     /// Decides whether a copy of the request may be sent, and asks for a trial if it needs one. `trial` is a random number
@@ -188,7 +189,7 @@
         if suspects.is_empty() {
             return Admission::Free;
         }
-        if !self.spares_one(now, candidate.service, 1) {
+        if !self.allows_trial(now, candidate.service, &suspects) {
             return Admission::Wait;
         }
         let request = TrialRequest {
@@ -237,7 +238,7 @@
             (Verdict::Allow, _) => true,
             (Verdict::Isolate, Some(trial)) => {
                 self.own.is_held(now, trial)
-                    && self.own_service_spares_one(now, trial)
+                    && self.allows_own_trial(now, trial)
                     && self.covers(now, trial, subjects)
                     && self.check(now, subjects).is_ok()
             }
@@ -245,9 +246,9 @@
         }
     }
 
-    fn own_service_spares_one(&self, now: Time, trial: u64) -> bool {
-        let service = self.own.service(trial);
-        service.is_none_or(|service| self.spares_one(now, service, 1))
+    fn allows_own_trial(&self, now: Time, trial: u64) -> bool {
+        let (service, suspects) = (self.own.service(trial), self.own.suspects(trial));
+        service.is_none_or(|service| self.allows_trial(now, service, suspects))
     }
 
     /// Whether a trial was asked for all suspects that the request has by now.
@@ -268,9 +269,9 @@
         paused.or(self.check(now, subjects).err())
     }
 
-    /// Why a request of the service that has waited long enough is refused.
-    pub fn wait_refusal(&self, now: Time, service: Fingerprint) -> Refusal {
-        match self.spares_one(now, service, 1) {
+    /// Why a request that has waited long enough is refused.
+    pub fn wait_refusal(&self, now: Time, candidate: &Candidate) -> Refusal {
+        match self.allows_trial(now, candidate.service, &candidate.subjects) {
             true => Refusal::OnTrial(TRIAL_LEASE),
             false => Refusal::NoSpareServer(SPARE_RETRY_AFTER),
         }
--- a/lib/src/server_reserve.rs
+++ b/lib/src/server_reserve.rs
@@ -3,8 +3,9 @@
 //! Load pattern: copies of a poison request crash most servers of a small service at the same moment, and callers send it
 //! again at once. Without a reserve its next trial takes the last server, and nobody is served until one has restarted.
 //!
-//! A trial needs a second server that runs, unless the service has one server only. Where a crash leaves few, it also waits
-//! until news of others at the same moment would have arrived. The number of a service's servers is
+//! Once two servers have crashed under a request, its trial needs a second server that runs, unless the service has one
+//! server only. Most requests in flight at a single crash are sound, and may be tried at the last server; where the crash
+//! leaves few, they wait until news of others at the same moment would have arrived. The number of a service's servers is
 //! the largest of the last minute, since the directory drops servers that crashed while they restart.
 
 use std::collections::HashMap;
@@ -26,6 +27,9 @@
 /// server's port and a message between regions.
 const NEWS_TIME: Duration = Duration::from_millis(300);
 
+/// Crashes under a request from which it is kept from the last server: one may have another cause.
+const MIN_CRASHES: usize = 2;
+
 /// Share of a service's servers with which trials need not wait for news of further crashes.
 const AMPLE_SHARE: f64 = 0.75;
 
@@ -80,16 +84,24 @@
         self.set_at.map(|at| now.since(at))
     }
 
-    /// Whether a server of the service is left for other requests while so many trials run. Unknown services have one.
-    pub(crate) fn spares_one(
+    /// Whether a request of the service may be tried beside other trials, of so many in all: a server is left for other
+    /// requests, or `crashes` under the request are too few to fear for it. Unknown services have one.
+    pub(crate) fn allows_trial(
         &self,
         now: Time,
         service: Fingerprint,
         trials: usize,
+        crashes: usize,
         suspects: &Suspects,
     ) -> bool {
-        let servers = self.services.get(&service);
-        servers.is_none_or(|servers| servers.spare_one(now, trials, suspects))
+        let Some(servers) = self.services.get(&service) else {
+            return true;
+        };
+        let running = servers.running(now, suspects);
+        let leaves_one = running > trials || crashes < MIN_CRASHES;
+        let is_ample = running as f64 >= servers.size() as f64 * AMPLE_SHARE;
+        let is_safe = leaves_one && (is_ample || servers.is_news_complete(now, suspects));
+        servers.size() <= 1 || is_safe
     }
 }
 
@@ -103,13 +115,11 @@
         self.listed = listed;
     }
 
-    fn spare_one(&self, now: Time, trials: usize, suspects: &Suspects) -> bool {
-        let running = self.listed.iter();
-        let running = running.filter(|server| server.is_running(now, suspects));
-        let running = running.count();
-        let is_ample = running as f64 >= self.size() as f64 * AMPLE_SHARE;
-        let leaves_one = running > trials && (is_ample || self.is_news_complete(now, suspects));
-        self.size() <= 1 || leaves_one
+    /// The number of servers that run.
+    fn running(&self, now: Time, suspects: &Suspects) -> usize {
+        let listed = self.listed.iter();
+        let running = listed.filter(|server| server.is_running(now, suspects));
+        running.count()
     }
 
     /// Whether no server crashed so recently that the crash of another one may not be known yet.
--- a/lib/src/suspects.rs
+++ b/lib/src/suspects.rs
@@ -344,6 +344,12 @@
         counted.iter().map(|mark| mark.crash).collect()
     }
 
+    /// The largest number of crashes that count against one of these.
+    pub(crate) fn most_crashes(&self, now: Time, fingerprints: &[Fingerprint]) -> usize {
+        let counts = fingerprints.iter().map(|f| self.counted(now, *f).len());
+        counts.max().unwrap_or_default()
+    }
+
     /// Returns whether any mark is not cleared.
     pub fn has_open_marks(&self) -> bool {
         self.open_marks > 0
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -262,7 +262,7 @@
             }
             if Instant::now() >= give_up_at {
                 let quarantine = self.poison.lock();
-                return Err(quarantine.wait_refusal(self.now(), candidate.service));
+                return Err(quarantine.wait_refusal(self.now(), &candidate));
             }
         }
     }
