quarantine, relay: fields of the quarantine are private again, servers are looked at last, one lock for each answer

No behaviour changes. Three fields were made visible to the crate without need. An arbiter looked at all servers of a service for each waiting request, those that are on trial or paused included. A relay took the lock on the quarantine twice for each answered stream.

--- a/lib/src/quarantine.rs
+++ b/lib/src/quarantine.rs
@@ -109,7 +109,7 @@
 #[derive(Debug)]
 pub struct Quarantine {
     pub(crate) suspects: Suspects,
-    pub(crate) sound: SoundSubjects,
+    sound: SoundSubjects,
     pub(crate) reserve: ServerReserve,
     pub(crate) lost: LostAnswers,
     // The trials that this entry asks for or holds, and those that it grants.
@@ -117,10 +117,10 @@
     pub(crate) arbiter: Arbiter,
     pub(crate) route: ArbiterRoute,
     // The revisions of the evidence up to which others were told, for each of `NEWS`.
-    pub(crate) told: [u64; NEWS.len()],
+    told: [u64; NEWS.len()],
     // Messages about trials to be sent, at most `quarantine_trials::MAX_OUTGOING`.
     pub(crate) outgoing: Vec<(SocketAddr, TrialMessage)>,
-    pub(crate) budget: SpreadBudget,
+    budget: SpreadBudget,
 }
 
 impl Quarantine {
--- a/lib/src/suspect_trials.rs
+++ b/lib/src/suspect_trials.rs
@@ -258,8 +258,10 @@
             }
             let mut running = self.running.iter();
             let is_running = running.any(|r| shares_any(&r.suspects, &request.suspects));
-            let is_allowed = allows(&request, self.running.len() + 1);
-            if is_running || !is_allowed || is_paused(&request.suspects) {
+            if is_running || is_paused(&request.suspects) {
+                continue;
+            }
+            if !allows(&request, self.running.len() + 1) {
                 continue;
             }
             self.waiting.retain(|w| w.request.trial != request.trial);
--- a/relay/src/poison.rs
+++ b/relay/src/poison.rs
@@ -377,8 +377,8 @@
         if self.poison.has_evidence() || call.trial().is_some() {
             self.clear(call, &call.subjects());
         } else {
-            self.record_sound(call.cheap_content());
-            self.record_sound(call.shared_parts().iter().copied());
+            let parts = call.shared_parts().iter().copied();
+            self.record_sound(call.cheap_content().into_iter().chain(parts));
         }
     }
 
