routing: the directory alone tells the service of a server

Cause: the service of a server was derived from its address. A scout outlives its engine, reads the identifier of whatever answers there, and reports it with the service of its settings. The relay compared that with the record of the former engine, which was as old, and replaced the directory's entry of the new server. The same inference stood behind 421, reports, announcements and moved runs.

Change: one module (service_binding) that all of them ask. The directory binds identifiers to services; a server that follows a bound one sooner than addresses are assigned again has its service, which scouts tell from the silence that they saw (address_tenure); a scout's settings count only while the directory is unreachable and until such a silence. Reports count for the incarnation that they state.

Two tests of lib/tests/fleet.rs held what was wrong: that a report alone tells the service of an unlisted server, and that a scout's word suffices. They ask for the predecessor now, and that without it nothing is sent.

--- a/daemon/src/scout_role.rs
+++ b/daemon/src/scout_role.rs
@@ -32,9 +32,11 @@
         zone: settings.name("process", "zone"),
     };
     let seeds = relay_role::seeds(settings, peer);
+    let reuse_after = settings.seconds("backend", "reuse_after");
     let scout = Scout::bind(peer, here, seeds, Arc::new(HttpEngines::new())).await;
     let scout =
         scout.wrap_err_with(|| format!("{peer} (UDP) cannot be bound; see [process] peer"))?;
+    let scout = scout.with_reuse_after(reuse_after);
     tracing::info!(name = settings.text("process", "name"), %engine, "process: scout started");
     tokio::spawn(scout.run());
     loop {
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -228,6 +228,7 @@
     key("backend", "kind", Kind::Choice(&["engine", "service"]), "engine", "What stands behind an agent."),
     key("backend", "service", Kind::OptionalName, "", "Service of the backend server. Needed by an agent."),
     key("backend", "address", Kind::OptionalAddress, "", "Where the backend server listens. Needed by an agent."),
+    key("backend", "reuse_after", Kind::Number { min: 0.1, max: 3_600.0 }, "2", "Seconds after the end of a backend server in which the platform does not assign its address to another service. Used by a scout."),
     key("backend", "max_batch", Kind::Count { min: 1, max: 4_096 }, "32", "Most requests that run at once."),
     key("backend", "max_queued", Kind::Count { min: 0, max: 100_000 }, "512", "Most requests that wait. The expected wait bounds them earlier; this bounds memory."),
     key("backend", "max_wait", Kind::Millis { min: 10, max: 600_000 }, "20000", "Longest expected wait at which a request is still taken."),
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -28,6 +28,7 @@
 use crate::server_incarnations::ServerIncarnations;
 use crate::server_leaving::LeavingSource;
 use crate::server_load::ServerLoad;
+use crate::service_binding::ServiceBindings;
 use crate::service_time::ServiceTime;
 use crate::site::ServerChange;
 use crate::site::ServerPhase;
@@ -40,6 +41,7 @@
 pub use crate::fleet_choice::Exclusion;
 pub use crate::fleet_choice::ExclusionCounts;
 pub use crate::fleet_choice::NoServer;
+pub use crate::fleet_news::IdentityNews;
 pub use crate::fleet_server::ExpectedLoad;
 pub use crate::fleet_server::PlacementRequest;
 
@@ -90,6 +92,7 @@
     // All servers, listed or not. Several incarnations may share an address.
     pub(crate) addresses: HashMap<SocketAddr, Vec<ServerKey>>,
     pub(crate) incarnations: ServerIncarnations,
+    pub(crate) bindings: ServiceBindings,
     // Addresses of servers added since the last call of `take_added_addresses`.
     joined: Vec<SocketAddr>,
     // Whether a list was applied: servers that are added later may have started just now.
@@ -113,6 +116,7 @@
             ids: HashMap::new(),
             addresses: HashMap::new(),
             incarnations: ServerIncarnations::default(),
+            bindings: ServiceBindings::default(),
             joined: Vec::new(),
             initial_list_applied: false,
             evacuated: EvacuatedZones::default(),
@@ -141,6 +145,7 @@
     /// Applies an incomplete list. Servers that are not in it are kept.
     pub fn merge_servers(&mut self, now: Time, records: &[ServerRecord]) {
         for record in records {
+            self.bindings.bind(now, &record.id, &record.service);
             if !self.incarnations.is_suppressed(now, record) {
                 self.upsert(now, record);
             }
@@ -158,6 +163,7 @@
     pub fn apply_change(&mut self, now: Time, change: &ServerChange) {
         match change {
             ServerChange::Put(record) => {
+                self.bindings.bind(now, &record.id, &record.service);
                 self.incarnations.entry_written(now, &record.id);
                 self.upsert(now, record);
             }
@@ -473,6 +479,7 @@
         }
         server.set_leaving(now, LeavingSource::Directory);
         self.incarnations.record_removal(now, &server.record);
+        self.bindings.prune(now, &self.ids);
         if server.open_requests == 0 {
             self.remove(key);
         }
--- a/lib/src/fleet_news.rs
+++ b/lib/src/fleet_news.rs
@@ -1,5 +1,6 @@
 //! Updates of the view of backend servers from scouts and requests, in addition to the list.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::fleet::Fleet;
@@ -9,6 +10,7 @@
 use crate::fleet_server::Report;
 use crate::fleet_server::Server;
 use crate::ids::Name;
+use crate::peer_messages::EngineIdentity;
 use crate::peer_messages::EngineLoad;
 use crate::peer_messages::EngineLocation;
 use crate::prefill_rate;
@@ -18,6 +20,29 @@
 use crate::site::ServerRecord;
 use crate::time::Time;
 
+/// What a scout's identity report has changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum IdentityNews {
+    /// Nothing: the incarnation is known, or may be one that leaves.
+    Known,
+    /// Another incarnation of the same service is used now.
+    Replaced,
+    /// The server that was known at the address has ended, and another one is there. If the list does not have that one,
+    /// its service is unknown and it gets no requests.
+    Ended,
+}
+
+impl IdentityNews {
+    /// The name of the variant, for metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            IdentityNews::Known => "known",
+            IdentityNews::Replaced => "replaced",
+            IdentityNews::Ended => "ended",
+        }
+    }
+}
+
 impl Fleet {
     /// Applies a scout's announcement of its engine; returns whether the engine is new. It is used
     /// without an identifier until the list has it: only the list holds the engine's own.
@@ -26,28 +51,46 @@
             return false;
         }
         let id = Name::new(format!("{UNLISTED_PREFIX}{}", here.address));
-        self.upsert(now, &unlisted_record(id, here));
+        self.upsert(now, &unlisted_record(id.clone(), here));
+        if let Some(key) = self.ids.get(&id) {
+            self.servers[*key].observed_since = Some(now);
+        }
         true
     }
 
-    /// Applies the engine identifier that a scout reports; returns whether it is new. The list may name a
-    /// previous incarnation at the address, which has then ended. If the list has no server at the
-    /// address, the report is ignored: the engine may be leaving without having announced it.
-    pub fn apply_identity(&mut self, now: Time, here: &EngineLocation, id: &Name) -> bool {
-        let Some(key) = self.key_at(here.address) else {
-            return false;
-        };
-        let server = &mut self.servers[key];
-        if server.record.id == *id {
-            server.confirmed = true;
-            return false;
+    /// Applies the engine identifier that a scout reports. The list may name a previous incarnation at the address, which
+    /// has then ended. If the list has no server at the address, a server that was removed from it is ignored: it may be
+    /// leaving without having announced it. `trusts_scouts`: the directory is unreachable.
+    pub fn apply_identity(
+        &mut self,
+        now: Time,
+        identity: &EngineIdentity,
+        trusts_scouts: bool,
+    ) -> IdentityNews {
+        let (address, id) = (identity.engine.address, &identity.id);
+        if let Some(key) = self.ids.get(id).copied() {
+            if self.servers[key].record.address == address {
+                self.servers[key].confirmed = true;
+            }
+            return match self.end_others_at(now, address, id) {
+                true => IdentityNews::Ended,
+                false => IdentityNews::Known,
+            };
         }
-        if server.record.service != here.service {
-            return false;
+        self.incarnations.record_observed(id);
+        let service = self.bindings.service_of(identity, trusts_scouts);
+        match (self.key_at(address), service) {
+            (Some(key), Some(service)) if self.servers[key].record.service == service => {
+                self.bind_successor(now, identity);
+                self.replace(now, key, id);
+                IdentityNews::Replaced
+            }
+            (Some(_), _) => {
+                self.end_others_at(now, address, id);
+                IdentityNews::Ended
+            }
+            (None, _) => self.add_successor(now, identity),
         }
-        self.incarnations.record_observed(now, here.address, id);
-        self.replace(now, key, id);
-        true
     }
 
     /// Records that the server has named the incarnation that is known.
@@ -64,10 +107,11 @@
 
     /// The key of the engine to which a scout has moved a run. Scouts know engines that this entry does
     /// not: such an engine gets only this run until the list has it. `None` if a server at the address was
-    /// removed from the list: it may be that engine.
+    /// removed from the list: it may be that engine; or if the list has a server of another service there.
     pub fn key_for_moved_run(&mut self, now: Time, engine: &EngineLocation) -> Option<ServerKey> {
         if let Some(key) = self.key_at(engine.address) {
-            return Some(key);
+            let is_same_service = self.servers[key].record.service == engine.service;
+            return is_same_service.then_some(key);
         }
         if self.incarnations.was_removed_at(now, engine.address) {
             return None;
@@ -76,7 +120,8 @@
         Some(self.insert(Server::new(unlisted_record(id, engine))))
     }
 
-    /// Removes engines that only their scouts have announced and whose scouts have become silent.
+    /// Removes engines that only their scouts have announced and whose scouts have become silent: nothing guards requests
+    /// to them against another server at the address.
     pub fn remove_silent_engines(&mut self, now: Time) {
         let announced = self
             .ids
@@ -84,9 +129,9 @@
             .filter(|(id, _)| id.as_str().starts_with(UNLISTED_PREFIX));
         let silent = announced.filter(|(_, key)| {
             let server = &self.servers[**key];
-            server
-                .report
-                .is_some_and(|r| now.since(r.received_at) >= SCOUT_TIMEOUT)
+            let reported = server.report.map(|report| report.received_at);
+            let last_heard = reported.or(server.observed_since);
+            last_heard.is_some_and(|at| now.since(at) >= SCOUT_TIMEOUT)
         });
         let silent: Vec<Name> = silent.map(|(id, _)| id.clone()).collect();
         for id in silent {
@@ -97,16 +142,11 @@
     /// Applies a load report; returns whether it is the first sign that the engine is leaving.
     pub fn apply_report(&mut self, now: Time, engine: &EngineLocation, load: &EngineLoad) -> bool {
         let address = engine.address;
-        if self.key_at(address).is_none() {
-            self.add_observed(now, engine);
-        }
         // A server that was removed from the list may still run its open requests and be reported.
         let keys = self.addresses.get(&address).into_iter().flatten();
         let matching = keys.copied().filter(|key| {
-            let record = &self.servers[*key].record;
-            let known = record.born;
-            let same_incarnation = load.born.is_none_or(|born| born == known || known == 0);
-            record.service == engine.service && same_incarnation
+            let server = &self.servers[*key];
+            server.record.service == engine.service && server.is_report_of(now, load.born)
         });
         let Some(key) = matching.max_by_key(|key| self.servers[*key].listed) else {
             return false;
@@ -114,6 +154,7 @@
         let round_trip = self.round_trip(now, &self.servers[key].record.zone);
         let started_leaving = load.leaving && self.record_leaving(now, key, LeavingSource::Scout);
         let server = &mut self.servers[key];
+        server.reported_start = load.born.or(server.reported_start);
         server.report = Some(Report {
             received_at: now,
             peak_tokens: load.peak_tokens.max(load.used),
@@ -153,25 +194,47 @@
         started_leaving
     }
 
-    /// Records that a request found a different server at the address than the expected one, which has
-    /// ended. If the scout there has reported recently, the other server replaces it at once; otherwise
-    /// the address may belong to another service by now.
+    /// Records that a request found a different server at the address than the expected one, which has ended. If its
+    /// scout has reported it a moment ago, the other server has the same service and replaces it at once; otherwise the
+    /// address may belong to another service by now, which the list tells or the scout.
     pub fn record_mismatch(&mut self, now: Time, key: ServerKey, other: &Name) {
         let Some(server) = self.servers.get(key) else {
             return;
         };
-        let (id, address) = (server.record.id.clone(), server.record.address);
-        self.incarnations.record_observed(now, address, other);
+        let id = server.record.id.clone();
         if self.ids.get(&id) != Some(&key) {
             return;
         }
-        if self.has_live_scout(now, key) {
+        self.incarnations.record_observed(other);
+        let is_unlisted = !self.ids.contains_key(other) && !self.bindings.is_bound(other);
+        if is_unlisted && self.has_live_scout(now, key) {
+            let service = server.record.service.clone();
+            self.bindings.bind(now, other, &service);
             self.replace(now, key, other);
         } else {
             self.end_incarnation(now, &id);
         }
     }
 
+    /// Ends all listed servers at the address but the one with the identifier; returns whether there was one.
+    fn end_others_at(&mut self, now: Time, address: SocketAddr, id: &Name) -> bool {
+        let at_address = self.addresses.get(&address).into_iter().flatten();
+        let servers = at_address.map(|key| &self.servers[*key]);
+        let others = servers.filter(|server| server.listed && server.record.id != *id);
+        let others: Vec<Name> = others.map(|server| server.record.id.clone()).collect();
+        for other in &others {
+            self.end_incarnation(now, other);
+        }
+        !others.is_empty()
+    }
+
+    /// Binds a server that follows a bound one to the same service. One that only its scout vouches for is not bound.
+    fn bind_successor(&mut self, now: Time, identity: &EngineIdentity) {
+        if let Some(service) = self.bindings.bound_service(identity) {
+            self.bindings.bind(now, &identity.id, &service);
+        }
+    }
+
     /// Replaces the incarnation at `key`, which has ended, by `id`. The last report of the scout is kept.
     fn replace(&mut self, now: Time, key: ServerKey, id: &Name) {
         let server = &self.servers[key];
@@ -203,16 +266,25 @@
         self.remove_listed(now, id);
     }
 
-    /// Adds an engine that a request has found at an address and whose scout has reported it, before the
-    /// list has it.
-    fn add_observed(&mut self, now: Time, engine: &EngineLocation) {
-        let Some(id) = self.incarnations.observed_at(now, engine.address) else {
-            return;
+    /// Adds an engine that has followed a listed one, which is known to have ended, before the list has it.
+    fn add_successor(&mut self, now: Time, identity: &EngineIdentity) -> IdentityNews {
+        let id = &identity.id;
+        let service = self.bindings.bound_service(identity);
+        let Some(service) = service.filter(|_| !self.bindings.is_bound(id)) else {
+            return IdentityNews::Known;
         };
-        self.upsert(now, &unlisted_record(id.clone(), engine));
-        if let Some(key) = self.ids.get(&id) {
-            self.servers[*key].observed_since = Some(now);
+        self.bindings.bind(now, id, &service);
+        let engine = EngineLocation {
+            service,
+            ..identity.engine.clone()
+        };
+        self.upsert(now, &unlisted_record(id.clone(), &engine));
+        if let Some(key) = self.ids.get(id) {
+            let server = &mut self.servers[*key];
+            server.observed_since = Some(now);
+            server.confirmed = true;
         }
+        IdentityNews::Replaced
     }
 }
 
--- a/lib/src/fleet_server.rs
+++ b/lib/src/fleet_server.rs
@@ -8,6 +8,7 @@
 
 use crate::busy_limit::BusyLimit;
 use crate::cold_start::ColdState;
+use crate::fleet::SCOUT_TIMEOUT;
 use crate::ids::Name;
 use crate::migration::event_gaps::EventGaps;
 use crate::migration::run_risk::PrefillRole;
@@ -153,6 +154,8 @@
     pub(crate) confirmed: bool,
     // When another source than the list named it; `None` once the list has it.
     pub(crate) observed_since: Option<Time>,
+    // When the incarnation started, as its scout reports it; the list goes before.
+    pub(crate) reported_start: Option<u64>,
     // `None` until any source tells that it is leaving. Never reset.
     pub(crate) leaving: Option<Leaving>,
     // This entry's open requests there, and the tokens that they are expected to hold.
@@ -232,6 +235,20 @@
 }
 
 impl Server {
+    /// Whether a report of an engine that started at `born` concerns this incarnation. Before the list has it, the first
+    /// reports tell when it started; after a silence they may be those of the next server at the address.
+    pub(crate) fn is_report_of(&self, now: Time, born: Option<u64>) -> bool {
+        let Some(born) = born else {
+            return true;
+        };
+        if self.record.born != 0 || self.reported_start == Some(born) {
+            return self.record.born == born || self.record.born == 0;
+        }
+        let reported = self.report.map(|report| report.received_at);
+        let last_heard = reported.max(self.observed_since);
+        last_heard.is_none_or(|at| now.since(at) < SCOUT_TIMEOUT)
+    }
+
     /// Creates a server that is not listed and whose load is unknown.
     pub(crate) fn new(record: ServerRecord) -> Self {
         Server {
@@ -240,6 +257,7 @@
             record,
             listed: false,
             confirmed: false,
+            reported_start: None,
             observed_since: None,
             leaving: None,
             open_requests: 0,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -25,6 +25,7 @@
 mod subset;
 mod tenants;
 
+pub mod address_tenure;
 pub mod admission;
 pub mod arbiter_route;
 pub mod backend;
@@ -123,6 +124,7 @@
 pub mod server_reserve;
 pub mod server_rest;
 pub mod server_statement;
+mod service_binding;
 pub mod service_http;
 pub mod service_time;
 pub mod settings;
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -205,10 +205,15 @@
 
     /// An engine's current identifier. The directory may still list a former incarnation.
     pub struct EngineIdentity {
-        /// The engine.
+        /// The engine. Its service is that of the scout's settings.
         pub engine: EngineLocation,
         /// Its identifier.
         pub id: Name,
+        /// The incarnations that it has followed at the address, each sooner than the address could have been assigned
+        /// to another service.
+        pub predecessors: Vec<Name>,
+        /// Whether the address cannot have been assigned to another service since the scout started.
+        pub unbroken: bool,
     }
 
     /// What a process knows of poison requests, or has just learned.
--- a/lib/src/server_incarnations.rs
+++ b/lib/src/server_incarnations.rs
@@ -51,8 +51,6 @@
     suppressed: HashMap<Name, (Time, u64)>,
     // What incarnations that are not listed stated about themselves.
     stated: HashMap<Name, UnlistedStatements>,
-    // Identifiers that were observed at addresses in place of the expected ones.
-    observed: HashMap<SocketAddr, (Time, Name)>,
 }
 
 /// What an incarnation stated about itself, as far as it still holds.
@@ -157,17 +155,9 @@
         at.is_some_and(|at| now.since(*at) < REMOVED_RETENTION)
     }
 
-    /// Records that the server with this identifier answers at the address.
-    pub(crate) fn record_observed(&mut self, now: Time, address: SocketAddr, id: &Name) {
+    /// Records that the server with this identifier answers: it has not ended.
+    pub(crate) fn record_observed(&mut self, id: &Name) {
         self.ended.remove(id);
-        self.observed.insert(address, (now, id.clone()));
-    }
-
-    /// The identifier that was observed at the address recently.
-    pub(crate) fn observed_at(&mut self, now: Time, address: SocketAddr) -> Option<Name> {
-        self.observed
-            .retain(|_, (at, _)| now.since(*at) < OBSERVED_RETENTION);
-        self.observed.get(&address).map(|(_, id)| id.clone())
     }
 
     /// Whether a server observed at `since` may still be missing from the list.
--- a/lib/tests/cold_start.rs
+++ b/lib/tests/cold_start.rs
@@ -8,10 +8,12 @@
 use cicada_lib::entry_shares::EntryShares;
 use cicada_lib::fleet::Exclusion;
 use cicada_lib::fleet::Fleet;
+use cicada_lib::fleet::IdentityNews;
 use cicada_lib::fleet::Location;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
+use cicada_lib::peer_messages::EngineIdentity;
 use cicada_lib::peer_messages::EngineLoad;
 use cicada_lib::peer_messages::EngineLocation;
 use cicada_lib::site::ServerChange;
@@ -279,7 +281,14 @@
     };
     fleet.apply_report(Time::from_millis(7_000), &here, &load);
     assert_eq!(accepted(&mut fleet, 7_001), 1, "announced by its scout");
-    assert!(fleet.apply_identity(Time::from_millis(9_000), &here, &Name::new("i-other")));
+    let restarted = EngineIdentity {
+        engine: here,
+        id: Name::new("i-other"),
+        predecessors: fleet.servers().map(|server| server.id.clone()).collect(),
+        unbroken: true,
+    };
+    let news = fleet.apply_identity(Time::from_millis(9_000), &restarted, false);
+    assert_eq!(news, IdentityNews::Replaced);
     assert_eq!(accepted(&mut fleet, 9_001), 1, "another incarnation");
 }
 
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -6,10 +6,12 @@
 
 use cicada_lib::fleet::Exclusion;
 use cicada_lib::fleet::Fleet;
+use cicada_lib::fleet::IdentityNews;
 use cicada_lib::fleet::Location;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
+use cicada_lib::peer_messages::EngineIdentity;
 use cicada_lib::peer_messages::EngineLoad;
 use cicada_lib::peer_messages::EngineLocation;
 use cicada_lib::residency::ANY_REGION;
@@ -63,6 +65,16 @@
     }
 }
 
+/// What the scout of an engine says after it has seen `predecessors` there, each shortly before the next.
+fn identity(here: EngineLocation, predecessors: &[&str], id: &str) -> EngineIdentity {
+    EngineIdentity {
+        engine: here,
+        id: Name::new(id),
+        predecessors: predecessors.iter().copied().map(Name::new).collect(),
+        unbroken: true,
+    }
+}
+
 fn report(used: u64, running: u32) -> EngineLoad {
     EngineLoad {
         running,
@@ -304,8 +316,8 @@
     assert_eq!(send(&mut fleet, millis(5_100)), Err(NoServer::None));
 }
 
-/// All engines lost power and restarted under new identifiers, while the list still names the old ones.
-/// A request finds the new engine at the address, and its scout reports its service and zone.
+/// Engines restarted under new identifiers, while the list still names the old ones. A request finds the new engine at
+/// the address, and its scout tells that it has directly followed the listed one. A report alone tells no service.
 #[test]
 fn an_engine_found_in_place_of_another_serves_before_the_list_has_it() {
     let mut fleet = fleet("a");
@@ -317,6 +329,10 @@
     fleet.record_mismatch(millis(2), key, &Name::new("i-new"));
     assert_eq!(send(&mut fleet, millis(3)), Err(NoServer::None));
     fleet.apply_report(millis(4), &here(0, "a"), &report(0, 0));
+    assert_eq!(send(&mut fleet, millis(4)), Err(NoServer::None));
+    let restarted = identity(here(0, "a"), &["i-0"], "i-new");
+    fleet.apply_identity(millis(4), &restarted, false);
+    fleet.apply_report(millis(4), &here(0, "a"), &report(0, 0));
     assert_eq!(send(&mut fleet, millis(5)).unwrap(), "i-new");
     // Without a recent scout report the address may belong to another service by now.
     let key = fleet.key_at(address(0)).unwrap();
@@ -381,17 +397,17 @@
     assert_eq!(send(&mut fleet, millis(6_200)).unwrap(), "i-0");
 }
 
-/// All hosts lost power. The scout reports the engine's new identifier before any request finds it out.
+/// An engine restarted. The scout reports its new identifier before any request finds it out.
 #[test]
 fn a_scout_reports_an_incarnation_before_the_list_has_it() {
     let mut fleet = fleet("a");
     fleet.replace_servers(millis(0), &[record(0, "a"), record(1, "a")]);
     let id = Name::new("i-new");
-    assert!(fleet.apply_identity(millis(1), &here(0, "a"), &id));
-    assert!(
-        !fleet.apply_identity(millis(2), &here(0, "a"), &id),
-        "it is known already"
-    );
+    let restarted = identity(here(0, "a"), &["i-0"], "i-new");
+    let news = fleet.apply_identity(millis(1), &restarted, false);
+    assert_eq!(news, IdentityNews::Replaced);
+    let news = fleet.apply_identity(millis(2), &restarted, false);
+    assert_eq!(news, IdentityNews::Known);
     let key = fleet.key_at(address(0)).unwrap();
     assert_eq!(fleet.record(key).unwrap().id, id);
     fleet.replace_servers(millis(10), &[record(0, "a"), record(1, "a")]);
@@ -413,12 +429,20 @@
     let mut fleet = fleet("a");
     fleet.replace_servers(millis(0), &[record(0, "a")]);
     fleet.apply_change(millis(1), &ServerChange::Gone(Name::new("i-0")));
-    assert!(!fleet.apply_identity(millis(2), &here(0, "a"), &Name::new("i-0")));
+    let removed = identity(here(0, "a"), &[], "i-0");
+    let news = fleet.apply_identity(millis(2), &removed, false);
+    assert_eq!(news, IdentityNews::Known);
     assert_eq!(send(&mut fleet, millis(3)), Err(NoServer::None));
     fleet.apply_change(millis(4), &ServerChange::Put(record(1, "a")));
     let mut other = here(1, "a");
     other.service = Name::new("other");
-    assert!(!fleet.apply_identity(millis(5), &other, &Name::new("i-x")));
+    let news = fleet.apply_identity(millis(5), &identity(other, &[], "i-x"), false);
+    assert_eq!(
+        news,
+        IdentityNews::Ended,
+        "another server is at the address"
+    );
+    assert_eq!(send(&mut fleet, millis(6)), Err(NoServer::None));
 }
 
 /// The caller that requests reports of new engines gets each address once.
--- a/relay/src/engine_reports.rs
+++ b/relay/src/engine_reports.rs
@@ -1,5 +1,6 @@
 //! Applies what scouts report of their engines to a relay's state.
 
+use cicada_lib::fleet::IdentityNews;
 use cicada_lib::peer_messages::EngineIdentity;
 use cicada_lib::peer_messages::EngineLoad;
 use cicada_lib::peer_messages::EngineLocation;
@@ -53,11 +54,22 @@
 
     /// Applies the identifier of an engine's current incarnation.
     pub(crate) fn handle_identity(&self, identity: &EngineIdentity) {
-        let (here, id) = (&identity.engine, &identity.id);
-        if self.fleet().apply_identity(self.now(), here, id) {
-            let address = here.address;
-            tracing::info!(engine = %address, server = %id, "fleet: a scout names another life of its engine");
+        let trusts_scouts = self.is_directory_unreachable();
+        let news = self
+            .fleet()
+            .apply_identity(self.now(), identity, trusts_scouts);
+        let (engine, server) = (identity.engine.address, &identity.id);
+        match news {
+            IdentityNews::Known => {}
+            IdentityNews::Replaced => {
+                tracing::info!(%engine, %server, trusts_scouts, "fleet: a scout names another life of its engine");
+            }
+            IdentityNews::Ended => {
+                let (service, unbroken) = (&identity.engine.service, identity.unbroken);
+                tracing::info!(%engine, %server, scout_service = %service, unbroken, "fleet: an address has another server; only the list can tell its service");
+            }
         }
+        self.metrics().count_identity(news);
     }
 
     /// Applies the announcement of an engine, and returns whether the engine is new to this relay. Ignored
@@ -72,6 +84,7 @@
         let is_new = self.fleet().add_announced(now, here);
         if is_new {
             tracing::info!(engine = %here.address, service = %here.service, "fleet: a scout says that its engine is there");
+            self.notify_engines_joined();
         }
         is_new
     }
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cicada_lib::body_end::Framing;
+use cicada_lib::fleet::IdentityNews;
 use cicada_lib::fleet_migration::GroupSize;
 use cicada_lib::ids::Name;
 use cicada_lib::retry_share::RetryUsage;
@@ -46,6 +47,7 @@
     loan_shares: GaugeVec,
     held_bytes: IntGauge,
     leaving: IntCounterVec,
+    identities: IntCounterVec,
     directory_calls: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
@@ -182,6 +184,11 @@
                 "relay_held_bytes",
                 "Bytes of request bodies, answers and events that are held for callers",
             )?,
+            identities: counter(
+                "relay_identities_total",
+                "Identifiers of engines that scouts reported: known, in place of a former incarnation, or of a server whose service only the list can tell",
+                "news",
+            )?,
             leaving: counter(
                 "relay_leaving_total",
                 "Backend servers that this relay learned to be leaving, but for the directory's list",
@@ -245,6 +252,7 @@
         registry.register(Box::new(metrics.load_probes.clone()))?;
         registry.register(Box::new(metrics.first_events.clone()))?;
         registry.register(Box::new(metrics.leaving.clone()))?;
+        registry.register(Box::new(metrics.identities.clone()))?;
         registry.register(Box::new(metrics.directory_calls.clone()))?;
         registry.register(Box::new(metrics.datagrams.clone()))?;
         registry.register(Box::new(metrics.datagram_bytes.clone()))?;
@@ -401,6 +409,11 @@
         self.wait_time.observe(time.as_secs_f64());
     }
 
+    /// Counts an identifier that a scout reported of its engine.
+    pub(crate) fn count_identity(&self, news: IdentityNews) {
+        self.identities.with_label_values(&[news.as_str()]).inc();
+    }
+
     /// Counts a server that is leaving by the source that told so first.
     pub(crate) fn count_leaving(&self, source: &str) {
         self.leaving.with_label_values(&[source]).inc();
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -197,7 +197,7 @@
         drop(known);
         self.has_server_list.store(true, Ordering::Relaxed);
         self.notify_leaving();
-        self.servers_changed.notify_one();
+        self.notify_engines_joined();
     }
 
     /// Whether this relay may watch the directory on behalf of its region. `watching` tells whether it does so now.
@@ -423,6 +423,11 @@
         }
     }
 
+    /// Notifies the task that subscribes to the reports of new engines.
+    pub(crate) fn notify_engines_joined(&self) {
+        self.servers_changed.notify_one();
+    }
+
     /// Waits until there may be new engines.
     pub(crate) async fn engines_joined(&self) {
         self.servers_changed.notified().await;
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -11,9 +11,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cicada_lib::address_tenure::AddressTenure;
 use cicada_lib::cold_start::ColdState;
 use cicada_lib::dialect::EngineCalls;
 use cicada_lib::dialect::EngineReport;
+use cicada_lib::dialect::ReportError;
 use cicada_lib::engine_load_tracker::EngineLoadTracker;
 use cicada_lib::failure_rate::FailureRate;
 use cicada_lib::ids::Name;
@@ -62,6 +64,9 @@
 /// After a gap of this length between polls, the engine may have stopped and restarted unnoticed.
 const MAX_UNOBSERVED: Duration = Duration::from_millis(500);
 
+/// How long after the end of an engine its address is not assigned to another service, unless the settings tell.
+const DEFAULT_REUSE_AFTER: Duration = Duration::from_secs(2);
+
 /// How long a subscription for reports stays valid without renewal.
 const SUBSCRIPTION_TTL: Duration = Duration::from_secs(4);
 
@@ -111,6 +116,7 @@
     // Passes the engine's current runs to the task that moves them, while the engine leaves.
     pub(crate) mover_reports: Option<watch::Sender<EngineReport>>,
     pub(crate) identity: IdentityTracker,
+    pub(crate) tenure: AddressTenure,
     pub(crate) load_tracker: EngineLoadTracker,
     pub(crate) gap_tracker: GapTracker,
     pub(crate) outcomes: FailureRate,
@@ -158,6 +164,7 @@
             leaving: false,
             mover_reports: None,
             identity: IdentityTracker::new(),
+            tenure: AddressTenure::new(DEFAULT_REUSE_AFTER),
             load_tracker: EngineLoadTracker::new(),
             gap_tracker: GapTracker::new(),
             outcomes: FailureRate::new(),
@@ -175,6 +182,14 @@
         })
     }
 
+    /// Sets how long after the end of an engine the platform may assign its address to another service.
+    pub fn with_reuse_after(self, reuse_after: Duration) -> Self {
+        Scout {
+            tenure: AddressTenure::new(reuse_after),
+            ..self
+        }
+    }
+
     /// Polls the engine and serves subscribers until the process ends.
     pub async fn run(mut self) {
         if let Some(listener) = self.listener.take() {
@@ -195,6 +210,7 @@
                 health = self.identity.next_reply() => {
                     if let Some(health) = health {
                         self.cold.set_remaining(self.clock.now(), health.cold);
+                        self.tenure.record_name(&health.id);
                         self.broadcast_identity(health.id).await;
                     }
                 }
@@ -344,7 +360,7 @@
             self.announce().await;
             return;
         }
-        let report = match self.engine_calls.report(self.engine.address).await {
+        let report = match self.query_report().await {
             Ok(report) => report,
             Err(error) => {
                 tracing::debug!(%error, "scout: cannot poll the engine");
@@ -355,6 +371,9 @@
         };
         let now = self.clock.now();
         let last_poll = self.last_poll.as_ref();
+        if last_poll.is_some_and(|(_, last)| last.born != report.born) {
+            self.identity.reset();
+        }
         if last_poll.is_none_or(|(at, _)| now.since(*at) >= MAX_UNOBSERVED) {
             self.cold.note_possible_start(now);
         }
@@ -377,6 +396,14 @@
         self.update_mover(started_leaving, report);
     }
 
+    /// Queries the engine's load, and records when it answered.
+    async fn query_report(&mut self) -> Result<EngineReport, ReportError> {
+        let sent_at = self.clock.now();
+        let report = self.engine_calls.report(self.engine.address).await?;
+        self.tenure.record_answer(sent_at, self.clock.now());
+        Ok(report)
+    }
+
     fn clear_last_report(&mut self) {
         self.last_report = None;
         self.last_poll = None;
@@ -389,8 +416,9 @@
             return;
         }
         self.last_renewal = Some(Instant::now());
-        let report = self.engine_calls.report(self.engine.address).await;
-        if !report.is_ok_and(|report| !report.leaving) {
+        let report = self.query_report().await;
+        let is_available = report.is_ok_and(|report| !report.leaving);
+        if !is_available || !self.tenure.is_unbroken() {
             return;
         }
         let datagram = Datagram::Announcement(self.engine.clone());
@@ -469,6 +497,8 @@
         Datagram::Identity(EngineIdentity {
             engine: self.engine.clone(),
             id,
+            predecessors: self.tenure.predecessors().to_vec(),
+            unbroken: self.tenure.is_unbroken(),
         })
     }
 
