relay: watches wait no longer than the promises that depend on them

Cause: a watch on the configuration waited for 10 s, a constant chosen for the number of calls. A connection that falls silent under it alone was noticed after 10.8 s; the watch on servers, on another connection, lived.

Change: watch_wait derives the wait from the promise: the time for the answer and for the spread to other relays are taken off. The watch on servers is bound by drainMs in the same way; it waited 1.5 s, which left too little time to spread. Evacuations (3 s, promise 5 s) are within.

Store calls of a region without changes, worked out: 2.1 a second, 1.1 before, at any number of relays.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -133,6 +133,8 @@
             regions: settings.pairs("relay", "zones").into_iter().collect(),
         },
         first_start: settings.text("platform", "first_start") == "true",
+        config_apply: settings.millis("relay", "config_apply"),
+        drain_apply: settings.millis("relay", "drain_apply"),
         memory: settings.count("process", "memory") as usize * MEGABYTE,
         reloadable: reloadable_settings(settings),
     })
--- a/lib/src/daemon_keys.rs
+++ b/lib/src/daemon_keys.rs
@@ -210,6 +210,8 @@
     key("relay", "retry_slack", Kind::Number { min: 0.0, max: 100_000.0 }, "32", "Further sends of a service that are free in each window, of all relays together."),
     key("relay", "retry_window", Kind::Number { min: 0.1, max: 600.0 }, "10", "The window of the bound on further sends, in seconds."),
     key("relay", "grace", Kind::Number { min: 0.5, max: 3_600.0 }, "8", "From SIGTERM to the platform's force, in seconds: a relay ends before."),
+    key("relay", "config_apply", Kind::Millis { min: 500, max: 600_000 }, "3000", "From the acknowledgement of a configuration until it is in force everywhere. Watches on it wait so long that a connection which falls silent is noticed in time."),
+    key("relay", "drain_apply", Kind::Millis { min: 500, max: 600_000 }, "3000", "From the acknowledgement that a backend server leaves until no relay sends it new work. Bounds watches like `config_apply`."),
     key("relay", "refuse", Kind::Choice(SWITCH), "on", "Whether streams are refused at once that no engine can hold or begin in time. Off: each goes to the best engine, however full."),
     key("relay", "returns", Kind::Choice(SWITCH), "on", "Whether callers that were refused and come back are told from new ones."),
     key("relay", "resume", Kind::Choice(SWITCH), "on", "Whether a stream of a resumable route goes on in another run when its engine fails. A caller may ask for that by itself in any case."),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -140,6 +140,7 @@
 pub mod trial_pause;
 pub mod unreadable_senders;
 pub mod watch_election;
+pub mod watch_wait;
 pub mod wire;
 pub mod workspace_usage;
 pub mod zone_cost;
--- a/lib/src/site.rs
+++ b/lib/src/site.rs
@@ -241,6 +241,9 @@
 /// Result of a directory operation.
 pub type Result<T> = std::result::Result<T, DirectoryError>;
 
+/// How long the answer to a watch may take beyond the wait that it asks for. After that its connection counts as silent.
+pub const WATCH_ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// Client of the directory service, which stores the deployment's configuration and its backend servers.
 #[async_trait]
 pub trait Directory: Send + Sync {
--- a/relay/src/directory_watcher.rs
+++ b/relay/src/directory_watcher.rs
@@ -15,6 +15,7 @@
 use cicada_lib::site::ServerChanges;
 use cicada_lib::site::ServerListing;
 use cicada_lib::watch_election;
+use cicada_lib::watch_wait::watch_wait;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
@@ -23,13 +24,6 @@
 use crate::peer_pull;
 use crate::relay::Relay;
 
-/// How long a watch on the configuration, and one on the backend servers, waits for a change. Each watch
-/// costs a call. A directory that rejects new calls while a watch is pending is noticed only when the watch
-/// times out, and so is a dead connection: until then no engine is accepted on its scout's announcement
-/// alone, and no relay receives a new configuration.
-const CONFIG_WATCH_TIMEOUT: Duration = Duration::from_secs(10);
-const SERVER_WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Interval between watches on the backend servers per known relay, and its maximum. Each watch that returns
 /// costs a call, and changes grow with the number of servers, while the platform's rate limits grow more
 /// slowly: in a large deployment one call returns several changes. That an engine leaves is learnt earlier
@@ -125,6 +119,7 @@
     async fn watch_config(&self) {
         let mut backoff = CallBackoff::new();
         let mut revision: Option<Revision> = None;
+        let wait = watch_wait(self.relay.settings().config_apply);
         loop {
             if self.defer_to_watching_relay().await {
                 revision = None;
@@ -133,7 +128,7 @@
             let outcome = match revision {
                 None => self.directory.config().await,
                 Some(after) => tokio::select! {
-                    outcome = self.directory.next_config(after, CONFIG_WATCH_TIMEOUT) => outcome,
+                    outcome = self.directory.next_config(after, wait) => outcome,
                     // A failure that the watch on the servers has noticed also affects this watch, which may
                     // not notice it until it times out.
                     () = self.wait_for_reset(after), if self.relay.version() > 0 => {
@@ -260,11 +255,14 @@
         let Some(after) = view.revision else {
             return self.list_servers(view, backoff).await;
         };
+        // A directory that rejects new calls while a watch is pending is noticed only when the watch times out: until then
+        // no engine is accepted on its scout's announcement alone.
+        let longest = watch_wait(self.relay.settings().drain_apply);
         let wait = match view.relist_at {
             Some(relist_at) => relist_at
                 .saturating_duration_since(Instant::now())
-                .min(SERVER_WATCH_TIMEOUT),
-            None => SERVER_WATCH_TIMEOUT,
+                .min(longest),
+            None => longest,
         };
         let started_at = Instant::now();
         let news = self.directory.next_servers(after, wait).await?;
--- a/relay/src/relay_settings.rs
+++ b/relay/src/relay_settings.rs
@@ -24,6 +24,10 @@
     pub place: Location,
     /// Whether the whole deployment starts for the first time, so that nothing is registered yet.
     pub first_start: bool,
+    /// The time from the acknowledgement of a configuration until it must be in force everywhere.
+    pub config_apply: Duration,
+    /// The time from the acknowledgement that a backend server leaves until it gets no new work from any entry.
+    pub drain_apply: Duration,
     /// The host's memory in bytes; zero if it is not known.
     pub memory: usize,
     /// Settings that may change while the relay runs.
