relay: a late watch on the configuration is given up, and the configuration announced

Cause: bounded by the promise with the time of a failed call and the time of two hellos taken off, the watch returned each 1.15 s.

Change: the watch is given up 0.25 s after its wait and the configuration read again, without counting as a failed call; a configuration that was read is announced to other relays at once. So it may wait for 2.05 s.

--- a/lib/src/watch_wait.rs
+++ b/lib/src/watch_wait.rs
@@ -5,17 +5,24 @@
 
 use std::time::Duration;
 
-use crate::site::WATCH_ANSWER_TIMEOUT;
+/// Time beyond its wait after which an unanswered watch on the configuration is given up, and the whole read again: less
+/// than that of a failed call, since a call that is only slow costs no more than the read.
+pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time in which a change that the watching relay has just read reaches the other relays: two hellos and a pull.
+/// Time for a read after that.
+pub const READ_TIME: Duration = Duration::from_millis(100);
+
+/// Time in which a change that the watching relay has announced at once is pulled by the relays that hear it.
+pub const PULL_TIME: Duration = Duration::from_millis(600);
+
+/// The same for a change that is announced with the next hello.
 pub const SPREAD_TIME: Duration = Duration::from_millis(1_050);
 
 /// Minimum wait, below which calls to the directory would cost more than they detect.
 const MIN_WAIT: Duration = Duration::from_millis(200);
 
 /// The longest wait of a watch such that a change it misses on a silent connection is in force everywhere `promise` after
-/// the change, if it is read at once when the watch has timed out.
-pub fn watch_wait(promise: Duration) -> Duration {
-    let wait = promise.saturating_sub(WATCH_ANSWER_TIMEOUT + SPREAD_TIME);
-    wait.max(MIN_WAIT)
+/// the change, if that takes `reaction` from the end of the wait.
+pub fn watch_wait(promise: Duration, reaction: Duration) -> Duration {
+    promise.saturating_sub(reaction).max(MIN_WAIT)
 }
--- a/lib/tests/watch_wait.rs
+++ b/lib/tests/watch_wait.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 use cicada_lib::site::WATCH_ANSWER_TIMEOUT;
+use cicada_lib::watch_wait::PULL_TIME;
+use cicada_lib::watch_wait::READ_TIME;
+use cicada_lib::watch_wait::SILENCE_TIMEOUT;
 use cicada_lib::watch_wait::SPREAD_TIME;
 use cicada_lib::watch_wait::watch_wait;
 use quickcheck::TestResult;
@@ -15,7 +18,11 @@
         if promise < Duration::from_millis(2_050) {
             return TestResult::discard();
         }
-        let wait = watch_wait(promise);
-        TestResult::from_bool(wait + WATCH_ANSWER_TIMEOUT + SPREAD_TIME <= promise)
+        let reactions = [
+            SILENCE_TIMEOUT + READ_TIME + PULL_TIME,
+            WATCH_ANSWER_TIMEOUT + SPREAD_TIME,
+        ];
+        let in_time = |reaction| watch_wait(promise, reaction) + reaction <= promise;
+        TestResult::from_bool(reactions.into_iter().all(in_time))
     }
 }
--- a/relay/src/directory_watcher.rs
+++ b/relay/src/directory_watcher.rs
@@ -14,7 +14,12 @@
 use cicada_lib::site::Result;
 use cicada_lib::site::ServerChanges;
 use cicada_lib::site::ServerListing;
+use cicada_lib::site::WATCH_ANSWER_TIMEOUT;
 use cicada_lib::watch_election;
+use cicada_lib::watch_wait::PULL_TIME;
+use cicada_lib::watch_wait::READ_TIME;
+use cicada_lib::watch_wait::SILENCE_TIMEOUT;
+use cicada_lib::watch_wait::SPREAD_TIME;
 use cicada_lib::watch_wait::watch_wait;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -119,7 +124,8 @@
     async fn watch_config(&self) {
         let mut backoff = CallBackoff::new();
         let mut revision: Option<Revision> = None;
-        let wait = watch_wait(self.relay.settings().config_apply);
+        let reaction = SILENCE_TIMEOUT + READ_TIME + PULL_TIME;
+        let wait = watch_wait(self.relay.settings().config_apply, reaction);
         loop {
             if self.defer_to_watching_relay().await {
                 revision = None;
@@ -129,6 +135,12 @@
                 None => self.directory.config().await,
                 Some(after) => tokio::select! {
                     outcome = self.directory.next_config(after, wait) => outcome,
+                    () = sleep(wait + SILENCE_TIMEOUT) => {
+                        tracing::info!("directory: the watch on the configuration is silent; it is read again");
+                        self.relay.metrics().count_silent_watch();
+                        revision = None;
+                        continue;
+                    }
                     // A failure that the watch on the servers has noticed also affects this watch, which may
                     // not notice it until it times out.
                     () = self.wait_for_reset(after), if self.relay.version() > 0 => {
@@ -141,8 +153,8 @@
                 Ok((config, read_at)) => {
                     backoff.reset();
                     revision = Some(read_at);
-                    if let Some(config) = config {
-                        self.relay.set_config(config);
+                    if config.is_some_and(|config| self.relay.set_config(config)) {
+                        self.relay.announce_state();
                     }
                 }
                 Err(error) => {
@@ -257,7 +269,10 @@
         };
         // A directory that rejects new calls while a watch is pending is noticed only when the watch times out: until then
         // no engine is accepted on its scout's announcement alone.
-        let longest = watch_wait(self.relay.settings().drain_apply);
+        let longest = watch_wait(
+            self.relay.settings().drain_apply,
+            WATCH_ANSWER_TIMEOUT + SPREAD_TIME,
+        );
         let wait = match view.relist_at {
             Some(relist_at) => relist_at
                 .saturating_duration_since(Instant::now())
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -48,6 +48,7 @@
     held_bytes: IntGauge,
     leaving: IntCounterVec,
     identities: IntCounterVec,
+    silent_watches: IntCounter,
     directory_calls: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
@@ -211,6 +212,10 @@
                 "Bytes of these, without headers",
                 "kind",
             )?,
+            silent_watches: IntCounter::new(
+                "relay_silent_watches_total",
+                "Watches on the configuration that were given up because they were not answered after their wait",
+            )?,
             rests: IntCounter::new(
                 "relay_rests_total",
                 "Refusals by backend servers that asked this relay for rest",
@@ -253,6 +258,7 @@
         registry.register(Box::new(metrics.first_events.clone()))?;
         registry.register(Box::new(metrics.leaving.clone()))?;
         registry.register(Box::new(metrics.identities.clone()))?;
+        registry.register(Box::new(metrics.silent_watches.clone()))?;
         registry.register(Box::new(metrics.directory_calls.clone()))?;
         registry.register(Box::new(metrics.datagrams.clone()))?;
         registry.register(Box::new(metrics.datagram_bytes.clone()))?;
@@ -409,6 +415,11 @@
         self.wait_time.observe(time.as_secs_f64());
     }
 
+    /// Counts a watch on the configuration that was given up as silent.
+    pub(crate) fn count_silent_watch(&self) {
+        self.silent_watches.inc();
+    }
+
     /// Counts an identifier that a scout reported of its engine.
     pub(crate) fn count_identity(&self, news: IdentityNews) {
         self.identities.with_label_values(&[news.as_str()]).inc();
--- a/relay/src/relay_view.rs
+++ b/relay/src/relay_view.rs
@@ -411,6 +411,11 @@
         groups.into_values().collect()
     }
 
+    /// Tells other relays at once which state this one has.
+    pub(crate) fn announce_state(&self) {
+        self.hello_due.notify_one();
+    }
+
     /// Waits until other relays should get a `Hello` without delay.
     pub(crate) async fn hello_due(&self) {
         self.hello_due.notified().await;
