relay: log what is known of moves at the end of a close-delimited stream

A complete end of such a stream left no line, and a scout's failed step did not say which step it was, so that logs could not tell whether a scout's or the relay's own last step had stopped the run, or a notice was lost. No change of behaviour.

--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -3,6 +3,7 @@
 use cicada_lib::body_end::BodyEnd;
 use cicada_lib::body_end::Framing;
 use cicada_lib::body_end::Stop;
+use cicada_lib::dialect::MoveStep;
 use cicada_lib::ids::Name;
 
 use crate::crash_check;
@@ -18,7 +19,12 @@
     framing: Framing,
     events: u64,
     partial: usize,
-    moving: bool,
+    // The step of a move by this relay that was in progress.
+    step: Option<MoveStep>,
+    // Whether a scout had announced a move.
+    announced: bool,
+    leaving: bool,
+    failed_moves: u32,
 }
 
 impl Run {
@@ -29,7 +35,10 @@
             framing: self.framing,
             events: self.events.count(),
             partial: self.events.partial_bytes(),
-            moving: self.moving.is_some(),
+            step: self.moving.as_ref().map(|moving| moving.step),
+            announced: self.is_move_announced(),
+            leaving: self.placed.leaving_since().is_some(),
+            failed_moves: self.failed_moves,
         };
         let end = BodyEnd::of(self.framing, stop, self.events.position_at_end());
         // An engine also ends a stream so when it stops the run for a move.
@@ -73,10 +82,23 @@
                 why,
                 events = body.events,
                 partial = body.partial,
-                moving = body.moving,
+                moving = body.step.is_some(),
                 "stream: broken off by its engine"
             );
         }
+        if body.framing == Framing::Close {
+            tracing::info!(
+                id = self.call.id(),
+                server = %body.server,
+                why,
+                step = ?body.step,
+                announced = body.announced,
+                leaving = body.leaving,
+                failed_moves = body.failed_moves,
+                events = body.events,
+                "stream: its connection was its end"
+            );
+        }
     }
 }
 
--- a/relay/src/run_mover.rs
+++ b/relay/src/run_mover.rs
@@ -234,7 +234,7 @@
         let copy_handle = match self.move_step(run, address, MoveStep::Copy).await {
             Ok(handle) => handle,
             Err(error) => {
-                self.record_failure(run, address, &error);
+                self.record_failure(run, address, MoveStep::Copy, &error);
                 return None;
             }
         };
@@ -245,7 +245,7 @@
             Err(error) => {
                 // Otherwise the copy would occupy memory at the target for seconds, which other runs need.
                 self.engines.drop_copy(self.engine, &copy_handle).await;
-                self.record_failure(run, address, &error);
+                self.record_failure(run, address, MoveStep::Stop, &error);
                 return None;
             }
         };
@@ -278,8 +278,14 @@
         }
     }
 
-    fn record_failure(&mut self, run: &EngineRun, target: SocketAddr, error: &MoveError) {
-        tracing::info!(id = %run.id, tokens = run.tokens, %target, %error, "move: a step failed");
+    fn record_failure(
+        &mut self,
+        run: &EngineRun,
+        target: SocketAddr,
+        step: MoveStep,
+        error: &MoveError,
+    ) {
+        tracing::info!(id = %run.id, tokens = run.tokens, %target, ?step, %error, "move: a step failed");
         match error {
             MoveError::NoRoom(_) | MoveError::Busy => self.refused_by.push(target),
             MoveError::NoRun | MoveError::Lost(_) => {
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -264,11 +264,16 @@
 
     /// Whether the run may be stopped for a move now: the relay or a scout is at it, or the engine leaves.
     pub(crate) fn expects_stop(&self) -> bool {
-        let announced = |id| self.relay.moved_runs().is_moving(id);
         self.supports_moves()
             && (self.moving.is_some()
                 || self.placed.leaving_since().is_some()
-                || self.call.head.id.as_ref().is_some_and(announced))
+                || self.is_move_announced())
+    }
+
+    /// Whether a scout has announced that it moves the run.
+    pub(crate) fn is_move_announced(&self) -> bool {
+        let announced = |id| self.relay.moved_runs().is_moving(id);
+        self.call.head.id.as_ref().is_some_and(announced)
     }
 
     /// Handles a stream that has stopped, which is expected while the run is moved.
