--- a/lib/testutils/src/http_server.rs
+++ b/lib/testutils/src/http_server.rs
@@ -96,6 +96,14 @@
             Reply::Raw(_) | Reply::Cut => self,
         }
     }
+
+    /// The same answer, broken off by this error after so many bytes of its head. For one with a framing of its own.
+    pub fn with_cut_head(self, bytes: usize, error: io::Error) -> Self {
+        match self {
+            Reply::Raw(raw) => Reply::Raw(raw.with_cut_head(bytes, error)),
+            Reply::Answer(_) | Reply::Cut => self,
+        }
+    }
 }
 
 /// A request whose body has been read.
--- a/lib/testutils/src/raw_answer.rs
+++ b/lib/testutils/src/raw_answer.rs
@@ -30,13 +30,25 @@
 pub struct RawAnswer {
     response: Response<Body>,
     framing: BodyFraming,
+    // Bytes of the head after which the answer breaks off, and by what.
+    cut: Option<(usize, io::Error)>,
 }
 
 impl RawAnswer {
     /// An answer whose body is delimited so. An error in the body closes the connection before the end, and resets it if
     /// the error is one of a reset connection.
     pub fn new(response: Response<Body>, framing: BodyFraming) -> Self {
-        RawAnswer { response, framing }
+        RawAnswer {
+            response,
+            framing,
+            cut: None,
+        }
+    }
+
+    /// The same answer, broken off by this error after so many bytes of its head.
+    pub(crate) fn with_cut_head(self, bytes: usize, error: io::Error) -> Self {
+        let cut = Some((bytes, error));
+        RawAnswer { cut, ..self }
     }
 
     /// The same answer with a header more.
@@ -84,6 +96,10 @@
             BodyFraming::Endless(_) => {}
         }
         head.extend_from_slice(b"\r\n");
+        if let Some((bytes, error)) = self.cut {
+            stream.write_all(&head[..bytes.min(head.len())]).await?;
+            return Err(error);
+        }
         stream.write_all(&head).await?;
         let mut unread = [0];
         loop {
