--- a/daemon/tests/relay_broken_streams.rs
+++ b/daemon/tests/relay_broken_streams.rs
@@ -321,9 +321,9 @@
     Ok(())
 }
 
-/// Guards against a stream that stays open until its deadline because its engine dies while the relay moves its run.
-#[tokio::test(flavor = "multi_thread")]
-async fn a_stream_whose_engine_dies_during_its_move_ends_at_once() -> Result<()> {
+/// Has the engine of a stream die after the relay has asked it to stop the run, and returns what the caller heard and how
+/// long after. If `refused`, the engine that holds the copy does not take the run.
+async fn die_during_move(refused: bool) -> Result<(Heard, Duration, String)> {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
     let mut deployment = Deployment::start(daemon, 1, 2, 0).await?;
     let relay = deployment.relays[0].callers;
@@ -334,17 +334,37 @@
     deployment.engines[engine].scout.signal(Signal::Stop)?;
     sleep(Duration::from_millis(1_500)).await;
     engines[engine].set_last_copy(Duration::from_secs(2));
+    engines[1 - engine].refuse_moved(u32::from(refused));
     deployment.leave(engine, Duration::from_secs(4));
     wait_until("the run is stopped", || engines[engine].copies() == 1).await?;
     deployment.engines[engine].server.down().await;
     let died = Instant::now();
-    let response = stream.await??;
+    let heard = stream.await??;
     let log = deployment.relays[0].process.log();
-    assert!(!response.whole, "{log}");
-    assert!(
-        died.elapsed() < Duration::from_secs(2),
-        "{:?}\n{log}",
-        died.elapsed()
-    );
+    Ok((heard, died.elapsed(), log))
+}
+
+/// Guards against a stream that stays open until its deadline because its engine dies while the relay moves its run.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_engine_dies_during_its_move_ends_at_once() -> Result<()> {
+    let (heard, took, log) = die_during_move(true).await?;
+    assert!(!heard.whole, "{log}");
+    assert!(took < Duration::from_secs(2), "{took:?}\n{log}");
+    Ok(())
+}
+
+/// Guards against a run that is given up with its engine although its copy was complete before the stop.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_engine_dies_during_its_move_goes_on_from_the_copy() -> Result<()> {
+    let (heard, _, log) = die_during_move(false).await?;
+    assert!(heard.whole, "{log}");
+    let all: Vec<u64> = (1..=400).collect();
+    assert_eq!(heard.events(ID)?, all, "{log}");
+    let longest = log
+        .split("longest=")
+        .nth(1)
+        .and_then(|rest| rest.split(' ').next());
+    let longest: u64 = longest.unwrap_or_default().parse()?;
+    assert!(longest < 2_000, "{log}");
     Ok(())
 }
--- a/lib/src/body_end.rs
+++ b/lib/src/body_end.rs
@@ -29,6 +29,16 @@
         Failed,
     }
 
+    /// Whether the run behind a body was stopped for a move.
+    pub enum RunStop {
+        /// Nobody asked for it, or the engine stated that it did not.
+        NotStopped,
+        /// It was.
+        Stopped,
+        /// It was asked for, and the outcome is not known.
+        Unknown,
+    }
+
     /// Where in its content a body stopped.
     pub enum Position {
         /// Between two events, before the first one, or in a content without events.
@@ -55,6 +65,8 @@
         InsideEvent,
         /// The run was stopped to go on at another engine.
         Moved,
+        /// The run may have been stopped to go on at another engine, and nothing but its connection marked the end.
+        StopUnknown,
         /// The server is gone, and nothing but its connection marked the end.
         ServerGone,
     }
@@ -71,10 +83,12 @@
         }
     }
 
-    /// Settles an unconfirmed end if the run was moved.
-    pub fn after_move(self, was_moved: bool) -> Self {
-        match (self, was_moved) {
-            (BodyEnd::Unconfirmed, true) => BodyEnd::Broken(BreakReason::Moved),
+    /// Settles an unconfirmed end where the run was stopped, or may have been. An engine closes the stream of a run that it
+    /// stops, and accepts connections afterwards.
+    pub fn after_stop(self, stop: RunStop) -> Self {
+        match (self, stop) {
+            (BodyEnd::Unconfirmed, RunStop::Stopped) => BodyEnd::Broken(BreakReason::Moved),
+            (BodyEnd::Unconfirmed, RunStop::Unknown) => BodyEnd::Broken(BreakReason::StopUnknown),
             (end, _) => end,
         }
     }
@@ -96,6 +110,7 @@
             BodyEnd::Broken(BreakReason::Connection) => "connection",
             BodyEnd::Broken(BreakReason::InsideEvent) => "inside_event",
             BodyEnd::Broken(BreakReason::Moved) => "moved",
+            BodyEnd::Broken(BreakReason::StopUnknown) => "stop_unknown",
             BodyEnd::Broken(BreakReason::ServerGone) => "server_gone",
         }
     }
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -168,6 +168,16 @@
     }
 }
 
+copy_type! {
+    /// What is known of a run after the last step of its move has failed.
+    pub enum StopOutcome {
+        /// The engine stated that this step did not stop it.
+        NotStopped,
+        /// It may have stopped, or may stop later.
+        Unknown,
+    }
+}
+
 /// Why a run's memory was not copied.
 #[derive(Clone, Debug, Error, Eq, PartialEq)]
 pub enum MoveError {
@@ -186,6 +196,17 @@
     Lost(String),
 }
 
+impl MoveError {
+    /// What the failure of the last step tells of the run. `None` if the run has stopped and its memory has a handle.
+    pub fn stop_outcome(&self) -> Option<StopOutcome> {
+        match self {
+            MoveError::NoRun | MoveError::Busy => Some(StopOutcome::NotStopped),
+            MoveError::NoRoom(None) | MoveError::Lost(_) => Some(StopOutcome::Unknown),
+            MoveError::NoRoom(Some(_)) => None,
+        }
+    }
+}
+
 /// What can go wrong when an engine is asked for its load.
 #[derive(Clone, Debug, Error, Eq, PartialEq)]
 #[error("the engine gave no report ({0}); ask again later")]
--- a/lib/src/migration/mod.rs
+++ b/lib/src/migration/mod.rs
@@ -16,3 +16,4 @@
 mod prefill_use;
 pub mod rescue;
 pub mod run_risk;
+pub mod run_stops;
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -99,6 +99,32 @@
         pub handle: Name,
     }
 
+    /// A scout's question to the relay that holds a run's stream whether it may stop the run.
+    pub struct StopQuery {
+        /// The run, and the copy that the scout has made of it.
+        pub run: MovedRun,
+        /// Names the question. Never zero.
+        pub number: u64,
+    }
+
+    /// The reply to a [`StopQuery`].
+    pub struct StopReply {
+        /// The attempt's identifier.
+        pub id: Name,
+        /// The number of the question.
+        pub number: u64,
+        /// Whether the run may be stopped. Otherwise it stays at its engine.
+        pub permitted: bool,
+    }
+
+    /// What became of a permitted stop whose run has not been moved.
+    pub struct StopNotice {
+        /// The question that was answered with the permission.
+        pub query: StopQuery,
+        /// Whether the engine stated that it did not stop the run. Otherwise the run may have stopped.
+        pub not_stopped: bool,
+    }
+
     /// Announces to other relays and to the engine's scout that a relay has sent the engine a request.
     pub struct RequestSent {
         /// The attempt's identifier.
@@ -245,7 +271,7 @@
         Announcement(EngineLocation),
         /// A forwarded announcement of an engine. Relays that did not know the engine forward it again.
         ForwardedAnnouncement(EngineLocation),
-        /// A run's memory is being copied and the run will stop soon. The handle is not known yet.
+        /// A run's memory is being copied and the run will stop soon. Sent by scouts that stop runs without permission.
         Moving(MovedRun),
         /// A run was moved.
         Moved(MovedRun),
@@ -279,6 +305,12 @@
         Trial(TrialMessage),
         /// A message about loans of shares in servers' request limits.
         LimitLoan(LoanMessage),
+        /// A scout has copied a run's memory and asks the relay that holds the stream whether it may stop the run.
+        QueryStop(StopQuery),
+        /// The reply to a `QueryStop`. Relays that do not hold the stream send none.
+        StopReply(StopReply),
+        /// What became of a permitted stop, unless the run was moved.
+        StopNotice(StopNotice),
     }
 
     /// A request over a connection.
@@ -307,7 +339,12 @@
             Datagram::Identity(_) => "identity",
             Datagram::Report(_) => "report",
             Datagram::Announcement(_) | Datagram::ForwardedAnnouncement(_) => "announcement",
-            Datagram::Moving(_) | Datagram::Moved(_) | Datagram::QueryMove(_) => "move",
+            Datagram::Moving(_)
+            | Datagram::Moved(_)
+            | Datagram::QueryMove(_)
+            | Datagram::QueryStop(_)
+            | Datagram::StopReply(_)
+            | Datagram::StopNotice(_) => "move",
             Datagram::ServerUpdate(_) => "server_update",
             Datagram::RequestSent(_) | Datagram::RequestOutcome(_) => "request",
             Datagram::Hello(_) => "hello",
--- a/lib/tests/body_end.rs
+++ b/lib/tests/body_end.rs
@@ -4,6 +4,7 @@
 use cicada_lib::body_end::BreakReason;
 use cicada_lib::body_end::Framing;
 use cicada_lib::body_end::Position;
+use cicada_lib::body_end::RunStop;
 use cicada_lib::body_end::Stop;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -59,12 +60,23 @@
 #[test]
 fn an_end_that_only_the_connection_marks_may_be_that_of_a_moved_run() {
     let boundary = |framing| BodyEnd::of(framing, Stop::Announced, Position::Boundary);
-    let moved = boundary(Framing::Close).after_move(true);
+    let moved = boundary(Framing::Close).after_stop(RunStop::Stopped);
     assert_eq!(moved.confirm(true), BodyEnd::Broken(BreakReason::Moved));
-    let stayed = boundary(Framing::Close).after_move(false);
+    let stayed = boundary(Framing::Close).after_stop(RunStop::NotStopped);
     assert_eq!(stayed.confirm(true), BodyEnd::Complete);
-    assert_eq!(
-        boundary(Framing::Chunks).after_move(true),
-        BodyEnd::Complete
-    );
+    for stop in [RunStop::Stopped, RunStop::Unknown] {
+        let complete = boundary(Framing::Chunks).after_stop(stop);
+        assert_eq!(complete, BodyEnd::Complete);
+    }
+}
+
+/// Guards against an open port that is taken as proof of a whole answer although the run may have been stopped.
+#[test]
+fn an_end_after_a_stop_of_unknown_outcome_is_broken_whatever_the_port_says() {
+    let end = BodyEnd::of(Framing::Close, Stop::Announced, Position::Boundary);
+    let end = end.after_stop(RunStop::Unknown);
+    for is_server_there in [true, false] {
+        let broken = BodyEnd::Broken(BreakReason::StopUnknown);
+        assert_eq!(end.confirm(is_server_there), broken);
+    }
 }
--- a/relay/src/moved_runs.rs
+++ b/relay/src/moved_runs.rs
@@ -1,33 +1,38 @@
-//! Notices of runs that scouts have moved, kept until the streams of the runs need them.
+//! What scouts tell of the runs that they move, kept until the streams of the runs need it.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
 use cicada_lib::ids::Name;
+use cicada_lib::migration::run_stops::Result;
+use cicada_lib::migration::run_stops::StopKey;
+use cicada_lib::migration::run_stops::StopRequest;
+use cicada_lib::migration::run_stops::StopState;
+use cicada_lib::migration::run_stops::Stopper;
 use cicada_lib::peer_messages::MovedRun;
+use cicada_lib::peer_messages::StopNotice;
+use cicada_lib::peer_messages::StopQuery;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::local_runs::LocalRunGuard;
+use crate::local_runs::LocalRuns;
 use crate::lock::lock;
 use crate::upstream;
-use crate::upstream::OpenConnection;
 
 /// How long notice of a move is kept: the target frees an unclaimed copy after some seconds.
 const NOTICE_TTL: Duration = Duration::from_secs(6);
 
-/// How long a broken stream waits for notice that its run was moved. The scout sends the notice at once, and it arrives
-/// before the stream ends unless the datagram is lost, so the scout is also queried at each [`QUERY_INTERVAL`].
-const NOTICE_WAIT: Duration = Duration::from_millis(260);
-const QUERY_INTERVAL: Duration = Duration::from_millis(65);
+/// How long a stream that has ended waits for the outcome of a stop. The last part of the copy may wait for other runs on
+/// the link. Callers abandon a stream after two seconds.
+pub(crate) const OUTCOME_WAIT: Duration = Duration::from_millis(1_700);
 
-/// The same if the scout has announced that it copies the run: after the stream has ended, the last part of the copy
-/// may wait for other runs on the link. Callers abandon a stream after two seconds.
-const COPYING_WAIT: Duration = Duration::from_millis(1_700);
+/// The scout sends the outcome at once. It is also queried at this interval, since datagrams are lost now and then.
+const QUERY_INTERVAL: Duration = Duration::from_millis(65);
 
 /// Maximum number of queries to scouts that wait to be sent.
 const WAITING_QUERIES: usize = 256;
@@ -39,10 +44,20 @@
     pub(crate) id: Name,
 }
 
+/// What a scout told of a stop that it was permitted.
+#[derive(Clone, Debug)]
+pub(crate) enum ScoutOutcome {
+    /// The run was stopped, and can go on from its memory.
+    Moved(MovedRun),
+    /// The engine stated that it did not stop the run.
+    NotStopped,
+    /// The scout does not know, or was not heard.
+    Unknown,
+}
+
 /// Recently announced moves of runs, and the runs whose streams this relay holds.
 pub(crate) struct MovedRuns {
-    // The runs whose streams this relay holds.
-    local: Arc<Mutex<HashMap<Name, LocalRun>>>,
+    local: LocalRuns,
     moved: Mutex<HashMap<Name, (Instant, MovedRun)>>,
     // Changed at each new notice.
     changed: watch::Sender<u64>,
@@ -56,7 +71,7 @@
     pub(crate) fn new() -> Self {
         let (queries, pending) = mpsc::channel(WAITING_QUERIES);
         MovedRuns {
-            local: Arc::default(),
+            local: LocalRuns::default(),
             moved: Mutex::default(),
             changed: watch::Sender::new(0),
             queries,
@@ -64,45 +79,34 @@
         }
     }
 
-    /// Registers a run whose stream this relay holds, until the guard is dropped.
-    pub(crate) fn register(&self, id: &Name) -> LocalRunGuard {
-        lock(&self.local).insert(id.clone(), LocalRun::default());
-        LocalRunGuard {
-            id: id.clone(),
-            local: self.local.clone(),
-        }
-    }
-
-    /// Whether a scout has announced that it copies the run, or that it has moved it.
-    pub(crate) fn is_moving(&self, id: &Name) -> bool {
-        let announced = lock(&self.local).get(id).is_some_and(|run| run.moving);
-        announced || lock(&self.moved).contains_key(id)
+    /// The runs whose streams this relay holds.
+    pub(crate) fn local(&self) -> &LocalRuns {
+        &self.local
     }
 
-    /// Opens a connection to the engine that a run is about to move to, one `round_trip` away, if its stream is here.
-    /// Opened only after the move, the connection would lengthen the gap that the caller sees.
-    pub(crate) fn preconnect(&self, moving: &MovedRun, round_trip: Duration) {
-        let Some(target) = moving.target else {
-            return;
-        };
-        match lock(&self.local).get_mut(&moving.id) {
-            Some(run) => run.moving = true,
-            None => return,
+    /// Decides whether the scout may stop the run, and records the stop. `None` if the stream is not here. `round_trip` is
+    /// the distance of the engine that the run is to go to.
+    pub(crate) fn permit_stop(
+        &self,
+        query: &StopQuery,
+        round_trip: Duration,
+    ) -> Option<Result<StopKey>> {
+        let run = &query.run;
+        let permission = self.local.permit_stop(&run.id, stop_by_scout(query));
+        if let (Some(Ok(_)), Some(target)) = (&permission, run.target) {
+            self.open_ahead(&run.id, target, round_trip);
         }
-        self.open_ahead(&moving.id, target, round_trip);
+        permission
     }
 
-    /// Opens a connection to the engine at `target` for a run whose stream is here.
+    /// Opens a connection to the engine at `target` for a run whose stream is here. Opened only after the move, the
+    /// connection would lengthen the gap that the caller sees.
     pub(crate) fn open_ahead(&self, id: &Name, target: SocketAddr, round_trip: Duration) {
         let local = self.local.clone();
         let id = id.clone();
         tokio::spawn(async move {
             match upstream::open(target, round_trip).await {
-                Ok(opened) => {
-                    if let Some(run) = lock(&local).get_mut(&id) {
-                        run.ahead = Some(AheadConnection { target, opened });
-                    }
-                }
+                Ok(opened) => local.set_ahead(&id, target, opened),
                 Err(error) => {
                     tracing::debug!(%id, %target, %error, "move: failed to connect in advance")
                 }
@@ -110,15 +114,6 @@
         });
     }
 
-    /// Takes the connection to `target` that was opened ahead of the run's move.
-    pub(crate) fn take_connection(&self, id: &Name, target: SocketAddr) -> Option<OpenConnection> {
-        let mut local = lock(&self.local);
-        let run = local.get_mut(id)?;
-        run.moving = false;
-        let ahead = run.ahead.take()?;
-        (ahead.target == target).then_some(ahead.opened)
-    }
-
     /// Takes the receiver of the queries to send. `None` after the first call.
     pub(crate) fn take_queries(&self) -> Option<mpsc::Receiver<MoveQuery>> {
         lock(&self.pending).take()
@@ -134,14 +129,24 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Takes the notice that a run was moved off `engine`, whose stream has broken. Waits briefly for it.
-    pub(crate) async fn wait(&self, id: &Name, engine: SocketAddr) -> Option<MovedRun> {
+    /// Records the outcome of a permitted stop whose run was not moved.
+    pub(crate) fn record_outcome(&self, notice: &StopNotice) {
+        self.local.apply_scout_notice(notice);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Waits for the outcome of the scout's stop of a run off `engine`, whose stream has ended.
+    pub(crate) async fn wait(
+        &self,
+        id: &Name,
+        engine: SocketAddr,
+        run: &LocalRunGuard,
+    ) -> ScoutOutcome {
         let mut notices = self.changed.subscribe();
-        let moving = lock(&self.local).get(id).is_some_and(|run| run.moving);
-        let end = Instant::now() + if moving { COPYING_WAIT } else { NOTICE_WAIT };
+        let end = Instant::now() + OUTCOME_WAIT;
         while Instant::now() < end {
-            if let Some(moved) = self.take(id, engine) {
-                return Some(moved);
+            if let Some(outcome) = self.outcome(id, engine, run) {
+                return outcome;
             }
             let query = MoveQuery {
                 engine,
@@ -152,12 +157,24 @@
             }
             let until = Instant::now() + QUERY_INTERVAL;
             while let Ok(Ok(())) = timeout_at(until, notices.changed()).await {
-                if let Some(moved) = self.take(id, engine) {
-                    return Some(moved);
+                if let Some(outcome) = self.outcome(id, engine, run) {
+                    return outcome;
                 }
             }
         }
-        None
+        ScoutOutcome::Unknown
+    }
+
+    /// What is known by now; `None` while the outcome is awaited.
+    fn outcome(&self, id: &Name, engine: SocketAddr, run: &LocalRunGuard) -> Option<ScoutOutcome> {
+        if let Some(moved) = self.take(id, engine) {
+            return Some(ScoutOutcome::Moved(moved));
+        }
+        match run.open_stop(engine).map(|stop| stop.state) {
+            None => Some(ScoutOutcome::NotStopped),
+            Some(StopState::Unknown) => Some(ScoutOutcome::Unknown),
+            Some(StopState::Pending) => None,
+        }
     }
 
     fn take(&self, id: &Name, engine: SocketAddr) -> Option<MovedRun> {
@@ -171,28 +188,14 @@
     }
 }
 
-/// State of the moves of a run whose stream is here.
-#[derive(Default)]
-struct LocalRun {
-    // Whether the scout has announced that it copies the run.
-    moving: bool,
-    ahead: Option<AheadConnection>,
-}
-
-/// A connection opened ahead of a move.
-struct AheadConnection {
-    target: SocketAddr,
-    opened: OpenConnection,
-}
-
-/// Keeps a run registered as one whose stream is here.
-pub(crate) struct LocalRunGuard {
-    id: Name,
-    local: Arc<Mutex<HashMap<Name, LocalRun>>>,
-}
-
-impl Drop for LocalRunGuard {
-    fn drop(&mut self) {
-        lock(&self.local).remove(&self.id);
+/// The stop that a scout asks for.
+fn stop_by_scout(query: &StopQuery) -> StopRequest {
+    let StopQuery { run, number } = query;
+    StopRequest {
+        by: Stopper::Scout,
+        engine: run.source,
+        target: run.target,
+        handle: run.handle.clone(),
+        number: *number,
     }
 }
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -12,6 +12,7 @@
 use cicada_lib::peer_messages::LoadProbe;
 use cicada_lib::peer_messages::RelayHello;
 use cicada_lib::peer_messages::ServerUpdate;
+use cicada_lib::peer_messages::StopQuery;
 use cicada_lib::peer_messages::Subscription;
 use cicada_lib::state_holders;
 use tokio::sync::mpsc;
@@ -361,6 +362,11 @@
                 self.send_trials(answers).await;
             }
             Ok(Datagram::LimitLoan(message)) => self.handle_loan(from, message).await,
+            Ok(Datagram::QueryStop(query)) if query.run.source.ip() == from.ip() => {
+                if let Some(reply) = self.relay.permit_stop(&query) {
+                    self.socket.send(&Datagram::StopReply(reply), &[from]).await;
+                }
+            }
             Ok(Datagram::QuerySuspects) => self.answer_query(from).await,
             _ => {
                 if let Some(datagram) = self.apply_datagram(bytes, from) {
@@ -406,8 +412,15 @@
             {
                 self.relay.handle_load_answer(&answer);
             }
+            // Its scout stops the run without waiting for the reply.
             Ok(Datagram::Moving(moving)) if moving.source.ip() == from.ip() => {
-                self.relay.prepare_move(&moving);
+                self.relay.permit_stop(&StopQuery {
+                    run: moving,
+                    number: 0,
+                });
+            }
+            Ok(Datagram::StopNotice(notice)) if notice.query.run.source.ip() == from.ip() => {
+                self.relay.record_stop_notice(&notice);
             }
             Ok(Datagram::Moved(moved)) if moved.source.ip() == from.ip() => {
                 self.relay.record_moved_run(moved);
--- a/relay/src/planned_moves.rs
+++ b/relay/src/planned_moves.rs
@@ -107,6 +107,11 @@
         }
     }
 
+    /// What names it at its source.
+    pub(crate) fn handle(&self) -> Name {
+        self.handle.clone().unwrap_or_default()
+    }
+
     /// Leaves the copy to the run that goes on from it, or to the next step of the move.
     pub(crate) fn release(mut self) {
         self.handle = None;
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -250,17 +250,6 @@
         self.moved_runs.record(moved);
     }
 
-    /// Opens a connection to the target engine of a run that a scout is about to move, if its stream is here.
-    pub(crate) fn prepare_move(&self, moving: &MovedRun) {
-        let now = self.now();
-        let fleet = self.fleet();
-        let key = moving.target.and_then(|target| fleet.key_at(target));
-        let record = key.and_then(|key| fleet.record(key));
-        let round_trip = record.map_or(Duration::ZERO, |r| fleet.round_trip(now, &r.zone));
-        drop(fleet);
-        self.moved_runs.preconnect(moving, round_trip);
-    }
-
     pub(crate) fn moved_runs(&self) -> &MovedRuns {
         &self.moved_runs
     }
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -6,6 +6,7 @@
 use cicada_lib::fleet::IdentityNews;
 use cicada_lib::fleet_migration::GroupSize;
 use cicada_lib::ids::Name;
+use cicada_lib::migration::run_stops::Stopper;
 use cicada_lib::retry_share::RetryUsage;
 use prometheus::GaugeVec;
 use prometheus::Histogram;
@@ -35,6 +36,7 @@
     unreadable_senders: IntGauge,
     unreadable_datagrams: IntCounter,
     moves: IntCounterVec,
+    stops: IntCounterVec,
     migrations: IntCounterVec,
     runs_at_risk: IntCounter,
     prefill_groups: IntGaugeVec,
@@ -131,6 +133,13 @@
                 "Entries that share limits, this one included",
             )?,
             moves: counter("relay_moves_total", "Moves of runs by outcome", "outcome")?,
+            stops: IntCounterVec::new(
+                Opts::new(
+                    "relay_run_stops_total",
+                    "Stops of runs for a move, by who asks for them and what became of them",
+                ),
+                &["by", "outcome"],
+            )?,
             migrations: IntCounterVec::new(
                 Opts::new(
                     "relay_migrations_total",
@@ -250,6 +259,7 @@
         registry.register(Box::new(metrics.unreadable_senders.clone()))?;
         registry.register(Box::new(metrics.unreadable_datagrams.clone()))?;
         registry.register(Box::new(metrics.moves.clone()))?;
+        registry.register(Box::new(metrics.stops.clone()))?;
         registry.register(Box::new(metrics.migrations.clone()))?;
         registry.register(Box::new(metrics.runs_at_risk.clone()))?;
         registry.register(Box::new(metrics.prefill_groups.clone()))?;
@@ -355,6 +365,11 @@
         self.moves.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a stop of a run that was asked for, or what became of it.
+    pub(crate) fn count_stop(&self, by: Stopper, outcome: &str) {
+        self.stops.with_label_values(&[by.as_str(), outcome]).inc();
+    }
+
     /// Counts a move of a run whose engine stays, or why there was none.
     pub(crate) fn count_migration(&self, reason: &str, outcome: &str) {
         self.migrations.with_label_values(&[reason, outcome]).inc();
--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -3,12 +3,12 @@
 use cicada_lib::body_end::BodyEnd;
 use cicada_lib::body_end::Framing;
 use cicada_lib::body_end::Stop;
-use cicada_lib::dialect::MoveStep;
 use cicada_lib::ids::Name;
+use cicada_lib::migration::run_stops::OpenStop;
 
 use crate::crash_check;
 use crate::placed_request::PlacedRequest;
-use crate::run_moves::Followed;
+use crate::run_stop::Followed;
 use crate::stream_run::Run;
 use crate::stream_run::StreamEnd;
 use crate::upstream;
@@ -19,43 +19,35 @@
     framing: Framing,
     events: u64,
     partial: usize,
-    // The step of a move by this relay that was in progress.
-    step: Option<MoveStep>,
-    // Whether a scout had announced a move.
-    announced: bool,
     leaving: bool,
-    failed_moves: u32,
+    // The stop that may have ended it.
+    stop: Option<OpenStop>,
 }
 
 impl Run {
     /// Handles the end of the body. Returns how the stream ends; `None` if it goes on at an engine.
     pub(crate) async fn handle_body_end(&mut self, stop: Stop) -> Option<StreamEnd> {
+        let end = BodyEnd::of(self.framing, stop, self.events.position_at_end());
         let body = EndedBody {
             server: self.placed.record.id.clone(),
             framing: self.framing,
             events: self.events.count(),
             partial: self.events.partial_bytes(),
-            step: self.moving.as_ref().map(|moving| moving.step),
-            announced: self.is_move_announced(),
             leaving: self.placed.leaving_since().is_some(),
-            failed_moves: self.failed_moves,
+            stop: self.end_body(),
         };
-        let end = BodyEnd::of(self.framing, stop, self.events.position_at_end());
-        // An engine also ends a stream so when it stops the run for a move.
-        if end == BodyEnd::Unconfirmed && self.expects_stop() {
-            let followed = self.follow_stop().await;
-            if followed != Followed::NotMoved {
-                self.record_body_end(&body, end.after_move(true));
-                return self.go_on(followed).await;
-            }
-        }
-        let end = confirm_end(end, &self.placed).await;
-        self.record_body_end(&body, end);
         if end == BodyEnd::Complete {
+            self.record_body_end(&body, end, Followed::NotStopped);
             return Some(StreamEnd::Complete);
         }
         let followed = self.follow_stop().await;
-        self.go_on(followed).await
+        let end = end.after_stop(followed.run_stop());
+        let end = confirm_end(end, &self.placed).await;
+        self.record_body_end(&body, end, followed);
+        match end {
+            BodyEnd::Complete => Some(StreamEnd::Complete),
+            _ => self.go_on(followed).await,
+        }
     }
 
     /// Has a stream that its engine broke off go on, in another run if it was not moved.
@@ -71,34 +63,30 @@
         (!self.restart(loss).await).then_some(StreamEnd::Lost)
     }
 
-    fn record_body_end(&self, body: &EndedBody, end: BodyEnd) {
+    fn record_body_end(&self, body: &EndedBody, end: BodyEnd, followed: Followed) {
         let why = end.as_str();
         self.relay.metrics().count_body_end(body.framing, why);
-        if end != BodyEnd::Complete {
-            tracing::info!(
-                id = self.call.id(),
-                server = %body.server,
-                framing = %body.framing,
-                why,
-                events = body.events,
-                partial = body.partial,
-                moving = body.step.is_some(),
-                "stream: broken off by its engine"
-            );
-        }
-        if body.framing == Framing::Close {
-            tracing::info!(
-                id = self.call.id(),
-                server = %body.server,
-                why,
-                step = ?body.step,
-                announced = body.announced,
-                leaving = body.leaving,
-                failed_moves = body.failed_moves,
-                events = body.events,
-                "stream: its connection was its end"
-            );
-        }
+        let message = match (end, body.framing) {
+            (BodyEnd::Complete, Framing::Length | Framing::Chunks) => return,
+            (BodyEnd::Complete, Framing::Close) => "stream: its connection was its end",
+            _ => "stream: broken off by its engine",
+        };
+        let stop = body.stop.as_ref();
+        tracing::info!(
+            id = self.call.id(),
+            server = %body.server,
+            framing = %body.framing,
+            why,
+            events = body.events,
+            partial = body.partial,
+            leaving = body.leaving,
+            // Who could have stopped the run, what was known then, and what became known.
+            stopper = stop.map(|stop| stop.request.by.as_str()),
+            known = stop.map(|stop| stop.state.as_str()),
+            outcome = followed.as_str(),
+            failed_moves = self.failed_moves,
+            "{message}"
+        );
     }
 }
 
--- a/relay/src/run_handoff.rs
+++ b/relay/src/run_handoff.rs
@@ -6,6 +6,7 @@
 use cicada_lib::dialect::Copied;
 use cicada_lib::dialect::MoveError;
 use cicada_lib::dialect::MoveStep;
+use cicada_lib::dialect::StopOutcome;
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::migration::handoff;
@@ -19,6 +20,7 @@
 use cicada_lib::migration::run_risk::EngineState;
 use cicada_lib::migration::run_risk::MAX_RISK;
 use cicada_lib::migration::run_risk::RunState;
+use cicada_lib::migration::run_stops::StopKey;
 use cicada_lib::routing::ServerKey;
 use cicada_lib::time::Time;
 use tokio::time::Instant;
@@ -203,10 +205,26 @@
             rounds: 0,
             round_began: Instant::now(),
         };
-        self.start_planned_step(plan, target, MoveStep::Copy);
+        self.start_planned_step(plan, target, MoveStep::Copy, None);
     }
 
-    fn start_planned_step(&mut self, mut plan: PlannedMove, target: PlacedRequest, step: MoveStep) {
+    /// Stops the run for the last round, unless it may not be stopped.
+    fn start_planned_stop(&mut self, plan: PlannedMove, target: PlacedRequest) {
+        let copy = plan.copy.as_ref().map(HeldCopy::handle).unwrap_or_default();
+        let (source, address) = (plan.slot.source(), target.record.address);
+        match self.record_own_stop(source, address, &copy) {
+            Some(stop) => self.start_planned_step(plan, target, MoveStep::Stop, Some(stop)),
+            None => self.end_planned_move(plan, &target, "not_stopped"),
+        }
+    }
+
+    fn start_planned_step(
+        &mut self,
+        mut plan: PlannedMove,
+        target: PlacedRequest,
+        step: MoveStep,
+        stop: Option<StopKey>,
+    ) {
         plan.rounds += 1;
         plan.round_began = Instant::now();
         let engines = self.relay.engines().clone();
@@ -217,6 +235,7 @@
         self.moving = Some(PendingMove {
             target,
             step,
+            stop,
             outcome: Box::pin(CopyCall::new(calls, source, outcome)),
             plan: Some(plan),
         });
@@ -258,6 +277,10 @@
                 self.return_to_source(&handle).await
             }
             (_, Err(error)) => {
+                if step == MoveStep::Stop && error.stop_outcome() == Some(StopOutcome::Unknown) {
+                    // The copy may be the only memory of the run.
+                    self.kept_copy = plan.copy.take();
+                }
                 if matches!(error, MoveError::NoRoom(_)) {
                     self.record_refusal(&target);
                 }
@@ -287,8 +310,8 @@
         let took = plan.round_began.elapsed();
         let gap_limit = self.call.admitted.route.event_gap;
         match precopy::next_round(plan.rounds, took, gap_limit) {
-            NextRound::Copy => self.start_planned_step(plan, target, MoveStep::Copy),
-            NextRound::Stop => self.start_planned_step(plan, target, MoveStep::Stop),
+            NextRound::Copy => self.start_planned_step(plan, target, MoveStep::Copy, None),
+            NextRound::Stop => self.start_planned_stop(plan, target),
             NextRound::Abandon => self.end_planned_move(plan, &target, "links_busy"),
         }
     }
--- a/relay/src/run_mover.rs
+++ b/relay/src/run_mover.rs
@@ -12,12 +12,15 @@
 use cicada_lib::dialect::EngineRun;
 use cicada_lib::dialect::MoveError;
 use cicada_lib::dialect::MoveStep;
+use cicada_lib::dialect::StopOutcome;
 use cicada_lib::ids::Name;
 use cicada_lib::move_plan;
 use cicada_lib::move_plan::Target;
 use cicada_lib::peer_messages::EngineLocation;
 use cicada_lib::peer_messages::MovedRun;
 use cicada_lib::peer_messages::ScoutReport;
+use cicada_lib::peer_messages::StopNotice;
+use cicada_lib::peer_messages::StopQuery;
 use cicada_lib::zone_evacuation::EvacuatedZones;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -25,6 +28,8 @@
 use tokio::time::timeout;
 
 use crate::lock::lock;
+use crate::stop_queries::ASK_DELAYS;
+use crate::stop_queries::StopQueries;
 
 /// Maximum age of a neighbour's last report for it to be a target: a silent neighbour's engine may be gone.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
@@ -126,13 +131,15 @@
     }
 }
 
-/// Notice to relays of a run's move.
-#[derive(Debug)]
+/// Message to relays about a run's move.
+#[derive(Clone, Debug)]
 pub(crate) enum MoveNotice {
-    /// The run's memory is being copied; it will stop soon.
-    Moving(MovedRun),
+    /// The run's memory is copied. Asks whether the run may be stopped.
+    QueryStop(StopQuery),
     /// The run has stopped.
     Moved(MovedRun),
+    /// It has not been moved, although that was permitted.
+    NotMoved(StopNotice),
 }
 
 /// Moves runs until the engine is gone. Ends when the channel of reports closes.
@@ -142,6 +149,7 @@
     neighbours: Arc<Neighbours>,
     mut reports: watch::Receiver<EngineReport>,
     notices: mpsc::Sender<MoveNotice>,
+    queries: Arc<StopQueries>,
 ) {
     let mut mover = Mover {
         engines,
@@ -149,8 +157,10 @@
         zone: here.zone,
         neighbours,
         notices,
+        queries,
         done: Vec::new(),
         postponed: Vec::new(),
+        unpermitted: Vec::new(),
         logged_no_room: Vec::new(),
         refused_by: Vec::new(),
     };
@@ -159,13 +169,13 @@
             let report = reports.borrow_and_update();
             mover.next(&report.runs)
         };
-        let moved = match next {
+        let notice = match next {
             Some(run) => mover.move_run(&run).await,
             None => None,
         };
-        match moved {
-            Some(moved) => {
-                if mover.notices.send(MoveNotice::Moved(moved)).await.is_err() {
+        match notice {
+            Some(notice) => {
+                if mover.notices.send(notice).await.is_err() {
                     return;
                 }
             }
@@ -185,10 +195,13 @@
     zone: Name,
     neighbours: Arc<Neighbours>,
     notices: mpsc::Sender<MoveNotice>,
+    queries: Arc<StopQueries>,
     // Runs that were moved, or cannot be.
     done: Vec<Name>,
     // Runs for which no target had room; retried once no other run is left.
     postponed: Vec<Name>,
+    // Runs that the holders of their streams did not permit to stop at the first question.
+    unpermitted: Vec<Name>,
     // Runs for which a lack of room was already logged.
     logged_no_room: Vec<Name>,
     // Targets that refused the current run.
@@ -206,52 +219,109 @@
         next
     }
 
-    /// Moves one run. `None` if it stays for now.
-    async fn move_run(&mut self, run: &EngineRun) -> Option<MovedRun> {
-        let targets = self.neighbours.targets(self.engine, &self.zone);
-        let Some(target) = move_plan::choose_target(run.tokens, &targets, &self.refused_by) else {
-            // Logged once per run, since it is retried until the engine is gone.
-            if !self.logged_no_room.contains(&run.id) {
-                self.logged_no_room.push(run.id.clone());
-                tracing::info!(id = %run.id, tokens = run.tokens, targets = targets.len(), "move: no target has room");
-            }
-            self.refused_by.clear();
-            self.postponed.push(run.id.clone());
-            return None;
-        };
-        let address = target.address;
+    /// Moves one run. Returns what relays are told; `None` if it stays for now.
+    async fn move_run(&mut self, run: &EngineRun) -> Option<MoveNotice> {
+        let address = self.choose_target(run)?;
         let begun = Instant::now();
         self.neighbours.record_moving(address, run.tokens);
-        let notice = MoveNotice::Moving(MovedRun {
-            id: run.id.clone(),
-            source: self.engine,
-            target: Some(address),
-            handle: Name::default(),
-        });
-        if self.notices.send(notice).await.is_err() {
-            return None;
-        }
-        let copy_handle = match self.move_step(run, address, MoveStep::Copy).await {
-            Ok(handle) => handle,
+        let copy = match self.move_step(run, address, MoveStep::Copy).await {
+            Ok(handle) => self.moved_run(run, Some(address), handle),
             Err(error) => {
                 self.record_failure(run, address, MoveStep::Copy, &error);
                 return None;
             }
         };
         let copied = begun.elapsed().as_millis() as u64;
+        let query = StopQuery {
+            run: copy,
+            number: self.queries.open(),
+        };
+        if !self.may_stop(&query).await {
+            self.engines.drop_copy(self.engine, &query.run.handle).await;
+            return None;
+        }
         let moved = match self.move_step(run, address, MoveStep::Stop).await {
-            Ok(handle) => self.finish(run, Some(address), handle),
-            Err(MoveError::NoRoom(Some(handle))) => self.finish(run, None, handle),
+            Ok(handle) => self.moved_run(run, Some(address), handle),
+            Err(MoveError::NoRoom(Some(handle))) => self.moved_run(run, None, handle),
             Err(error) => {
-                // Otherwise the copy would occupy memory at the target for seconds, which other runs need.
-                self.engines.drop_copy(self.engine, &copy_handle).await;
                 self.record_failure(run, address, MoveStep::Stop, &error);
-                return None;
+                return Some(self.not_moved(query, &error).await);
             }
         };
+        self.refused_by.clear();
+        self.done.push(run.id.clone());
         let stopped = begun.elapsed().as_millis() as u64;
         tracing::info!(id = %run.id, tokens = run.tokens, events = run.events, target = ?moved.target, copied, stopped, "move: run stopped");
-        Some(moved)
+        Some(MoveNotice::Moved(moved))
+    }
+
+    fn choose_target(&mut self, run: &EngineRun) -> Option<SocketAddr> {
+        let targets = self.neighbours.targets(self.engine, &self.zone);
+        let target = move_plan::choose_target(run.tokens, &targets, &self.refused_by);
+        if let Some(target) = target {
+            return Some(target.address);
+        }
+        // Logged once per run, since it is retried until the engine is gone.
+        if !self.logged_no_room.contains(&run.id) {
+            self.logged_no_room.push(run.id.clone());
+            tracing::info!(id = %run.id, tokens = run.tokens, targets = targets.len(), "move: no target has room");
+        }
+        self.refused_by.clear();
+        self.postponed.push(run.id.clone());
+        None
+    }
+
+    /// Whether the relay that holds the run's stream permits to stop the run. Without its reply the run stays: the relay
+    /// would take the end of the stream for that of the answer.
+    async fn may_stop(&mut self, query: &StopQuery) -> bool {
+        let id = &query.run.id;
+        let permitted = self.ask(query).await;
+        if permitted == Some(true) {
+            return true;
+        }
+        let reply = match permitted {
+            Some(_) => "refused",
+            None => "none",
+        };
+        tracing::info!(%id, reply, "move: the holder of the stream did not permit to stop the run");
+        if permitted.is_none() {
+            // The permission may be on its way.
+            let notice = StopNotice {
+                query: query.clone(),
+                not_stopped: true,
+            };
+            self.notices.send(MoveNotice::NotMoved(notice)).await.ok();
+        }
+        match self.unpermitted.contains(id) {
+            true => self.done.push(id.clone()),
+            false => {
+                self.unpermitted.push(id.clone());
+                self.postponed.push(id.clone());
+            }
+        }
+        false
+    }
+
+    async fn ask(&self, query: &StopQuery) -> Option<bool> {
+        for delay in ASK_DELAYS {
+            let question = MoveNotice::QueryStop(query.clone());
+            self.notices.send(question).await.ok()?;
+            let reply = self.queries.reply(delay).await;
+            if reply.is_some() {
+                return reply;
+            }
+        }
+        None
+    }
+
+    /// Tells what became of a run whose stop failed. The copy is freed only if the engine stated that it did not stop the
+    /// run: otherwise it may be the only memory of the run.
+    async fn not_moved(&self, query: StopQuery, error: &MoveError) -> MoveNotice {
+        let not_stopped = error.stop_outcome() == Some(StopOutcome::NotStopped);
+        if not_stopped {
+            self.engines.drop_copy(self.engine, &query.run.handle).await;
+        }
+        MoveNotice::NotMoved(StopNotice { query, not_stopped })
     }
 
     async fn move_step(
@@ -267,9 +337,7 @@
         Ok(copied.handle)
     }
 
-    fn finish(&mut self, run: &EngineRun, target: Option<SocketAddr>, handle: Name) -> MovedRun {
-        self.refused_by.clear();
-        self.done.push(run.id.clone());
+    fn moved_run(&self, run: &EngineRun, target: Option<SocketAddr>, handle: Name) -> MovedRun {
         MovedRun {
             id: run.id.clone(),
             source: self.engine,
@@ -287,6 +355,11 @@
     ) {
         tracing::info!(id = %run.id, tokens = run.tokens, %target, ?step, %error, "move: a step failed");
         match error {
+            // The outcome of the stop is left to the holder of the stream.
+            _ if step == MoveStep::Stop => {
+                self.refused_by.clear();
+                self.done.push(run.id.clone());
+            }
             MoveError::NoRoom(_) | MoveError::Busy => self.refused_by.push(target),
             MoveError::NoRun | MoveError::Lost(_) => {
                 self.refused_by.clear();
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -1,5 +1,4 @@
-//! Migration of a stream's run to another engine: started by the relay itself, or followed after the engine's scout has
-//! moved the run.
+//! Migration of a stream's run to another engine, off one that leaves, by the relay itself.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,12 +9,10 @@
 use cicada_lib::dialect::RunMemory;
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
-use cicada_lib::peer_messages::EngineLocation;
-use cicada_lib::peer_messages::MovedRun;
+use cicada_lib::migration::run_stops::StopKey;
 use cicada_lib::routing::ServerKey;
 use http_body_util::BodyExt;
 use tokio::time::Instant;
-use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::placed_request::PlacedRequest;
@@ -40,17 +37,6 @@
 /// How long to wait for events of a stopped run that are still in transit.
 const TAIL_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// What became of a run whose stream has stopped.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Followed {
-    /// It was moved, and its stream goes on.
-    GoesOn,
-    /// It was moved, and could not be resumed.
-    Lost,
-    /// No move of it is known.
-    NotMoved,
-}
-
 impl Run {
     /// Starts a move if the engine is draining and the run is not about to end.
     pub(crate) fn consider_move(&mut self) {
@@ -67,39 +53,49 @@
         // A live scout moves the runs itself: it sees all runs of the engine, and moves them one at a time.
         let now = self.relay.now();
         let scout_alive = self.relay.fleet().has_live_scout(now, self.placed.key);
-        // But a run that was refused by its target and returned to its engine counts as moved for the scout.
-        if scout_alive && self.refused_target.is_none() {
+        if !scout_alive {
+            self.lose_scout_stop();
+        }
+        // But a run that was refused by its target and returned to its engine counts as moved for the scout, and so does
+        // one that goes on although its stop was asked for.
+        if scout_alive && self.refused_target.is_none() && !self.has_lost_stop() {
             return;
         }
-        self.start_move_step(MoveStep::Copy, None);
+        self.start_copy();
     }
 
-    fn start_move_step(&mut self, step: MoveStep, target: Option<PlacedRequest>) {
-        let target = match target {
-            Some(target) => target,
-            None => {
-                // Only targets in the engine's own availability zone: a copy to another region takes ten times as long, more
-                // than the time left.
-                let zone = self.placed.record.zone.clone();
-                let tried: Vec<ServerKey> = [self.placed.key]
-                    .into_iter()
-                    .chain(self.refused_target)
-                    .collect();
-                let regions = self.relay.table().regions_now(&self.call.admitted);
-                let request = PlacementRequest {
-                    tried: &tried,
-                    zone: Some(&zone),
-                    regions: &regions,
-                    ..PlacementRequest::new(&self.call.service, 0, self.tokens)
-                };
-                let Ok(target) = self.relay.place(&request, &self.call.spec, None) else {
-                    return;
-                };
-                self.relay
-                    .announce_sent(&target, self.call.head.id.as_ref());
-                target
-            }
+    fn start_copy(&mut self) {
+        // Only targets in the engine's own availability zone: a copy to another region takes ten times as long, more
+        // than the time left.
+        let zone = self.placed.record.zone.clone();
+        let tried: Vec<ServerKey> = [self.placed.key]
+            .into_iter()
+            .chain(self.refused_target)
+            .collect();
+        let regions = self.relay.table().regions_now(&self.call.admitted);
+        let request = PlacementRequest {
+            tried: &tried,
+            zone: Some(&zone),
+            regions: &regions,
+            ..PlacementRequest::new(&self.call.service, 0, self.tokens)
         };
+        let Ok(target) = self.relay.place(&request, &self.call.spec, None) else {
+            return;
+        };
+        self.relay
+            .announce_sent(&target, self.call.head.id.as_ref());
+        self.start_move_step(target, MoveStep::Copy, None);
+    }
+
+    /// Stops the run after its memory was copied, unless its scout may be doing that.
+    fn start_stop(&mut self, target: PlacedRequest, copy: &Name) {
+        let source = self.placed.record.address;
+        if let Some(stop) = self.record_own_stop(source, target.record.address, copy) {
+            self.start_move_step(target, MoveStep::Stop, Some(stop));
+        }
+    }
+
+    fn start_move_step(&mut self, target: PlacedRequest, step: MoveStep, stop: Option<StopKey>) {
         let engines = self.relay.engines().clone();
         let id = self.call.head.id.clone().unwrap_or_default();
         let (source, address) = (self.placed.record.address, target.record.address);
@@ -107,6 +103,7 @@
         self.moving = Some(PendingMove {
             target,
             step,
+            stop,
             outcome: Box::pin(outcome),
             plan: None,
         });
@@ -117,6 +114,7 @@
         let Some(moving) = self.moving.take() else {
             return true;
         };
+        self.record_stop_outcome(moving.stop, &outcome);
         if let Some(plan) = moving.plan {
             let PendingMove { target, step, .. } = moving;
             return self.finish_planned_step(plan, target, step, outcome).await;
@@ -130,7 +128,7 @@
         match (step, outcome) {
             (MoveStep::Copy, Ok(copied)) => {
                 tracing::info!(id, from, to, events = copied.events, "move: copied");
-                self.start_move_step(MoveStep::Stop, Some(moving.target));
+                self.start_stop(moving.target, &copied.handle);
                 true
             }
             (MoveStep::Stop, Ok(copied)) => {
@@ -176,7 +174,7 @@
     }
 
     /// Resumes the run at the target or, if the target refuses it, at the engine that stopped it.
-    async fn resume_at(&mut self, target: PlacedRequest, handle: &Name) -> bool {
+    pub(crate) async fn resume_at(&mut self, target: PlacedRequest, handle: &Name) -> bool {
         let paused_since = self.last_event_at;
         let from = self.placed.record.address;
         let start = self.start_from_memory(from, handle);
@@ -256,90 +254,10 @@
         }
     }
 
-    /// Whether the engines of the run's service support moves.
+    /// Whether the engines of the run's service support moves, and the run can be named to them.
     pub(crate) fn supports_moves(&self) -> bool {
         let engine = self.call.spec.engine.as_ref();
-        engine.is_some_and(|engine| engine.supports_moves)
-    }
-
-    /// Whether the run may be stopped for a move now: the relay or a scout is at it, or the engine leaves.
-    pub(crate) fn expects_stop(&self) -> bool {
-        self.supports_moves()
-            && (self.moving.is_some()
-                || self.placed.leaving_since().is_some()
-                || self.is_move_announced())
-    }
-
-    /// Whether a scout has announced that it moves the run.
-    pub(crate) fn is_move_announced(&self) -> bool {
-        let announced = |id| self.relay.moved_runs().is_moving(id);
-        self.call.head.id.as_ref().is_some_and(announced)
-    }
-
-    /// Handles a stream that has stopped, which is expected while the run is moved.
-    pub(crate) async fn follow_stop(&mut self) -> Followed {
-        self.source = None;
-        let stopping = |moving: &PendingMove| moving.step == MoveStep::Stop;
-        let Some(moving) = self.moving.as_mut().filter(|moving| stopping(moving)) else {
-            return self.follow_scout().await;
-        };
-        let outcome = timeout(self.call.time_left(), moving.outcome.as_mut()).await;
-        let outcome = outcome.unwrap_or_else(|_| Err(MoveError::Lost("the time is up".into())));
-        match outcome {
-            Err(
-                MoveError::NoRoom(None) | MoveError::NoRun | MoveError::Busy | MoveError::Lost(_),
-            ) => {
-                // Logs and counts the failure. The scout may have moved the run.
-                self.finish_move_step(outcome).await;
-                self.follow_scout().await
-            }
-            stopped => match self.finish_move_step(stopped).await {
-                true => Followed::GoesOn,
-                false => Followed::Lost,
-            },
-        }
-    }
-
-    /// Resumes a run whose stream has stopped, if a scout has moved it.
-    async fn follow_scout(&mut self) -> Followed {
-        let Some(id) = self.call.head.id.clone() else {
-            return Followed::NotMoved;
-        };
-        let engine = self.placed.record.address;
-        let Some(moved) = self.relay.moved_runs().wait(&id, engine).await else {
-            return Followed::NotMoved;
-        };
-        tracing::info!(id = self.call.id(), from = %engine, to = ?moved.target, "move: the run goes on elsewhere");
-        let MovedRun { target, handle, .. } = moved;
-        let regions = self.relay.table().regions_now(&self.call.admitted);
-        let request = PlacementRequest {
-            regions: &regions,
-            ..PlacementRequest::new(&self.call.service, 0, self.tokens)
-        };
-        let target = target.and_then(|address| {
-            let engine = EngineLocation {
-                address,
-                service: self.call.service.clone(),
-                zone: self.placed.record.zone.clone(),
-            };
-            let placed = self.relay.place_moved(&engine, &request);
-            if placed.is_none() {
-                // The run is not permitted there. It resumes at its own engine, and this relay moves it elsewhere.
-                self.refused_target = self.relay.fleet().key_at(address);
-            }
-            placed
-        });
-        if let Some(target) = &target {
-            self.relay.announce_sent(target, self.call.head.id.as_ref());
-        }
-        let resumed = match target {
-            Some(target) => self.resume_at(target, &handle).await,
-            None => self.resume_at_source(&handle).await,
-        };
-        match resumed {
-            true => Followed::GoesOn,
-            false => Followed::Lost,
-        }
+        self.registration.is_some() && engine.is_some_and(|engine| engine.supports_moves)
     }
 
     /// Estimates how much longer the run takes.
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -26,7 +26,6 @@
 use cicada_lib::peer_messages::EngineLocation;
 use cicada_lib::peer_messages::LoadProbe;
 use cicada_lib::peer_messages::LoadProbeReply;
-use cicada_lib::peer_messages::MovedRun;
 use cicada_lib::peer_messages::ScoutReport;
 use cicada_lib::peer_messages::Subscription;
 use cicada_lib::peer_messages::SuspectNotice;
@@ -51,6 +50,7 @@
 use crate::run_mover;
 use crate::run_mover::MoveNotice;
 use crate::run_mover::Neighbours;
+use crate::stop_queries::StopQueries;
 
 /// Interval between polls of the engine. An engine announces that it leaves 1.5 s ahead, of which the poll
 /// delay takes at most a fiftieth. Short intervals also let relays that place requests at the same time see
@@ -126,7 +126,9 @@
     // When a relay last announced a request to this engine.
     pub(crate) last_sent_notice: Instant,
     pub(crate) clock: Clock,
-    pub(crate) past_moves: Vec<MovedRun>,
+    // The outcomes of moves, as relays were told.
+    pub(crate) past_moves: Vec<Datagram>,
+    pub(crate) stop_queries: Arc<StopQueries>,
     pub(crate) held: Arc<HeldState>,
     // Evidence on poison requests, held for relays that start.
     pub(crate) suspects: Suspects,
@@ -173,6 +175,7 @@
             last_sent_notice: now,
             clock: Clock::new(),
             past_moves: Vec::new(),
+            stop_queries: Arc::default(),
             held: Arc::default(),
             suspects: Suspects::new(),
             last_offer: None,
@@ -214,9 +217,10 @@
                         self.broadcast_identity(health.id).await;
                     }
                 }
-                Some(news) = self.mover_events.recv() => match news {
-                    MoveNotice::Moving(run) => self.broadcast(&Datagram::Moving(run)).await,
-                    MoveNotice::Moved(run) => self.broadcast_moved(run).await,
+                Some(notice) = self.mover_events.recv() => match notice {
+                    MoveNotice::QueryStop(query) => self.broadcast(&Datagram::QueryStop(query)).await,
+                    MoveNotice::Moved(run) => self.broadcast_move(Datagram::Moved(run)).await,
+                    MoveNotice::NotMoved(notice) => self.broadcast_move(Datagram::StopNotice(notice)).await,
                 },
             }
         }
@@ -245,11 +249,16 @@
             }
             Ok(Datagram::QuerySuspects) => self.send_evidence(from).await,
             Ok(Datagram::QueryMove(id)) => {
-                if let Some(moved) = self.past_moves.iter().find(|moved| moved.id == id) {
-                    let datagram = Datagram::Moved(moved.clone());
-                    self.socket.send(&datagram, &[from]).await;
+                if let Some(datagram) = self
+                    .past_moves
+                    .iter()
+                    .rev()
+                    .find(|past| is_about(past, &id))
+                {
+                    self.socket.send(datagram, &[from]).await;
                 }
             }
+            Ok(Datagram::StopReply(reply)) => self.stop_queries.record(&reply),
             Ok(_) => {}
             Err(error) => tracing::debug!(%from, %error, "scout: ignored an undecodable datagram"),
         }
@@ -447,6 +456,7 @@
                 self.neighbours.clone(),
                 runs,
                 self.mover_events_tx.clone(),
+                self.stop_queries.clone(),
             ));
         } else if let Some(runs) = &self.mover_reports {
             runs.send_replace(report);
@@ -480,12 +490,13 @@
         self.socket.send(datagram, &subscribers).await;
     }
 
-    async fn broadcast_moved(&mut self, moved: MovedRun) {
+    /// Tells what became of a run, and keeps it for relays that ask.
+    async fn broadcast_move(&mut self, outcome: Datagram) {
         if self.past_moves.len() >= MAX_REMEMBERED_MOVES {
             self.past_moves.remove(0);
         }
-        self.past_moves.push(moved.clone());
-        self.broadcast_repeatedly(Datagram::Moved(moved)).await;
+        self.past_moves.push(outcome.clone());
+        self.broadcast_repeatedly(outcome).await;
     }
 
     async fn broadcast_identity(&self, id: Name) {
@@ -515,3 +526,12 @@
         });
     }
 }
+
+/// Whether a message tells the outcome of the run's move.
+fn is_about(message: &Datagram, id: &Name) -> bool {
+    match message {
+        Datagram::Moved(run) => run.id == *id,
+        Datagram::StopNotice(notice) => notice.query.run.id == *id,
+        _ => false,
+    }
+}
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -301,7 +301,8 @@
     let ahead = match (&start, &call.head.id) {
         (RunStart::Moved { .. }, Some(id)) => relay
             .moved_runs()
-            .take_connection(id, placed.record.address),
+            .local()
+            .take_ahead(id, placed.record.address),
         _ => None,
     };
     let (memory, last, patience) = match start {
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -12,6 +12,7 @@
 use cicada_lib::dialect::MoveError;
 use cicada_lib::dialect::MoveStep;
 use cicada_lib::event_splitter::EventSplitter;
+use cicada_lib::migration::run_stops::StopKey;
 use cicada_lib::progress_timeout;
 use cicada_lib::routing::ServerKey;
 use cicada_lib::suspects::PROBATION_TOKENS;
@@ -26,8 +27,9 @@
 use crate::event_queue::EventSender;
 use crate::event_queue::QueueError;
 use crate::exchange::Call;
-use crate::moved_runs::LocalRunGuard;
+use crate::local_runs::LocalRunGuard;
 use crate::placed_request::PlacedRequest;
+use crate::planned_moves::HeldCopy;
 use crate::relay::Relay;
 use crate::run_handoff::MoveState;
 use crate::run_handoff::PlannedMove;
@@ -67,8 +69,12 @@
     // When to consider a move again while the engine drains. A point in time, because events arrive faster than a
     // timer that starts anew at each of them would elapse.
     pub(crate) next_move_check: Instant,
-    // Registers this relay for notices of the run's moves.
-    pub(crate) _registration: Option<LocalRunGuard>,
+    // Records where the run is and the stops that were asked for; `None` if the request has no identifier.
+    pub(crate) registration: Option<LocalRunGuard>,
+    // The copy of a run that may have been stopped. Freed with the run unless the run resumes from it.
+    pub(crate) kept_copy: Option<HeldCopy>,
+    // Stops whose answers are not awaited any more.
+    pub(crate) unanswered: Vec<MoveFuture>,
     // The target that refused the run, or may not take it. The run then resumed at an engine that may be draining.
     pub(crate) refused_target: Option<ServerKey>,
     // Events of the stream before the run began at its present engine.
@@ -83,6 +89,8 @@
 pub(crate) struct PendingMove {
     pub(crate) target: PlacedRequest,
     pub(crate) step: MoveStep,
+    // Names the stop in the run's record, for the last step.
+    pub(crate) stop: Option<StopKey>,
     pub(crate) outcome: MoveFuture,
     // `None` for a move off a leaving engine.
     pub(crate) plan: Option<PlannedMove>,
@@ -128,7 +136,10 @@
             .head
             .id
             .as_ref()
-            .map(|id| relay.moved_runs().register(id));
+            .map(|id| relay.moved_runs().local().register(id));
+        if let Some(run) = &registration {
+            run.begin_at(placed.record.address);
+        }
         Run {
             relay: relay.clone(),
             call,
@@ -147,7 +158,9 @@
             failed_moves: 0,
             planned: MoveState::default(),
             next_move_check: now,
-            _registration: registration,
+            registration,
+            kept_copy: None,
+            unanswered: Vec::new(),
             refused_target: None,
             events_before: 0,
             is_harmless: false,
@@ -381,6 +394,9 @@
     /// Continues with the answer of the engine at which the run was resumed, and records since when it was paused.
     pub(crate) fn continue_with(&mut self, paused_since: Instant, answered: StartedAnswer) {
         self.placed.record_first_event();
+        if let Some(run) = &self.registration {
+            run.begin_at(self.placed.record.address);
+        }
         self.events.discard_partial();
         self.events_before = self.events.count();
         self.is_harmless = false;
