relay: only a run's memory proves how its stop ended

Callers got a part of a stream as a complete answer where an engine stopped the run and answered the last step of its move with 404 or 409, or without a usable handle: a status was taken for proof that the run went on. A server in trouble answers with any status. Now an answer settles a stop only if it hands over the run's memory; after any other the run is resumed from its copy, or its end is broken. A whole answer can be taken for a broken one only if it ends in the round trip between copy and stop.

Scouts ask for permission while they copy a run, and tell the handle of the copy before the stop. Asked in between, each run waited a round trip, and engines with many runs were gone before all of them had moved. Questions are numbered, so that news of an earlier stop settles no later one with the same copy.

Tests: relay_stopped_runs plays each answer to the last step, moved by scouts and by relays; relay_lost_movers plays second stops, scouts that are cut off or lost after the stop, planned moves, plain answers, and 30 sound ends while engines leave. The test of a cut-off scout asked that its runs are stopped, to see that it tested something; such a scout stops nothing now, so it asks that the scout was not heard. What callers may see is checked as before.

--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -168,16 +168,6 @@
     }
 }
 
-copy_type! {
-    /// What is known of a run after the last step of its move has failed.
-    pub enum StopOutcome {
-        /// The engine stated that this step did not stop it.
-        NotStopped,
-        /// It may have stopped, or may stop later.
-        Unknown,
-    }
-}
-
 /// Why a run's memory was not copied.
 #[derive(Clone, Debug, Error, Eq, PartialEq)]
 pub enum MoveError {
@@ -197,13 +187,10 @@
 }
 
 impl MoveError {
-    /// What the failure of the last step tells of the run. `None` if the run has stopped and its memory has a handle.
-    pub fn stop_outcome(&self) -> Option<StopOutcome> {
-        match self {
-            MoveError::NoRun | MoveError::Busy => Some(StopOutcome::NotStopped),
-            MoveError::NoRoom(None) | MoveError::Lost(_) => Some(StopOutcome::Unknown),
-            MoveError::NoRoom(Some(_)) => None,
-        }
+    /// Whether the run has stopped and its engine handed over its memory. After [`MoveStep::Stop`], no other failure tells
+    /// whether the run has stopped: a server in trouble answers with any status.
+    pub fn has_memory(&self) -> bool {
+        matches!(self, MoveError::NoRoom(Some(_)))
     }
 }
 
--- a/lib/src/migration/run_stops.rs
+++ b/lib/src/migration/run_stops.rs
@@ -135,16 +135,28 @@
     }
 
     /// Permits a scout to stop the run, unless that would leave two stops unsettled. Permits the same stop again, since
-    /// the reply may be lost.
+    /// the reply may be lost, and since the scout asks before the copy has a handle.
     pub fn permit(&mut self, request: StopRequest) -> Result<StopKey> {
+        let pending = self.scout_stop(request.engine, request.number);
+        if let Some(key) = pending.filter(|key| self.is_pending(*key)) {
+            self.set_handle(key, &request.handle);
+            return Ok(key);
+        }
         if self.engine != Some(request.engine) {
             return Err(StopRefusal::NotHere);
         }
-        if let Some(open) = self.open_stop(request.engine) {
-            let is_same = open.request == request && open.state == StopState::Pending;
-            return is_same.then_some(open.key).ok_or(StopRefusal::Unsettled);
+        match self.open_stop(request.engine).is_some() {
+            true => Err(StopRefusal::Unsettled),
+            false => Ok(self.push(request)),
+        }
+    }
+
+    /// Records the handle of the copy that was made before a stop.
+    pub fn set_handle(&mut self, key: StopKey, handle: &Name) {
+        let stop = self.open.iter_mut().find(|stop| stop.key == key);
+        if let Some(stop) = stop.filter(|_| !handle.as_str().is_empty()) {
+            stop.request.handle = handle.clone();
         }
-        Ok(self.push(request))
     }
 
     /// Records that the outcome is known: the engine handed over the run's memory, or stated that it did not stop the run.
@@ -182,6 +194,11 @@
         Some(copy.request.clone())
     }
 
+    fn is_pending(&self, key: StopKey) -> bool {
+        let mut open = self.open.iter();
+        open.any(|stop| stop.key == key && stop.state == StopState::Pending)
+    }
+
     fn push(&mut self, request: StopRequest) -> StopKey {
         self.last_key += 1;
         let key = StopKey(self.last_key);
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -121,8 +121,8 @@
     pub struct StopNotice {
         /// The question that was answered with the permission.
         pub query: StopQuery,
-        /// Whether the engine stated that it did not stop the run. Otherwise the run may have stopped.
-        pub not_stopped: bool,
+        /// Whether the scout has not asked its engine for the stop after all. Otherwise the run may have stopped.
+        pub withdrawn: bool,
     }
 
     /// Announces to other relays and to the engine's scout that a relay has sent the engine a request.
--- a/relay/src/local_runs.rs
+++ b/relay/src/local_runs.rs
@@ -29,13 +29,9 @@
     // Streams with this identifier. Callers that use it twice share the run's record.
     streams: usize,
     stops: RunStops,
-    ahead: Option<AheadConnection>,
-}
-
-/// A connection to the engine at `target` that waits for the run's move.
-struct AheadConnection {
-    target: SocketAddr,
-    opened: OpenConnection,
+    // Where a connection is opened ahead of the run's move, and the connection once it is open.
+    ahead_target: Option<SocketAddr>,
+    ahead: Option<OpenConnection>,
 }
 
 impl LocalRuns {
@@ -59,28 +55,41 @@
     /// Records what became of a scout's stop.
     pub(crate) fn apply_scout_notice(&self, notice: &StopNotice) {
         let StopQuery { run, number } = &notice.query;
-        let engine = run.source;
+        let (engine, handle) = (run.source, &run.handle);
         self.with(&run.id, |run| {
-            let key = run.stops.scout_stop(engine, *number);
-            match (key, notice.not_stopped) {
-                (Some(key), true) => run.stops.settle(key),
-                (Some(key), false) => run.stops.lose(key),
-                (None, _) => {}
+            let Some(key) = run.stops.scout_stop(engine, *number) else {
+                return;
+            };
+            run.stops.set_handle(key, handle);
+            match notice.withdrawn {
+                true => run.stops.settle(key),
+                false => run.stops.lose(key),
             }
         });
     }
 
+    /// Whether a connection to `target` is to be opened ahead of the run's move: there is none, and none on its way.
+    pub(crate) fn begin_ahead(&self, id: &Name, target: SocketAddr) -> bool {
+        let begun = self.with(id, |run| run.ahead_target.replace(target));
+        begun.is_some_and(|before| before != Some(target))
+    }
+
     /// Keeps a connection for the run's move to `target`.
     pub(crate) fn set_ahead(&self, id: &Name, target: SocketAddr, opened: OpenConnection) {
         self.with(id, |run| {
-            run.ahead = Some(AheadConnection { target, opened })
+            if run.ahead_target == Some(target) {
+                run.ahead = Some(opened);
+            }
         });
     }
 
     /// Takes the connection to `target` that was opened ahead of the run's move.
     pub(crate) fn take_ahead(&self, id: &Name, target: SocketAddr) -> Option<OpenConnection> {
-        let ahead = self.with(id, |run| run.ahead.take())??;
-        (ahead.target == target).then_some(ahead.opened)
+        self.with(id, |run| {
+            let ahead = run.ahead.take();
+            let is_meant = run.ahead_target.take() == Some(target);
+            ahead.filter(|_| is_meant)
+        })?
     }
 
     /// Whether the run's stream is here.
--- a/relay/src/moved_runs.rs
+++ b/relay/src/moved_runs.rs
@@ -103,6 +103,9 @@
     /// connection would lengthen the gap that the caller sees.
     pub(crate) fn open_ahead(&self, id: &Name, target: SocketAddr, round_trip: Duration) {
         let local = self.local.clone();
+        if !local.begin_ahead(id, target) {
+            return;
+        }
         let id = id.clone();
         tokio::spawn(async move {
             match upstream::open(target, round_trip).await {
--- a/relay/src/run_handoff.rs
+++ b/relay/src/run_handoff.rs
@@ -6,7 +6,6 @@
 use cicada_lib::dialect::Copied;
 use cicada_lib::dialect::MoveError;
 use cicada_lib::dialect::MoveStep;
-use cicada_lib::dialect::StopOutcome;
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::migration::handoff;
@@ -277,7 +276,7 @@
                 self.return_to_source(&handle).await
             }
             (_, Err(error)) => {
-                if step == MoveStep::Stop && error.stop_outcome() == Some(StopOutcome::Unknown) {
+                if step == MoveStep::Stop {
                     // The copy may be the only memory of the run.
                     self.kept_copy = plan.copy.take();
                 }
--- a/relay/src/run_mover.rs
+++ b/relay/src/run_mover.rs
@@ -12,7 +12,6 @@
 use cicada_lib::dialect::EngineRun;
 use cicada_lib::dialect::MoveError;
 use cicada_lib::dialect::MoveStep;
-use cicada_lib::dialect::StopOutcome;
 use cicada_lib::ids::Name;
 use cicada_lib::move_plan;
 use cicada_lib::move_plan::Target;
@@ -142,6 +141,16 @@
     NotMoved(StopNotice),
 }
 
+impl MoveNotice {
+    /// Tells that a stop was not asked for, although its permission may have been given.
+    fn withdrawn(query: StopQuery) -> Self {
+        MoveNotice::NotMoved(StopNotice {
+            query,
+            withdrawn: true,
+        })
+    }
+}
+
 /// Moves runs until the engine is gone. Ends when the channel of reports closes.
 pub(crate) async fn run(
     engines: Arc<dyn EngineCalls>,
@@ -173,18 +182,14 @@
             Some(run) => mover.move_run(&run).await,
             None => None,
         };
-        match notice {
-            Some(notice) => {
-                if mover.notices.send(notice).await.is_err() {
-                    return;
-                }
-            }
-            None => {
-                let closed = matches!(timeout(RETRY_INTERVAL, reports.changed()).await, Ok(Err(_)));
-                if closed {
-                    return;
-                }
-            }
+        let moved = matches!(notice, Some(MoveNotice::Moved(_)));
+        if let Some(notice) = notice
+            && mover.notices.send(notice).await.is_err()
+        {
+            return;
+        }
+        if !moved && matches!(timeout(RETRY_INTERVAL, reports.changed()).await, Ok(Err(_))) {
+            return;
         }
     }
 }
@@ -219,33 +224,44 @@
         next
     }
 
-    /// Moves one run. Returns what relays are told; `None` if it stays for now.
+    /// Moves one run. Returns what relays are told; `None` if no engine has room for it.
     async fn move_run(&mut self, run: &EngineRun) -> Option<MoveNotice> {
         let address = self.choose_target(run)?;
         let begun = Instant::now();
         self.neighbours.record_moving(address, run.tokens);
-        let copy = match self.move_step(run, address, MoveStep::Copy).await {
-            Ok(handle) => self.moved_run(run, Some(address), handle),
+        let mut query = StopQuery {
+            run: self.moved_run(run, Some(address), Name::default()),
+            number: self.queries.open(),
+        };
+        // The holder of the stream is asked while the run goes on: the reply takes a round trip.
+        let copy = self.move_step(run, address, MoveStep::Copy);
+        let (copied, permitted) = tokio::join!(copy, self.ask(&query));
+        match copied {
+            Ok(handle) => query.run.handle = handle,
             Err(error) => {
                 self.record_failure(run, address, MoveStep::Copy, &error);
-                return None;
+                return Some(MoveNotice::withdrawn(query));
             }
         };
-        let copied = begun.elapsed().as_millis() as u64;
-        let query = StopQuery {
-            run: copy,
-            number: self.queries.open(),
-        };
-        if !self.may_stop(&query).await {
+        if permitted != Some(true) {
+            self.record_unpermitted(run, permitted);
             self.engines.drop_copy(self.engine, &query.run.handle).await;
-            return None;
+            return Some(MoveNotice::withdrawn(query));
         }
+        // If the outcome of the stop is lost, the holder resumes the run from this copy.
+        let with_copy = MoveNotice::QueryStop(query.clone());
+        self.notices.send(with_copy).await.ok()?;
+        let copied = begun.elapsed().as_millis() as u64;
         let moved = match self.move_step(run, address, MoveStep::Stop).await {
             Ok(handle) => self.moved_run(run, Some(address), handle),
             Err(MoveError::NoRoom(Some(handle))) => self.moved_run(run, None, handle),
             Err(error) => {
                 self.record_failure(run, address, MoveStep::Stop, &error);
-                return Some(self.not_moved(query, &error).await);
+                // The copy is not freed: it may be the only memory of the run.
+                return Some(MoveNotice::NotMoved(StopNotice {
+                    query,
+                    withdrawn: false,
+                }));
             }
         };
         self.refused_by.clear();
@@ -271,37 +287,8 @@
         None
     }
 
-    /// Whether the relay that holds the run's stream permits to stop the run. Without its reply the run stays: the relay
-    /// would take the end of the stream for that of the answer.
-    async fn may_stop(&mut self, query: &StopQuery) -> bool {
-        let id = &query.run.id;
-        let permitted = self.ask(query).await;
-        if permitted == Some(true) {
-            return true;
-        }
-        let reply = match permitted {
-            Some(_) => "refused",
-            None => "none",
-        };
-        tracing::info!(%id, reply, "move: the holder of the stream did not permit to stop the run");
-        if permitted.is_none() {
-            // The permission may be on its way.
-            let notice = StopNotice {
-                query: query.clone(),
-                not_stopped: true,
-            };
-            self.notices.send(MoveNotice::NotMoved(notice)).await.ok();
-        }
-        match self.unpermitted.contains(id) {
-            true => self.done.push(id.clone()),
-            false => {
-                self.unpermitted.push(id.clone());
-                self.postponed.push(id.clone());
-            }
-        }
-        false
-    }
-
+    /// Asks the relay that holds the run's stream whether the run may be stopped. `None` without a reply. The run then stays:
+    /// the relay would take the end of the stream for that of the answer.
     async fn ask(&self, query: &StopQuery) -> Option<bool> {
         for delay in ASK_DELAYS {
             let question = MoveNotice::QueryStop(query.clone());
@@ -314,14 +301,20 @@
         None
     }
 
-    /// Tells what became of a run whose stop failed. The copy is freed only if the engine stated that it did not stop the
-    /// run: otherwise it may be the only memory of the run.
-    async fn not_moved(&self, query: StopQuery, error: &MoveError) -> MoveNotice {
-        let not_stopped = error.stop_outcome() == Some(StopOutcome::NotStopped);
-        if not_stopped {
-            self.engines.drop_copy(self.engine, &query.run.handle).await;
+    fn record_unpermitted(&mut self, run: &EngineRun, permitted: Option<bool>) {
+        let id = &run.id;
+        let reply = match permitted {
+            Some(_) => "refused",
+            None => "none",
+        };
+        tracing::info!(%id, reply, "move: the holder of the stream did not permit to stop the run");
+        match self.unpermitted.contains(id) {
+            true => self.done.push(id.clone()),
+            false => {
+                self.unpermitted.push(id.clone());
+                self.postponed.push(id.clone());
+            }
         }
-        MoveNotice::NotMoved(StopNotice { query, not_stopped })
     }
 
     async fn move_step(
--- a/relay/src/run_stop.rs
+++ b/relay/src/run_stop.rs
@@ -9,7 +9,6 @@
 use cicada_lib::body_end::RunStop;
 use cicada_lib::dialect::Copied;
 use cicada_lib::dialect::MoveError;
-use cicada_lib::dialect::StopOutcome;
 use cicada_lib::fleet::PlacementRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::migration::run_stops::OpenStop;
@@ -101,15 +100,14 @@
         let (Some(stop), Some(run)) = (stop, &self.registration) else {
             return;
         };
-        let outcome = outcome.as_ref().err().and_then(MoveError::stop_outcome);
-        let word = match outcome {
-            None => "stopped",
-            Some(StopOutcome::NotStopped) => "not_stopped",
-            Some(StopOutcome::Unknown) => "unknown",
+        let is_known = has_stopped(outcome);
+        let word = match is_known {
+            true => "stopped",
+            false => "unknown",
         };
-        match outcome {
-            Some(StopOutcome::Unknown) => run.lose_stop(stop),
-            None | Some(StopOutcome::NotStopped) => run.settle_stop(stop),
+        match is_known {
+            true => run.settle_stop(stop),
+            false => run.lose_stop(stop),
         }
         self.relay.metrics().count_stop(Stopper::Relay, word);
     }
@@ -172,11 +170,8 @@
             self.finish_move_step(Err(late())).await;
             return Followed::NotStopped;
         };
-        let has_stopped = match &outcome {
-            Ok(_) => true,
-            Err(error) => error.stop_outcome().is_none(),
-        };
-        match (self.finish_move_step(outcome).await, has_stopped) {
+        let is_known = has_stopped(&outcome);
+        match (self.finish_move_step(outcome).await, is_known) {
             (_, false) => Followed::NotStopped,
             (true, true) => Followed::GoesOn,
             (false, true) => Followed::Lost,
@@ -278,3 +273,10 @@
         self.registration.as_ref()?.open_stop(engine)
     }
 }
+
+/// Whether the answer to a stop proves that the run has stopped, and hands over its memory.
+fn has_stopped(outcome: &Result<Copied, MoveError>) -> bool {
+    outcome
+        .as_ref()
+        .map_or_else(MoveError::has_memory, |_| true)
+}
--- a/relay/src/stop_permission.rs
+++ b/relay/src/stop_permission.rs
@@ -25,8 +25,11 @@
         drop(fleet);
         let permission = self.moved_runs.permit_stop(query, round_trip)?;
         let word = permission.map_or_else(StopRefusal::as_str, |_| "permitted");
-        self.metrics.count_stop(Stopper::Scout, word);
-        tracing::info!(id = %run.id, engine = %run.source, target = ?run.target, word, "move: a scout asks to stop the run");
+        // Asked again with the handle of the copy, just before the stop.
+        if permission.is_err() || !run.handle.as_str().is_empty() {
+            self.metrics.count_stop(Stopper::Scout, word);
+            tracing::info!(id = %run.id, engine = %run.source, target = ?run.target, word, "move: a scout asks to stop the run");
+        }
         Some(StopReply {
             id: run.id.clone(),
             number: query.number,
@@ -39,8 +42,8 @@
         if !self.moved_runs.local().contains(&notice.query.run.id) {
             return;
         }
-        let word = match notice.not_stopped {
-            true => "not_stopped",
+        let word = match notice.withdrawn {
+            true => "withdrawn",
             false => "unknown",
         };
         self.metrics.count_stop(Stopper::Scout, word);
--- a/relay/src/stop_queries.rs
+++ b/relay/src/stop_queries.rs
@@ -9,12 +9,12 @@
 
 use crate::lock::lock;
 
-/// Delays until the question is asked again, and at the end given up. Datagrams are lost now and then.
-pub(crate) const ASK_DELAYS: [Duration; 4] = [
-    Duration::from_millis(20),
-    Duration::from_millis(40),
-    Duration::from_millis(80),
-    Duration::from_millis(160),
+/// Delays until the question is asked again, and at the end given up. Datagrams are lost now and then. Copies take as long,
+/// so that the run does not wait for the reply.
+pub(crate) const ASK_DELAYS: [Duration; 3] = [
+    Duration::from_millis(60),
+    Duration::from_millis(90),
+    Duration::from_millis(150),
 ];
 
 /// The question that is open; runs are moved one at a time.
