relay: a status that no final answer has is no answer

A caller that asked for no upgrade got 101, 600 or 999 as the final answer to its request, signed and unsigned, under all framings. Its connection then spoke no protocol that it knew, or its client knew no meaning of the status.

The head of an answer was judged by its identifier, its refusal and its signature, but not by the range of its status. Statuses from 200 to 599 are final now; others end as answers that tell nothing of whether the request ran, and are logged with the server and the status.

The test plays twelve statuses under three framings and as an upgrade, on four kinds of routes, an engine among them. It also checks that no Upgrade of a caller reaches a server.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod event_splitter;
 pub mod failure_rate;
 pub mod fair_queue;
+pub mod final_status;
 pub mod fingerprint;
 pub mod fleet;
 mod fleet_choice;
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod proxy_admin;
 pub mod rate;
 pub mod raw_answer;
+pub mod scripted_server;
 pub mod service;
 pub mod site;
 pub mod suspect_fleet;
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -5,6 +5,7 @@
 
 use cicada_lib::body_end::Framing;
 use cicada_lib::dialect::Dispatch;
+use cicada_lib::final_status::is_final;
 use cicada_lib::fleet::NoServer;
 use cicada_lib::server_statement::Speaker;
 use cicada_lib::site::CallKind;
@@ -122,6 +123,11 @@
         Ok(Ok(answer)) => answer,
     };
     let (parts, body) = answer.response.into_parts();
+    if !is_final(parts.status) {
+        let (id, server, status) = (call.id(), &placed.record.id, parts.status.as_u16());
+        tracing::info!(id, %server, status, "send: the status is none of a final answer");
+        return Err(NoAnswer::Unknown);
+    }
     let head = relay.dialect().answer_head(parts.status, &parts.headers);
     let speaker = head.speaker(call.head.id.as_ref(), parts.status);
     if let Speaker::Other(other) = &speaker {
