--- a/lib/testutils/src/scripted_server.rs
+++ b/lib/testutils/src/scripted_server.rs
@@ -17,6 +17,9 @@
 /// Replaced by the request's identifier in the bytes of an answer.
 pub const ID_MARK: &str = "{id}";
 
+/// Replaced by the number of requests before in the bytes of an answer.
+pub const NUMBER_MARK: &str = "{number}";
+
 /// The bytes of an answer. The connection is closed after them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Script {
@@ -25,7 +28,7 @@
 }
 
 impl Script {
-    /// An answer of these bytes, in which [`ID_MARK`] stands for the request's identifier.
+    /// An answer of these bytes, in which [`ID_MARK`] and [`NUMBER_MARK`] are replaced.
     pub fn new(bytes: impl Into<String>) -> Self {
         Script {
             first: bytes.into(),
@@ -139,7 +142,11 @@
     let scripts = state.scripts.iter().filter(|(p, _)| path.starts_with(*p));
     let script = scripts.max_by_key(|(p, _)| p.len());
     let mut script = script.map(|(_, s)| s.clone()).unwrap_or_default();
-    script.first = script.first.replace(ID_MARK, &id);
+    let number = state.requests.len().to_string();
+    script.first = script
+        .first
+        .replace(ID_MARK, &id)
+        .replace(NUMBER_MARK, &number);
     state.requests.push(head);
     state.unfinished += 1;
     script
