platform: informational answers without end are given up

An engine or store that sent one informational answer after another kept a thread of its caller busy until the call's time was over: 69 MB were read for a report within 0.5 s, 455 MB for a move within 2.5 s. A scout and a small relay have one thread.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod handshake;
 pub mod http_client;
 pub mod ids;
+pub mod informational_limit;
 mod joint_evidence;
 pub mod latency_objective;
 pub mod lease;
