lib: adapters take only final statuses

An agent passed a service's answer with the status 600 or 999 on to the caller, and took 101, 600 and 999 for a proof that a call or a generation had not run where the answer said so, so that it might be run again.

An answer whose status is none from 200 to 599 is lost now, which callers hear as unknown. What else it says proves nothing.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -32,6 +32,7 @@
 use crate::body_end::Framing;
 use crate::body_end::Position;
 use crate::body_end::Stop;
+use crate::final_status::is_final;
 
 /// What went wrong with a call over HTTP.
 #[derive(Debug, Error)]
@@ -198,7 +199,7 @@
             tokio::time::sleep(limit).await;
         };
         tokio::select! {
-            response = response => response.map_err(call_error),
+            response = response => final_answer(response.map_err(call_error)?),
             () = silence => {
                 self.renew(reuse);
                 Err(CallError::Lost(format!("no answer within {limit:?}")))
@@ -277,6 +278,17 @@
         .build(connector)
 }
 
+/// The answer if its status is one of a final answer. What another one says is no proof of anything.
+fn final_answer<T>(response: Response<T>) -> Result<Response<T>> {
+    match is_final(response.status()) {
+        true => Ok(response),
+        false => Err(CallError::Lost(format!(
+            "{} is no status of a final answer; check the peer",
+            response.status()
+        ))),
+    }
+}
+
 fn call_error(error: hyper_util::client::legacy::Error) -> CallError {
     if error.is_connect() {
         CallError::NotSent(chain(&error))
