lib: informational answers without end are given up

A service or engine that sent one informational answer after another kept a thread of its agent busy until the agent's limit on silence was over, which is 30 s for services: 1.05 GB were read for a call within the 4 s of the test. The platform could do the same to every process.

The test plays seven kinds of endless answers at services, engines and the platform. Before the change the informational ones failed at each of four calls; heads, chunk extensions, trailers and bodies were limited already.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -33,6 +33,8 @@
 use crate::body_end::Position;
 use crate::body_end::Stop;
 use crate::final_status::is_final;
+use crate::informational_limit::InformationalLimit;
+use crate::informational_limit::MAX_INFORMATIONAL;
 
 /// What went wrong with a call over HTTP.
 #[derive(Debug, Error)]
@@ -192,6 +194,7 @@
             Reuse::Fresh => Arc::new(self.fresh.clone()),
         };
         let mut connection = capture_connection(&mut request);
+        let informational = InformationalLimit::new(&mut request);
         let response = client.request(request);
         let silence = async {
             // Until then the connector's own limit holds.
@@ -200,6 +203,12 @@
         };
         tokio::select! {
             response = response => final_answer(response.map_err(call_error)?),
+            () = informational.exceeded() => {
+                let limit = MAX_INFORMATIONAL;
+                Err(CallError::Lost(format!(
+                    "over {limit} informational answers came first; check the peer"
+                )))
+            }
             () = silence => {
                 self.renew(reuse);
                 Err(CallError::Lost(format!("no answer within {limit:?}")))
--- a/lib/testutils/tests/odd_answers.rs
+++ b/lib/testutils/tests/odd_answers.rs
@@ -1,6 +1,7 @@
 //! What the adapters make of answers whose status is no final one, and of answers without end.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use cicada_lib::backend::BackendError;
 use cicada_lib::backend::CallSpec;
@@ -8,6 +9,7 @@
 use cicada_lib::backend::GenerationSpec;
 use cicada_lib::backend::Service;
 use cicada_lib::engine_http::HttpEngine;
+use cicada_lib::http_client::HttpLimits;
 use cicada_lib::ids::GenerationId;
 use cicada_lib::ids::Name;
 use cicada_lib::platform::Condition;
@@ -15,13 +17,25 @@
 use cicada_lib::platform::PlatformError;
 use cicada_lib::platform_http::HttpPlatform;
 use cicada_lib::service_http::HttpService;
+use futures_util::StreamExt;
 use testutils::scripted_server::Script;
 use testutils::scripted_server::ScriptedServer;
+use tokio::time::Instant;
 
 const ODD: [&str; 9] = [
     "000", "099", "100", "101", "102", "103", "600", "999", "1000",
 ];
 
+const PIECE: usize = 16 * 1024;
+
+/// The limits of the calls without end, and the time in which each of them has failed.
+const BODY: usize = 1024 * 1024;
+const SILENCE: Duration = Duration::from_secs(4);
+const MAX_TIME: Duration = Duration::from_secs(2);
+
+/// The most bytes that a peer can send: the body, two reads in a row of many pieces, and what the kernel holds.
+const MAX_BYTES: usize = BODY + (100 << 20) + (12 << 20);
+
 async fn start(script: Script) -> ScriptedServer {
     let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let server = ScriptedServer::start(any, "x-id").await.unwrap();
@@ -87,3 +101,82 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+fn endless() -> Vec<(&'static str, Script)> {
+    let head = "HTTP/1.1 200 OK\r\n";
+    let chunked = format!("{head}transfer-encoding: chunked\r\n\r\n");
+    let filler = "x".repeat(PIECE);
+    let field = "x-one: more\r\n".repeat(PIECE / 13);
+    let hints = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(PIECE / 28);
+    let chunk = format!("{PIECE:x}\r\n{filler}\r\n");
+    vec![
+        ("headers", Script::new(head).with_repeated(&field)),
+        ("informational", Script::default().with_repeated(hints)),
+        (
+            "extension",
+            Script::new(format!("{chunked}5;")).with_repeated(&filler),
+        ),
+        ("chunks", Script::new(&chunked).with_repeated(chunk)),
+        (
+            "trailers",
+            Script::new(format!("{chunked}0\r\n")).with_repeated(&field),
+        ),
+        (
+            "body",
+            Script::new(format!("{head}\r\n")).with_repeated(&filler),
+        ),
+        (
+            "error body",
+            Script::new("HTTP/1.1 500 Odd\r\n\r\n").with_repeated(&filler),
+        ),
+    ]
+}
+
+/// Guards against a peer that takes an agent's memory or time by an answer without end.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_without_end_is_lost_in_bounded_time() {
+    let limits = HttpLimits::new().with_body(BODY).with_silence(SILENCE);
+    let mut failures = Vec::new();
+    for (kind, script) in endless() {
+        for name in ["service", "load", "generation", "platform"] {
+            let server = start(script.clone()).await;
+            let address = server.address();
+            let begun = Instant::now();
+            let outcome = match name {
+                "service" => {
+                    let service = HttpService::with_limits(address, limits);
+                    service
+                        .call(&call("GET"))
+                        .await
+                        .err()
+                        .map(|e| e.to_string())
+                }
+                "load" => {
+                    let engine = HttpEngine::with_limits(address, limits);
+                    engine.load().await.err().map(|e| e.to_string())
+                }
+                "generation" => {
+                    let engine = HttpEngine::with_limits(address, limits);
+                    match engine.start(&generation()).await {
+                        Err(error) => Some(error.to_string()),
+                        Ok(mut events) => match events.next().await {
+                            Some(Err(error)) => Some(error.to_string()),
+                            _ => None,
+                        },
+                    }
+                }
+                _ => {
+                    let platform = HttpPlatform::with_limits(address, "token", limits);
+                    platform.hosts().await.err().map(|e| e.to_string())
+                }
+            };
+            let (took, bytes) = (begun.elapsed(), server.longest_answer());
+            if outcome.is_none() || took > MAX_TIME || bytes > MAX_BYTES {
+                failures.push(format!(
+                    "{name}, {kind}: {outcome:?}, {bytes} bytes in {took:?}"
+                ));
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{failures:#?}");
+}
