lib: a body that trickles without end is given up

A service, engine or platform that sent a byte now and then was never silent for long enough to be given up: a call kept its place at the agent, and the question for an engine's load came to no end, so that the agent went on by the load before.

A body that is taken as a whole has 60 s from its head on, beside the limit on its bytes. Streams are not affected.

--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -57,6 +57,8 @@
     connect: Duration,
     /// The longest time without a byte from the peer.
     silence: Duration,
+    /// The longest time from an answer's head to the end of its body, if it is taken as a whole.
+    whole: Duration,
     /// The longest time that an unused connection is kept.
     idle: Duration,
     /// The largest body or line taken from the peer, in bytes.
@@ -69,6 +71,9 @@
 // Peers show life each half second (see the published protocol); eight such signs are missed.
 const SILENCE: Duration = Duration::from_secs(4);
 
+// Twice the longest call that users wait for. A peer that sends a byte now and then would never be silent.
+const WHOLE: Duration = Duration::from_secs(60);
+
 // Below the five seconds after which common servers close an unused connection.
 const IDLE: Duration = Duration::from_secs(4);
 
@@ -84,6 +89,7 @@
         HttpLimits {
             connect: CONNECT,
             silence: SILENCE,
+            whole: WHOLE,
             idle: IDLE,
             body: BODY,
         }
@@ -105,6 +111,14 @@
         }
     }
 
+    /// Takes an answer for lost when its body takes more than `limit` as a whole.
+    pub fn with_whole(self, limit: Duration) -> Self {
+        HttpLimits {
+            whole: limit,
+            ..self
+        }
+    }
+
     /// Closes a connection that was not used for `limit`.
     pub fn with_idle(self, limit: Duration) -> Self {
         HttpLimits {
@@ -230,6 +244,24 @@
     pub(crate) async fn whole(&self, response: Response<Incoming>) -> Result<Response<Bytes>> {
         let (parts, body) = response.into_parts();
         let framing = Framing::of(&parts.headers, body.size_hint().exact());
+        let limit = self.limits.whole;
+        let bytes = timeout(limit, self.collect(body)).await;
+        let bytes = bytes.map_err(|_| {
+            CallError::Lost(format!("the answer's body takes more than {limit:?}"))
+        })??;
+        let end = BodyEnd::of(framing, Stop::Announced, Position::Boundary);
+        if end == BodyEnd::Unconfirmed
+            && end.confirm(self.is_peer_there().await) != BodyEnd::Complete
+        {
+            return Err(CallError::Lost(
+                "the peer is gone, and nothing but its connection marked the end of the answer"
+                    .into(),
+            ));
+        }
+        Ok(Response::from_parts(parts, bytes))
+    }
+
+    async fn collect(&self, body: Incoming) -> Result<Bytes> {
         let mut chunks = Chunks::new(body, self.limits.silence);
         let mut bytes = BytesMut::new();
         while let Some(chunk) = chunks.next().await? {
@@ -241,16 +273,7 @@
             }
             bytes.extend_from_slice(&chunk);
         }
-        let end = BodyEnd::of(framing, Stop::Announced, Position::Boundary);
-        if end == BodyEnd::Unconfirmed
-            && end.confirm(self.is_peer_there().await) != BodyEnd::Complete
-        {
-            return Err(CallError::Lost(
-                "the peer is gone, and nothing but its connection marked the end of the answer"
-                    .into(),
-            ));
-        }
-        Ok(Response::from_parts(parts, bytes.freeze()))
+        Ok(bytes.freeze())
     }
 
     /// Whether the peer accepts connections.
--- a/lib/testutils/src/scripted_server.rs
+++ b/lib/testutils/src/scripted_server.rs
@@ -7,12 +7,14 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 /// Replaced by the request's identifier in the bytes of an answer.
 pub const ID_MARK: &str = "{id}";
@@ -25,6 +27,7 @@
 pub struct Script {
     first: String,
     repeated: String,
+    pause: Duration,
 }
 
 impl Script {
@@ -33,6 +36,7 @@
         Script {
             first: bytes.into(),
             repeated: String::new(),
+            pause: Duration::ZERO,
         }
     }
 
@@ -43,6 +47,11 @@
             ..self
         }
     }
+
+    /// The same bytes, with a pause after each repetition.
+    pub fn with_pause(self, pause: Duration) -> Self {
+        Script { pause, ..self }
+    }
 }
 
 /// Answers by its scripts, until it is dropped. Without one for a path it closes the connection.
@@ -189,7 +198,12 @@
     loop {
         stream.write_all(script.repeated.as_bytes()).await?;
         written += script.repeated.len();
-        let mut state = lock(state);
-        state.longest = state.longest.max(written);
+        {
+            let mut state = lock(state);
+            state.longest = state.longest.max(written);
+        }
+        if !script.pause.is_zero() {
+            sleep(script.pause).await;
+        }
     }
 }
--- a/lib/testutils/tests/odd_answers.rs
+++ b/lib/testutils/tests/odd_answers.rs
@@ -21,6 +21,7 @@
 use testutils::scripted_server::Script;
 use testutils::scripted_server::ScriptedServer;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 const ODD: [&str; 9] = [
     "000", "099", "100", "101", "102", "103", "600", "999", "1000",
@@ -180,3 +181,19 @@
     }
     assert!(failures.is_empty(), "{failures:#?}");
 }
+
+/// Guards against a peer that sends a byte now and then without end, and so keeps a call that is never silent.
+#[tokio::test]
+async fn a_body_that_trickles_without_end_is_lost() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    let pause = Duration::from_millis(20);
+    let server = start(Script::new(head).with_repeated(" ").with_pause(pause)).await;
+    let limits = HttpLimits::new().with_whole(MAX_TIME / 4);
+    let service = HttpService::with_limits(server.address(), limits);
+    let engine = HttpEngine::with_limits(server.address(), limits);
+    let get = call("GET");
+    let answers = async { tokio::join!(service.call(&get), engine.load()) };
+    let (called, load) = timeout(MAX_TIME, answers).await.unwrap();
+    assert!(matches!(called, Err(BackendError::Lost(_))), "{called:?}");
+    assert!(matches!(load, Err(BackendError::Lost(_))), "{load:?}");
+}
