cli: informational answers without end of a process are given up

A process at a status address that sent one informational answer after another kept the tool reading until its status time-out, 5 s in the test.

The test plays seven statuses and three endless answers of a process.

--- a/cli/src/status.rs
+++ b/cli/src/status.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use cicada_lib::config_apply::ConfigVersionId;
+use cicada_lib::informational_limit::InformationalLimit;
 use cicada_lib::platform::HostRecord;
 use futures_util::StreamExt;
 use futures_util::stream;
@@ -135,8 +136,14 @@
 async fn page(http: &Http, host: &HostRecord) -> Result<StatusPage, String> {
     let uri = format!("http://{}/status", host.status);
     let request = Request::get(uri).body(Empty::new());
-    let request = request.map_err(|e| e.to_string())?;
-    let answer = http.request(request).await;
+    let mut request = request.map_err(|e| e.to_string())?;
+    let informational = InformationalLimit::new(&mut request);
+    let answer = tokio::select! {
+        answer = http.request(request) => answer,
+        () = informational.exceeded() => {
+            return Err("it sends informational answers without end".to_owned());
+        }
+    };
     let answer = answer.map_err(|_| "it cannot be reached".to_owned())?;
     if !answer.status().is_success() {
         return Err(format!(
--- a/cli/tests/cicada.rs
+++ b/cli/tests/cicada.rs
@@ -23,6 +23,11 @@
 use testutils::platform::PlatformFaults;
 use testutils::platform::PlatformServer;
 use testutils::platform::PlatformSettings;
+use testutils::scripted_server::Script;
+use testutils::scripted_server::ScriptedServer;
+
+/// The most bytes of a status page that a process can send: what is read at once, and what the kernel holds.
+const MAX_STATUS_BYTES: usize = (100 << 20) + (12 << 20);
 
 struct Bench {
     platform: Arc<PlatformServer>,
@@ -429,3 +434,35 @@
     let done = bench.ann(&["--json", "--above", "9", "create workspace font"]);
     assert_eq!(done.json()["version"], 10);
 }
+
+/// Guards against a process at a status address that keeps the tool by bytes without end, or is believed whatever the
+/// status of its answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_odd_answer_of_a_process_is_told_and_ends() {
+    let bench = Bench::new();
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = ScriptedServer::start(any, "x-id").await.unwrap();
+    bench.host("e", HostRole::Agent, server.address());
+    let page = r#"{"name":"e","state":"ready"}"#;
+    let length = page.len();
+    let odd = ["000", "099", "101", "102", "103", "600", "999"].map(|status| {
+        let head = format!("HTTP/1.1 {status} Odd\r\nContent-Length: {length}\r\n\r\n");
+        Script::new(head + page)
+    });
+    let hints = "HTTP/1.1 103 Early Hints\r\n\r\n".repeat(500);
+    let endless = [
+        Script::default().with_repeated(hints),
+        Script::new("HTTP/1.1 200 OK\r\n\r\n").with_repeated("x".repeat(16_384)),
+        Script::new("HTTP/1.1 200 OK\r\nX-Long: ").with_repeated("x".repeat(16_384)),
+    ];
+    for script in odd.into_iter().chain(endless) {
+        server.set_script("/", script.clone());
+        let begun = std::time::Instant::now();
+        let done = bench.ann(&["--json", "show backend-servers"]);
+        let took = begun.elapsed();
+        assert_eq!(done.json()[0]["state"], "unreachable", "{}", done.out);
+        assert!(took.as_secs() < 3, "{took:?}");
+        let bytes = server.longest_answer();
+        assert!(bytes < MAX_STATUS_BYTES, "{bytes} bytes");
+    }
+}
