platform, lib: figures from outside are checked where they are read

A time of 1e300 ms in a server's entry, or in the configuration, ended a relay's control thread: the process went on as ready and followed nothing any more, and a server that was added afterwards was never used. Bytes in one entry that are no text made the whole list unreadable, and a page without a readable object was read for ever. A report of four billion waiting requests made a scout reserve memory for each of them, and sums of two such figures overflowed.

Cause: numbers were converted and added without a look at their size.

Each figure is now compared with a bound where it is read (wire_figures.rs, peer_figures.rs): entries, configurations, reports, heads, and messages between processes, which are decoded and checked in one step. The error names the field, the figure and the bound. A rejected statement costs only itself, is counted (relay_rejected_statements_total) and logged, ever more seldom. A configuration that is rejected is no news: the last good one stays in force, and the watch goes on from its revision. Names of objects are escaped where a list continues after them.

relay_odd_entries.rs (processes): on the code before, its three tests failed, two of them with the panic in core::time, the one of the list since the page could not be decoded; now they pass. The tests of wire_figures.rs and odd_documents.rs use what is new here; in a trial with the check of whole numbers switched off, any_accepted_load_is_applied failed by an overflow in fleet_news.rs. A figure in a moved run's answer is checked as well, without a test of its own.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -8,6 +8,7 @@
 use cicada_lib::daemon_settings::Settings;
 use cicada_lib::fleet::Location;
 use cicada_lib::ids::Name;
+use cicada_lib::rejections::Rejections;
 use cicada_lib::retry_share::RetryLimit;
 use cicada_lib::suspects::Suspicion;
 use cicada_platform::HttpEngines;
@@ -42,16 +43,18 @@
 pub(crate) fn run(settings: Settings, file: &Path, traffic: &Runtime) -> eyre::Result<()> {
     let metrics = Metrics::new();
     let relay_metrics = RelayMetrics::new(metrics.registry())?;
+    let rejections = Arc::new(Rejections::new());
     let relay = Relay::new(
         relay_settings(&settings)?,
-        Arc::new(PlatformDialect::new()),
-        Arc::new(HttpEngines::new()),
-        relay_metrics,
+        Arc::new(PlatformDialect::new().with_rejections(rejections.clone())),
+        Arc::new(HttpEngines::new().with_rejections(rejections.clone())),
+        relay_metrics.clone(),
     );
     let directory = settings
         .address("platform", "address")
         .ok_or_eyre("[platform] address is missing")?;
-    let directory = Arc::new(StoreDirectory::new(directory));
+    let directory = StoreDirectory::new(directory).with_rejections(rejections.clone());
+    let directory = Arc::new(directory);
     start_control(DirectoryWatcher::new(relay.clone(), directory))?;
     let status = settings
         .address("process", "status")
@@ -59,6 +62,8 @@
     let source = RelayStatus {
         relay: relay.clone(),
         metrics,
+        relay_metrics,
+        rejections,
         settings: settings.clone(),
     };
     status::serve(Arc::new(source), status)?;
@@ -183,6 +188,8 @@
 struct RelayStatus {
     relay: Arc<Relay>,
     metrics: Metrics,
+    relay_metrics: RelayMetrics,
+    rejections: Arc<Rejections>,
     settings: Settings,
 }
 
@@ -305,6 +312,7 @@
 
     fn figures(&self) -> Vec<u8> {
         self.relay.update_gauges();
+        self.relay_metrics.set_rejections(&self.rejections);
         self.metrics.render()
     }
 }
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -401,7 +401,7 @@
 }
 
 /// The text with every byte that has a meaning in paths and queries escaped; slashes stay.
-pub(crate) fn escape(text: &str) -> String {
+pub fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
     for byte in text.bytes() {
         match byte {
--- a/lib/src/peer_messages.rs
+++ b/lib/src/peer_messages.rs
@@ -26,6 +26,8 @@
 use crate::suspect_trials::TrialRequest;
 use crate::value_type;
 use crate::watch_election::WatchStatement;
+use crate::wire_figures::CheckFigures;
+use crate::wire_figures::FigureError;
 use crate::zone_evacuation::EvacuatedZones;
 
 /// The largest datagram in bytes. It passes every link without fragmentation.
@@ -378,18 +380,27 @@
 
 /// A message that cannot be encoded or decoded.
 #[derive(Clone, Debug, Error)]
-#[error("a message of another process cannot be read ({0}); run the same version everywhere")]
-pub struct CodecError(String);
+pub enum CodecError {
+    /// The bytes are no message of this version.
+    #[error("a message of another process cannot be read ({0}); run the same version everywhere")]
+    Malformed(String),
+    /// A figure is out of bounds.
+    #[error("a message of another process is rejected: {0}")]
+    Figure(#[from] FigureError),
+}
 
 /// The result of encoding or decoding a message.
 pub type Result<T> = std::result::Result<T, CodecError>;
 
 /// Encodes a message.
 pub fn encode<T: Serialize>(message: &T) -> Result<Vec<u8>> {
-    postcard::to_stdvec(message).map_err(|error| CodecError(error.to_string()))
+    postcard::to_stdvec(message).map_err(|error| CodecError::Malformed(error.to_string()))
 }
 
-/// Decodes a message.
-pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
-    postcard::from_bytes(bytes).map_err(|error| CodecError(error.to_string()))
+/// Decodes a message, and checks its figures.
+pub fn decode<'a, T: Deserialize<'a> + CheckFigures>(bytes: &'a [u8]) -> Result<T> {
+    let message: T =
+        postcard::from_bytes(bytes).map_err(|error| CodecError::Malformed(error.to_string()))?;
+    message.check_figures()?;
+    Ok(message)
 }
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -7,6 +7,8 @@
 use cicada_lib::fleet_migration::GroupSize;
 use cicada_lib::ids::Name;
 use cicada_lib::migration::run_stops::Stopper;
+use cicada_lib::rejections::Rejections;
+use cicada_lib::rejections::Statement;
 use cicada_lib::retry_share::RetryUsage;
 use prometheus::GaugeVec;
 use prometheus::Histogram;
@@ -51,6 +53,7 @@
     leaving: IntCounterVec,
     identities: IntCounterVec,
     silent_watches: IntCounter,
+    rejections: IntCounterVec,
     directory_calls: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
@@ -221,6 +224,11 @@
                 "Bytes of these, without headers",
                 "kind",
             )?,
+            rejections: counter(
+                "relay_rejected_statements_total",
+                "Entries, reports and figures in heads that were rejected as unreadable or out of bounds",
+                "kind",
+            )?,
             silent_watches: IntCounter::new(
                 "relay_silent_watches_total",
                 "Watches on the configuration that were given up because they were not answered after their wait",
@@ -269,6 +277,7 @@
         registry.register(Box::new(metrics.leaving.clone()))?;
         registry.register(Box::new(metrics.identities.clone()))?;
         registry.register(Box::new(metrics.silent_watches.clone()))?;
+        registry.register(Box::new(metrics.rejections.clone()))?;
         registry.register(Box::new(metrics.directory_calls.clone()))?;
         registry.register(Box::new(metrics.datagrams.clone()))?;
         registry.register(Box::new(metrics.datagram_bytes.clone()))?;
@@ -452,6 +461,14 @@
             .inc();
     }
 
+    /// Sets the number of statements that were rejected since the start.
+    pub fn set_rejections(&self, rejections: &Rejections) {
+        for statement in Statement::ALL {
+            let counter = self.rejections.with_label_values(&[statement.as_str()]);
+            counter.inc_by(rejections.count(statement).saturating_sub(counter.get()));
+        }
+    }
+
     /// Counts datagrams of a kind that were sent, and their bytes.
     pub(crate) fn count_datagrams(&self, kind: &str, datagrams: usize, bytes: usize) {
         let (count, sum) = (datagrams as u64, (datagrams * bytes) as u64);
