relay, scout: tasks that panic are restarted, and a failing relay is not ready

After a panic in one of the watches a relay went on as ready and followed nothing any more: neither configuration, servers and evacuations, which all ended with the same thread, nor what other relays knew. A panic in the exchange of datagrams, or in a scout's loop, ended that task unseen.

Each of these tasks is now supervised (supervision.rs, decisions in task_restarts.rs): it is started again after 50 ms, doubled with each panic up to 2 s, and reads its state anew. Each restart is logged as an error with the panic's message, and counted (relay_task_restarts_total{task}). After three panics in a row the relay is not ready, its status is failing and names the tasks, until they have run for 10 s. The process does not end itself: that would cost all its callers, and its successor would read the same.

Restarts of the exchange of datagrams and of a scout have no test of their own.

--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -217,6 +217,8 @@
     suspects: Vec<SuspectEntry>,
     // Other processes whose messages cannot be read, as they run another version.
     unreadable: Vec<SocketAddr>,
+    // Tasks that panic again and again.
+    failing_tasks: Vec<&'static str>,
 }
 
 /// A request that may be poison.
@@ -270,6 +272,7 @@
     fn state(&self) -> ProcessState {
         match (self.relay.is_ready(), self.relay.version()) {
             (true, _) => ProcessState::Ready,
+            _ if !self.relay.failing_tasks().is_empty() => ProcessState::Failing,
             (false, 0) => ProcessState::Starting,
             (false, _) => ProcessState::Draining,
         }
@@ -306,6 +309,7 @@
                 .collect(),
             suspects: suspects.into_iter().map(SuspectEntry::from).collect(),
             unreadable: self.relay.unreadable_senders(),
+            failing_tasks: self.relay.failing_tasks(),
         };
         serde_json::to_vec(&page).unwrap_or_default()
     }
--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -39,6 +39,8 @@
     Ready,
     /// It ends what it has.
     Draining,
+    /// A task that follows the deployment's state panics again and again.
+    Failing,
 }
 
 /// What the process tells of itself.
@@ -276,6 +278,11 @@
             "text/plain",
             b"draining\n".to_vec(),
         ),
+        ProcessState::Failing => answer(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "text/plain",
+            b"failing: a task panics again and again; see the log\n".to_vec(),
+        ),
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -139,6 +139,7 @@
 pub mod stream_admission;
 pub mod suspect_trials;
 pub mod suspects;
+pub mod task_restarts;
 pub mod time;
 pub mod transcript;
 pub mod trial_pause;
--- a/relay/src/directory_watcher.rs
+++ b/relay/src/directory_watcher.rs
@@ -28,6 +28,7 @@
 use crate::counted_directory::CountedDirectory;
 use crate::peer_pull;
 use crate::relay::Relay;
+use crate::supervision::RelayTask;
 
 /// Interval between watches on the backend servers per known relay, and its maximum. Each watch that returns
 /// costs a call, and changes grow with the number of servers, while the platform's rate limits grow more
@@ -107,12 +108,13 @@
 
     /// Watches the directory until the process ends.
     pub async fn run(self) {
+        let relay = &self.relay;
         tokio::join!(
-            self.watch_config(),
-            self.watch_servers(),
-            self.watch_evacuations(),
-            self.sync_relays(),
-            self.pull_from_peers(),
+            relay.supervise(RelayTask::ConfigWatch, || self.watch_config()),
+            relay.supervise(RelayTask::ServerWatch, || self.watch_servers()),
+            relay.supervise(RelayTask::EvacuationWatch, || self.watch_evacuations()),
+            relay.supervise(RelayTask::RelayList, || self.sync_relays()),
+            relay.supervise(RelayTask::PeerPulls, || self.pull_from_peers()),
         );
     }
 
--- a/relay/src/peer_net.rs
+++ b/relay/src/peer_net.rs
@@ -78,15 +78,15 @@
 
     /// Exchanges datagrams until the process ends.
     pub(crate) async fn run(
-        mut self,
-        mut move_queries: mpsc::Receiver<MoveQuery>,
-        pending: QueueReceivers,
+        &mut self,
+        move_queries: &mut mpsc::Receiver<MoveQuery>,
+        pending: &mut QueueReceivers,
     ) {
         let QueueReceivers {
-            mut sent,
-            mut ended,
-            mut news,
-            asks: mut load_probes,
+            sent,
+            ended,
+            news,
+            asks: load_probes,
         } = pending;
         let mut renewals = interval(SUBSCRIPTION_INTERVAL);
         renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -50,11 +50,12 @@
 use crate::peer_pull;
 use crate::planned_moves::PlannedMoves;
 use crate::poison::Poison;
-use crate::prefill_groups;
 use crate::relay_metrics::RelayMetrics;
 use crate::relay_settings::Policy;
 use crate::relay_settings::RelaySettings;
 use crate::relay_settings::ReloadableSettings;
+use crate::supervision;
+use crate::supervision::RestartedTasks;
 use crate::wait_queues::WaitQueues;
 
 /// Capacity of each queue of messages to other processes.
@@ -137,6 +138,7 @@
     pub(crate) wait_queues: Arc<WaitQueues>,
     pub(crate) planned_moves: PlannedMoves,
     pub(crate) poison: Poison,
+    pub(crate) restarted_tasks: Mutex<RestartedTasks>,
     pub(crate) unreadable: Mutex<UnreadableSenders>,
     pub(crate) peers: Mutex<RelayPeers>,
     // The watchers of this relay's region.
@@ -189,6 +191,7 @@
             server_news_queue,
             load_probes,
             unreadable: Mutex::default(),
+            restarted_tasks: Mutex::default(),
             servers_changed: Notify::new(),
             hello_due: Notify::new(),
             receivers: Mutex::new(Some(receivers)),
@@ -235,13 +238,13 @@
         let peers = PeerNet::bind(self.clone(), self.settings.peer).await?;
         let receivers = lock(&self.receivers).take();
         if let (Some(asks), Some(receivers)) = (self.moved_runs.take_queries(), receivers) {
-            tokio::spawn(peers.run(asks, receivers));
+            tokio::spawn(supervision::run_peers(peers, asks, receivers));
         }
         let callers = caller_server::listen(self.settings.listen)?;
         let ready = caller_server::listen(self.settings.ready)?;
         tokio::spawn(caller_server::serve_callers(self.clone(), callers));
         tokio::spawn(caller_server::serve_readiness(self.clone(), ready));
-        tokio::spawn(prefill_groups::run(self.clone()));
+        tokio::spawn(supervision::run_prefill_groups(self.clone()));
         Ok(())
     }
 
@@ -315,9 +318,9 @@
         }
     }
 
-    /// Whether the entry takes new connections: it has a configuration and a list of servers, and does not drain.
+    /// Whether the entry takes new connections: it has its state and follows it, and does not drain.
     pub fn is_ready(&self) -> bool {
-        self.has_state() && !self.is_draining()
+        self.has_state() && !self.is_draining() && self.is_following()
     }
 
     /// Whether the entry has a configuration and a list of servers.
--- a/relay/src/relay_metrics.rs
+++ b/relay/src/relay_metrics.rs
@@ -54,6 +54,7 @@
     identities: IntCounterVec,
     silent_watches: IntCounter,
     rejections: IntCounterVec,
+    task_restarts: IntCounterVec,
     directory_calls: IntCounterVec,
     datagrams: IntCounterVec,
     datagram_bytes: IntCounterVec,
@@ -224,6 +225,11 @@
                 "Bytes of these, without headers",
                 "kind",
             )?,
+            task_restarts: counter(
+                "relay_task_restarts_total",
+                "Restarts of long-lived tasks that panicked",
+                "task",
+            )?,
             rejections: counter(
                 "relay_rejected_statements_total",
                 "Entries, reports and figures in heads that were rejected as unreadable or out of bounds",
@@ -278,6 +284,7 @@
         registry.register(Box::new(metrics.identities.clone()))?;
         registry.register(Box::new(metrics.silent_watches.clone()))?;
         registry.register(Box::new(metrics.rejections.clone()))?;
+        registry.register(Box::new(metrics.task_restarts.clone()))?;
         registry.register(Box::new(metrics.directory_calls.clone()))?;
         registry.register(Box::new(metrics.datagrams.clone()))?;
         registry.register(Box::new(metrics.datagram_bytes.clone()))?;
@@ -461,6 +468,11 @@
             .inc();
     }
 
+    /// Counts a restart of a long-lived task.
+    pub(crate) fn count_task_restart(&self, task: &str) {
+        self.task_restarts.with_label_values(&[task]).inc();
+    }
+
     /// Sets the number of statements that were rejected since the start.
     pub fn set_rejections(&self, rejections: &Rejections) {
         for statement in Statement::ALL {
--- a/relay/src/scout.rs
+++ b/relay/src/scout.rs
@@ -194,7 +194,7 @@
     }
 
     /// Polls the engine and serves subscribers until the process ends.
-    pub async fn run(mut self) {
+    pub(crate) async fn serve(&mut self) {
         if let Some(listener) = self.listener.take() {
             tokio::spawn(peer_pull::serve(self.held.clone(), listener));
         }
