lib: figures of members and agents are checked where they are read

In a build that checks arithmetic an entry's router panicked at a load of four billion running requests or a wait of the largest integer: sums in score.rs and choice.rs overflowed. A report on an incarnation that is the largest integer makes the process that objects to it add one.

Datagrams of gossip with such an incarnation or serial are dropped. A load with a figure out of bounds changes nothing at the router; the last good one stays in force. Such a load is not logged yet.

--- a/lib/src/gossip.rs
+++ b/lib/src/gossip.rs
@@ -12,6 +12,10 @@
 use crate::copy_type;
 use crate::ids::Name;
 use crate::value_type;
+use crate::wire_figures;
+use crate::wire_figures::CheckFigures;
+use crate::wire_figures::MAX_VERSION;
+use crate::wire_figures::at_most;
 
 /// Largest size of a datagram in bytes, small enough for every path to carry it unfragmented.
 pub const MAX_DATAGRAM: usize = 1_200;
@@ -24,6 +28,9 @@
 
 const TAG_BYTES: usize = 16;
 
+/// The largest serial of another process: a process increases its own beyond those that it objects to.
+const MAX_SERIAL: u32 = u32::MAX / 2;
+
 /// Reason for which a datagram was dropped.
 #[derive(Clone, Copy, Debug, Error, Eq, PartialEq)]
 pub enum GossipError {
@@ -33,6 +40,11 @@
     /// The bytes cannot be decoded as a message of this version.
     #[error("the datagram cannot be read; see that all processes run compatible versions")]
     Malformed,
+    /// An incarnation or a serial is so large that none may follow it.
+    #[error(
+        "an incarnation in the datagram is out of bounds; see that all processes run compatible versions"
+    )]
+    OutOfBounds,
 }
 
 /// The result of reading a datagram.
@@ -158,6 +170,25 @@
         if blake3::hash(&wanted.as_bytes()[..TAG_BYTES]) != blake3::hash(tag) {
             return Err(GossipError::Tag);
         }
-        postcard::from_bytes(bytes).map_err(|_| GossipError::Malformed)
+        let message: Message = postcard::from_bytes(bytes).map_err(|_| GossipError::Malformed)?;
+        message
+            .check_figures()
+            .map_err(|_| GossipError::OutOfBounds)?;
+        Ok(message)
+    }
+}
+
+impl CheckFigures for StateVersion {
+    fn check_figures(&self) -> wire_figures::Result<()> {
+        at_most("incarnation", self.incarnation, MAX_VERSION)?;
+        at_most("serial", self.serial, MAX_SERIAL)
+    }
+}
+
+impl CheckFigures for Message {
+    fn check_figures(&self) -> wire_figures::Result<()> {
+        self.version.check_figures()?;
+        let mut versions = self.updates.iter().map(|update| update.version);
+        versions.try_for_each(|version| version.check_figures())
     }
 }
--- a/lib/src/load.rs
+++ b/lib/src/load.rs
@@ -1,6 +1,10 @@
 //! The load report that an agent sends to entries with replies and heartbeats.
 
 use crate::value_type;
+use crate::wire_figures;
+use crate::wire_figures::CheckFigures;
+use crate::wire_figures::MAX_REQUESTS;
+use crate::wire_figures::at_most;
 
 value_type! {
     /// A compact summary of an agent's load. Postcard encodes the numbers as variable-length integers.
@@ -27,3 +31,16 @@
         pub reachable: bool,
     }
 }
+
+/// The longest reported time in microseconds. An agent that makes no progress states waits of many years, and its report
+/// still tells whether it is draining.
+const MAX_MICROS: u64 = 1 << 53;
+
+impl CheckFigures for LoadSummary {
+    fn check_figures(&self) -> wire_figures::Result<()> {
+        at_most("running", self.running, MAX_REQUESTS)?;
+        at_most("queued", self.queued, MAX_REQUESTS)?;
+        at_most("expected wait", self.expected_wait, MAX_MICROS)?;
+        at_most("token gap", self.token_gap, MAX_MICROS)
+    }
+}
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -38,6 +38,7 @@
 use crate::service::ServiceState;
 use crate::subset::SubsetRule;
 use crate::time::Time;
+use crate::wire_figures::CheckFigures;
 use crate::zone_cost::ZoneCost;
 
 /// Minimum number of tokens for a measurement of the time per token: with fewer, the wait before
@@ -126,8 +127,11 @@
         self.rebuild(now, &service);
     }
 
-    /// Records a server's load report.
+    /// Records a server's load report. One with a figure out of bounds changes nothing.
     pub fn report(&mut self, now: Time, server: ServerKey, load: LoadSummary) {
+        if load.check_figures().is_err() {
+            return;
+        }
         let Some(known) = self.servers.get_mut(server) else {
             return;
         };
--- a/lib/tests/membership.rs
+++ b/lib/tests/membership.rs
@@ -5,8 +5,11 @@
 use cicada_lib::config_apply::ConfigVersionId;
 use cicada_lib::config_chunks::root_digest;
 use cicada_lib::gossip::GossipError;
+use cicada_lib::gossip::MemberUpdate;
 use cicada_lib::gossip::Message;
 use cicada_lib::gossip::Purpose;
+use cicada_lib::gossip::ReportedState;
+use cicada_lib::gossip::StateVersion;
 use cicada_lib::ids::Version;
 use cicada_lib::membership::Membership;
 use cicada_lib::roster::Member;
@@ -306,3 +309,40 @@
         assert_eq!(Message::open(&changed, &[1; 32]), Err(GossipError::Tag));
     }
 }
+
+/// Guards against a process that ends when it objects to a report on an incarnation which none can follow.
+#[test]
+fn incarnations_out_of_bounds_are_dropped() {
+    let mut net = net(2, 16);
+    let now = net.now();
+    let mut rng = fastrand::Rng::with_seed(1);
+    let sent = (0..20).find_map(|n| {
+        let at = now + Duration::from_millis(100 * n);
+        net.nodes[1].membership.tick(at, &mut rng).pop()
+    });
+    let sound = sent.expect("a heartbeat every second").message;
+    let open = |message: &Message| Message::open(&message.seal(&[1; 32]), &[1; 32]);
+    assert!(open(&sound).is_ok());
+    let version = StateVersion {
+        incarnation: u64::MAX,
+        serial: 0,
+    };
+    let mut odd = sound.clone();
+    odd.version = version;
+    assert!(open(&odd).is_err());
+    for version in [
+        version,
+        StateVersion {
+            incarnation: sound.version.incarnation,
+            serial: u32::MAX,
+        },
+    ] {
+        let mut odd = sound.clone();
+        odd.updates.push(MemberUpdate {
+            id: sound.id,
+            version,
+            reported: ReportedState::Suspect,
+        });
+        assert!(open(&odd).is_err(), "{version:?}");
+    }
+}
--- a/lib/tests/routing.rs
+++ b/lib/tests/routing.rs
@@ -381,3 +381,36 @@
         .tests(200)
         .quickcheck(within_budget as fn(Vec<(bool, u8)>) -> bool);
 }
+
+/// Guards against an entry that ends at a load out of any proportion, or takes it for the server's.
+#[test]
+fn a_load_out_of_bounds_leaves_the_last_good_one_in_force() {
+    let mut router = router(2, 0);
+    let target = Target::new();
+    let keys = ["north-0", "north-1"].map(|name| router.key(&Name::new(name)).unwrap());
+    router.report(Time::ZERO, keys[0], load(0, 1));
+    router.report(Time::ZERO, keys[1], load(500, 40));
+    let odd = LoadSummary {
+        queued: u32::MAX,
+        ..load(0, u32::MAX)
+    };
+    router.report(Time::ZERO, keys[0], odd);
+    let endless = LoadSummary {
+        expected_wait: u64::MAX,
+        token_gap: u64::MAX,
+        ..load(0, 1)
+    };
+    router.report(Time::ZERO, keys[0], endless);
+    for seed in 0..20 {
+        assert_eq!(chosen(&mut router, Time::ZERO, &target, seed), "north-0");
+    }
+    let stuck = LoadSummary {
+        expected_wait: 1 << 53,
+        token_gap: 1 << 53,
+        ..load(0, 1)
+    };
+    router.report(Time::ZERO, keys[1], stuck);
+    for seed in 0..20 {
+        assert_eq!(chosen(&mut router, Time::ZERO, &target, seed), "north-0");
+    }
+}
