relay: a run that goes on elsewhere leaves its unfinished copy behind

A relay whose stop of a run got no answer copies the run again. If the first stop took effect during that copy, the run went on from its first copy at another engine; the second copy was then completed, and the relay stopped the run a second time, at the engine where it had just gone on and with that engine as the target. The caller saw another gap, and a lost answer to that stop could end the stream.

The step of a move now ends when the run goes on at an engine.

--- /dev/null
+++ b/daemon/tests/relay_stop_review.rs
@@ -0,0 +1,73 @@
+//! Runs that are stopped for a move beside other calls, after an earlier stop whose outcome is unknown, or while their
+//! memory is copied again.
+
+use std::path::Path;
+use std::time::Duration;
+
+use cicada_standins::breaks::Framing;
+use cicada_standins::caller::Ask;
+use cicada_standins::deployment::Deployment;
+use cicada_standins::deployment::KEY;
+use cicada_standins::deployment::wait_until;
+use cicada_standins::last_answer::LastAnswer;
+use cicada_standins::stream_tally::Tally;
+use eyre::Result;
+use eyre::ensure;
+use testutils::cluster::Signal;
+use tokio::time::sleep;
+
+/// Events of a stream: it lasts 3.3 s.
+const EVENTS: u32 = 220;
+
+/// Time in which scouts get to know each other.
+const START: Duration = Duration::from_millis(1_500);
+
+/// Time after which a scout that stands still counts as silent.
+const SCOUT_SILENCE: Duration = Duration::from_millis(1_000);
+
+/// The shortest time for which an engine that leaves is there.
+const SHORT_NOTICE: Duration = Duration::from_millis(1_500);
+
+fn daemon() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_cicadad"))
+}
+
+/// A prompt whose copy takes 600 ms.
+const LONG_PROMPT: u32 = 30_000;
+
+/// Guards against a run that goes on from its copy, and is stopped there with a copy that was being made of it before.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_copy_of_a_run_that_has_gone_on_elsewhere_stops_nothing() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 3, 0).await?;
+    sleep(START).await;
+    let relay = deployment.relays[0].callers;
+    let ask = Ask::stream("draft-0", KEY, LONG_PROMPT, EVENTS).with_framing(Framing::Close);
+    let heard = tokio::spawn(async move { ask.send(relay).await });
+    let engines: Vec<_> = deployment
+        .engines
+        .iter()
+        .map(|host| host.engine.clone())
+        .collect();
+    let at = || engines.iter().position(|engine| engine.running() > 0);
+    wait_until("the run has begun", || at().is_some()).await?;
+    let source = at().unwrap_or_default();
+    engines[source].set_last_answer(LastAnswer::StopsLate, Some(1));
+    deployment.engines[source].scout.signal(Signal::Stop)?;
+    sleep(SCOUT_SILENCE).await;
+    deployment.leave(source, 2 * SHORT_NOTICE);
+    let mut tally = Tally::default();
+    tally.add("draft-0", Framing::Close, EVENTS, &heard.await??);
+    let others = engines.iter().enumerate();
+    let others = others.filter(|(engine, _)| *engine != source);
+    let stopped: usize = others.map(|(_, engine)| engine.stopped_runs()).sum();
+    let log = deployment.relays[0].process.log();
+    ensure!(
+        engines[source].failed_last_answers() > 0,
+        "no stop was late\n{log}"
+    );
+    ensure!(
+        stopped == 0 && tally.is_right(),
+        "{stopped}, {tally:?}\n{log}"
+    );
+    Ok(())
+}
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -394,6 +394,8 @@
     /// Continues with the answer of the engine at which the run was resumed, and records since when it was paused.
     pub(crate) fn continue_with(&mut self, paused_since: Instant, answered: StartedAnswer) {
         self.placed.record_first_event();
+        // A copy that is still being made is one of the run at its former engine.
+        self.moving = None;
         if let Some(run) = &self.registration {
             run.begin_at(self.placed.record.address);
         }
