relay: a second planned move keeps the copy of a run that may have stopped

A stop off an engine that stays, whose outcome is unknown, keeps the copy of the run. A later planned move of the run to the same target extends that copy under the same handle. When that move failed as well or was abandoned, one of the two owners of the copy freed it, and the run could not resume from it: a close-delimited stream was cut.

The owners are now compared by handle, and a copy that an earlier stop needs is kept when a later move ends. In the test two stops get no answer, of which the second takes effect: the stream was cut before the change, and it is whole after it.

--- a/daemon/tests/relay_stop_review.rs
+++ b/daemon/tests/relay_stop_review.rs
@@ -10,6 +10,7 @@
 use cicada_standins::deployment::KEY;
 use cicada_standins::deployment::wait_until;
 use cicada_standins::last_answer::LastAnswer;
+use cicada_standins::stream_tally::Streams;
 use cicada_standins::stream_tally::Tally;
 use eyre::Result;
 use eyre::ensure;
@@ -32,6 +33,57 @@
     Path::new(env!("CARGO_BIN_EXE_cicadad"))
 }
 
+/// Pace of an engine while its scout learns, and when its runs are late.
+const FAST: Duration = Duration::from_millis(5);
+const SLOW: Duration = Duration::from_millis(300);
+
+/// Events of a run that a planned move is to stop.
+const PLANNED_EVENTS: u32 = 800;
+
+/// Guards against a copy that is freed with an earlier move of the run, although both moves made the same copy.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_second_planned_stop_keeps_the_copy_of_the_run() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 2, 0).await?;
+    deployment.set(0, "grace = 8\n", "grace = 8\nhandoff = on\nrescue = on\n")?;
+    let process = &deployment.relays[0].process;
+    wait_until("the settings were read again", || {
+        process.log().contains("were read again")
+    })
+    .await?;
+    for host in &deployment.engines {
+        host.engine.set_pace(FAST);
+        host.engine.set_last_answer(LastAnswer::CallLost, Some(1));
+    }
+    sleep(START).await;
+    let streams = [(Framing::Close, PLANNED_EVENTS)].into_iter();
+    let streams = Streams::start(&deployment, streams);
+    let running = |engine: usize| deployment.engines[engine].engine.running();
+    wait_until("the run has begun", || running(0) + running(1) == 1).await?;
+    let source = &deployment.engines[usize::from(running(1) == 1)].engine;
+    sleep(START).await;
+    source.set_pace(SLOW);
+    let failed = |count: usize| source.failed_last_answers() == count;
+    wait_until("its stop was asked for", || failed(1)).await?;
+    source.set_last_answer(LastAnswer::Closed, Some(1));
+    wait_until("its stop was asked for again", || failed(2)).await?;
+    for host in &deployment.engines {
+        host.engine.set_pace(FAST);
+    }
+    let tallies = streams.tallies(&deployment).await?;
+    let whole: usize = tallies.iter().map(|tally| tally.whole).sum();
+    let freed: u32 = deployment
+        .engines
+        .iter()
+        .map(|host| host.engine.freed())
+        .sum();
+    ensure!(
+        whole == 1,
+        "{tallies:?}, {freed} copies freed\n{}",
+        deployment.relays[0].process.log()
+    );
+    Ok(())
+}
+
 /// A prompt whose copy takes 600 ms.
 const LONG_PROMPT: u32 = 30_000;
 
--- a/relay/src/run_handoff.rs
+++ b/relay/src/run_handoff.rs
@@ -278,7 +278,7 @@
             (_, Err(error)) => {
                 if step == MoveStep::Stop {
                     // The copy may be the only memory of the run.
-                    self.kept_copy = plan.copy.take();
+                    self.keep_copy(plan.copy.take());
                 }
                 if matches!(error, MoveError::NoRoom(_)) {
                     self.record_refusal(&target);
@@ -409,8 +409,11 @@
         self.relay.planned_moves().record_refusal(now, target.key);
     }
 
-    /// Ends a move that failed or was abandoned. Frees the copy, if there is one.
-    fn end_planned_move(&mut self, plan: PlannedMove, target: &PlacedRequest, outcome: &str) {
+    /// Ends a move that failed or was abandoned. Frees the copy, if there is one and no earlier stop needs it.
+    fn end_planned_move(&mut self, mut plan: PlannedMove, target: &PlacedRequest, outcome: &str) {
+        if self.release_if_kept(plan.copy.as_ref().map(HeldCopy::handle)) {
+            self.kept_copy = plan.copy.take();
+        }
         self.planned.bounds.record_failure(self.relay.now());
         self.log_end(&plan, target, outcome);
     }
--- a/relay/src/run_stop.rs
+++ b/relay/src/run_stop.rs
@@ -23,6 +23,7 @@
 use crate::moved_runs::OUTCOME_WAIT;
 use crate::moved_runs::ScoutOutcome;
 use crate::placed_request::PlacedRequest;
+use crate::planned_moves::HeldCopy;
 use crate::stream_run::Run;
 
 /// What became of a run whose stream has ended.
@@ -235,6 +236,22 @@
         }
     }
 
+    /// Keeps the copy of a run that may have been stopped.
+    pub(crate) fn keep_copy(&mut self, copy: Option<HeldCopy>) {
+        self.release_if_kept(copy.as_ref().map(HeldCopy::handle));
+        self.kept_copy = copy;
+    }
+
+    /// Gives up the charge of a kept copy that a later move of the run has extended: both have the same handle.
+    pub(crate) fn release_if_kept(&mut self, extended: Option<Name>) -> bool {
+        let kept = self
+            .kept_copy
+            .take_if(|kept| extended == Some(kept.handle()));
+        let is_kept = kept.is_some();
+        kept.into_iter().for_each(HeldCopy::release);
+        is_kept
+    }
+
     /// Resumes a run at the engine at `target`, or at its own if there is none or it refuses.
     async fn resume_from_memory(&mut self, target: Option<SocketAddr>, handle: &Name) -> bool {
         let target = target.and_then(|address| self.place_at_copy(address));
