tests: plain calls beside streams at a leaving engine

A scout asks the holder of each run's stream before it stops the run. Runs of plain calls are held by no relay as streams, so that each of them delays the scout by 300 ms.

--- a/daemon/tests/relay_stop_review.rs
+++ b/daemon/tests/relay_stop_review.rs
@@ -14,7 +14,9 @@
 use cicada_standins::stream_tally::Tally;
 use eyre::Result;
 use eyre::ensure;
+use serde_json::json;
 use testutils::cluster::Signal;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 /// Events of a stream: it lasts 3.3 s.
@@ -23,16 +25,62 @@
 /// Time in which scouts get to know each other.
 const START: Duration = Duration::from_millis(1_500);
 
+/// Time in which streams begin.
+const BEGIN: Duration = Duration::from_millis(300);
+
 /// Time after which a scout that stands still counts as silent.
 const SCOUT_SILENCE: Duration = Duration::from_millis(1_000);
 
 /// The shortest time for which an engine that leaves is there.
 const SHORT_NOTICE: Duration = Duration::from_millis(1_500);
 
+/// Calls that are not streams. Each of three engines gets some.
+const PLAIN_CALLS: usize = 24;
+
 fn daemon() -> &'static Path {
     Path::new(env!("CARGO_BIN_EXE_cicadad"))
 }
 
+/// Guards against a leaving engine's streams that are lost because its scout first waits for permission to stop runs that
+/// no relay holds as streams.
+#[tokio::test(flavor = "multi_thread")]
+async fn plain_calls_do_not_hold_up_the_moves_of_streams() -> Result<()> {
+    let deployment = Deployment::start(daemon(), 1, 3, 0).await?;
+    deployment.reconfigure(|config| {
+        if let Some(routes) = config["routes"].as_array_mut() {
+            let mut route = routes[2].clone();
+            route["name"] = json!("sums");
+            route["pathPrefix"] = json!("/sums/");
+            route["type"] = json!("idempotent");
+            route["service"] = json!("liturgy");
+            route["timeoutMs"] = json!(20_000);
+            routes.push(route);
+        }
+    });
+    sleep(START).await;
+    let relay = deployment.relays[0].callers;
+    let mut calls = JoinSet::new();
+    for number in 0..PLAIN_CALLS {
+        let ask = Ask::stream(&format!("sum-{number}"), KEY, 100, EVENTS)
+            .with_path("/sums/1")
+            .with_framing(Framing::Close);
+        calls.spawn(async move { ask.send(relay).await });
+    }
+    let streams = std::iter::repeat_n((Framing::Close, EVENTS), 12);
+    let streams = Streams::start(&deployment, streams);
+    sleep(BEGIN).await;
+    let running = deployment.engines[0].engine.running();
+    deployment.leave(0, SHORT_NOTICE);
+    sleep(SHORT_NOTICE).await;
+    deployment.engines[0].server.down().await;
+    let tallies = streams.tallies(&deployment).await?;
+    calls.abort_all();
+    let log = deployment.engines[0].scout.log();
+    println!("{running} runs at the leaving engine: {tallies:?}");
+    ensure!(tallies[0].cut == 0, "{:?}\n{log}", tallies[0]);
+    Ok(())
+}
+
 /// Pace of an engine while its scout learns, and when its runs are late.
 const FAST: Duration = Duration::from_millis(5);
 const SLOW: Duration = Duration::from_millis(300);
