relay: scouts get an answer on runs of plain calls

A scout asks the holder of each run before it stops the run. No relay replied for the run of a plain call, so that each of them delayed the scout by 300 ms, while streams at the leaving engine waited to be moved.

A relay now records the plain calls that it has sent to engines that support moves, at no engine, so that it refuses their stops at once. In the test eight plain calls and four streams are at an engine that is there for 1.5 s: all four streams were cut before the change, and none is after it.

--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -182,6 +182,12 @@
         left: call.time_left(),
         ..Dispatch::default()
     };
+    // The scout of a leaving engine asks whether it may stop the run. Unanswered, it would wait while other runs are to
+    // be moved. A run that is recorded at no engine is not stopped.
+    let engine = call.spec.engine.as_ref();
+    let id = call.head.id.as_ref();
+    let movable = id.filter(|_| engine.is_some_and(|engine| engine.supports_moves));
+    let _registration = movable.map(|id| relay.moved_runs().local().register(id));
     let answered = send(relay, call, placed, &dispatch, None, None).await?;
     answered.read_whole(relay, call, placed).await
 }
