relay: a run whose scout asks anew is moved by its relay

A stop that a scout was permitted stayed pending while the stream went on, if the scout was restarted before it asked its engine or its notice of the outcome was lost. The next question of the scout was refused for as long, and the relay left the run to the live scout, so that nobody moved it and it was lost with its engine.

A new question of a scout now marks its former stop as one of unknown outcome. It is still refused; the relay moves the run. In the test a scout is restarted between the permission and the stop: the stream was cut before the change, and it is whole after it.

--- a/daemon/tests/relay_stop_review.rs
+++ b/daemon/tests/relay_stop_review.rs
@@ -171,3 +171,41 @@
     );
     Ok(())
 }
+
+/// Events of a stream that outlasts its engine's notice, and that notice.
+const LONG_EVENTS: u32 = 500;
+const LONG_NOTICE: Duration = Duration::from_secs(5);
+
+/// Guards against a run that nobody moves since the scout that was permitted to stop it has ended before it did so.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_run_whose_permitted_stop_is_not_asked_for_is_moved() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 3, 0).await?;
+    sleep(START).await;
+    let relay = deployment.relays[0].callers;
+    let ask = Ask::stream("draft-0", KEY, LONG_PROMPT, LONG_EVENTS).with_framing(Framing::Close);
+    let heard = tokio::spawn(async move { ask.send(relay).await });
+    let engines: Vec<_> = deployment
+        .engines
+        .iter()
+        .map(|host| host.engine.clone())
+        .collect();
+    let at = || engines.iter().position(|engine| engine.running() > 0);
+    wait_until("the run has begun", || at().is_some()).await?;
+    let source = at().unwrap_or_default();
+    deployment.leave(source, LONG_NOTICE);
+    sleep(2 * BEGIN).await;
+    let first_log = deployment.engines[source].scout.log();
+    deployment.engines[source].scout.signal(Signal::Kill)?;
+    deployment.restart_scout(source)?;
+    sleep(LONG_NOTICE).await;
+    deployment.engines[source].server.down().await;
+    let mut tally = Tally::default();
+    tally.add("draft-0", Framing::Close, LONG_EVENTS, &heard.await??);
+    let relay_log = deployment.relays[0].process.log();
+    let scout_log = deployment.engines[source].scout.log();
+    ensure!(
+        tally.whole == 1,
+        "{tally:?}\n{relay_log}\n=== first scout\n{first_log}\n=== second scout\n{scout_log}"
+    );
+    Ok(())
+}
--- a/lib/src/migration/run_stops.rs
+++ b/lib/src/migration/run_stops.rs
@@ -146,11 +146,25 @@
             return Err(StopRefusal::NotHere);
         }
         match self.open_stop(request.engine).is_some() {
-            true => Err(StopRefusal::Unsettled),
+            true => {
+                self.lose_scout_stops(request.engine);
+                Err(StopRefusal::Unsettled)
+            }
             false => Ok(self.push(request)),
         }
     }
 
+    /// Records that nobody tells the outcome of former stops by the engine's scout. A scout moves one run at a time, so one
+    /// that asks anew has given up the former stop, was restarted, or its news was lost.
+    fn lose_scout_stops(&mut self, engine: SocketAddr) {
+        let is_former = |stop: &&mut OpenStop| {
+            stop.request.by == Stopper::Scout && stop.request.engine == engine
+        };
+        for stop in self.open.iter_mut().filter(is_former) {
+            stop.state = StopState::Unknown;
+        }
+    }
+
     /// Records the handle of the copy that was made before a stop.
     pub fn set_handle(&mut self, key: StopKey, handle: &Name) {
         let stop = self.open.iter_mut().find(|stop| stop.key == key);
--- a/lib/tests/run_stops.rs
+++ b/lib/tests/run_stops.rs
@@ -129,6 +129,21 @@
     assert_eq!(second, Err(StopRefusal::Unsettled));
 }
 
+/// Guards against a run that nobody moves any more since the scout that was permitted to stop it was restarted.
+#[test]
+fn a_new_question_of_the_scout_ends_the_wait_for_its_former_stop() {
+    let mut stops = at(1);
+    let first = stops.permit(stop(Stopper::Scout, 1, "a")).unwrap();
+    let other = StopRequest {
+        number: 2,
+        ..stop(Stopper::Scout, 1, "b")
+    };
+    assert_eq!(stops.permit(other), Err(StopRefusal::Unsettled));
+    let open = stops.open_stop(engine(1)).unwrap();
+    assert_eq!((open.key, open.state), (first, StopState::Unknown));
+    assert!(stops.record_own(stop(Stopper::Relay, 1, "c")).is_ok());
+}
+
 /// Guards against a lost stop that reaches the engine after the run has returned there.
 #[test]
 fn a_stop_of_unknown_outcome_stays_open_when_the_run_returns() {
