draining: a relay that is stopped cuts no request that it has taken

Callers of a relay that was stopped saw their connections end without an answer, among them requests that must not be repeated: those whose heads became complete while the relay closed its listener, calls that took longer than the 0.9 s that were left for them, requests whose bodies were still arriving, and kept connections in the middle of a head.

The relay ended by the number of open requests, and a connection whose head was still arriving did not count. It now ends when no connection is open. Whether a request is taken is decided in lib/src/drain_admission.rs by what is left of the grace period, the request's own time limit and the slowest recent call of its service; what is refused was sent to no server and may be sent to another relay at once. What has no answer 0.7 s before the end of the grace period gets one from the relay: 503 if it was not sent, 502 otherwise.

A relay that is stopped before it was ready ends without waiting for the load balancer, and signals are received before any other thread is started: a stop in the first milliseconds ended the process with an error.

--- a/daemon/src/drain.rs
+++ b/daemon/src/drain.rs
@@ -3,13 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::Context;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
-
 use crate::agent::Agent;
 use crate::common::Common;
+use crate::signals::Signals;
 use crate::status::Process;
 
 /// How often the requests in flight are counted while draining.
@@ -19,35 +15,14 @@
 /// be on their way to the kernel.
 const QUIET_LOOKS: u32 = 6;
 
-struct Signals {
-    term: Signal,
-    int: Signal,
-}
-
-impl Signals {
-    fn new() -> eyre::Result<Self> {
-        Ok(Signals {
-            term: signal(SignalKind::terminate()).wrap_err("process: no SIGTERM")?,
-            int: signal(SignalKind::interrupt()).wrap_err("process: no SIGINT")?,
-        })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.term.recv() => {}
-            _ = self.int.recv() => {}
-        }
-    }
-}
-
 /// Waits for a signal, drains, and returns when nothing is in flight or a second signal comes.
 pub(crate) async fn wait(
+    mut signals: Signals,
     process: &Arc<Process>,
     common: &Common,
     agent: Option<&Agent>,
 ) -> eyre::Result<()> {
-    let mut signals = Signals::new()?;
-    signals.next().await;
+    signals.stop().await;
     tracing::info!(in_flight = process.in_flight(), "drain: begun");
     // Readiness fails first. New callers are still served during the notice, for the balancer needs
     // a moment to turn away; an agent says at once that it takes no new work.
@@ -60,7 +35,7 @@
     let limit = settings.millis("drain", "notice") + settings.millis("drain", "limit");
     tokio::select! {
         () = finish(process) => tracing::info!("drain: done, nothing was cut"),
-        () = signals.next() => cut(process, "a second signal"),
+        () = signals.stop() => cut(process, "a second signal"),
         () = tokio::time::sleep(limit) => cut(process, "[drain] limit"),
     }
     common.say_leaving().await;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -41,6 +41,7 @@
 mod runs;
 mod scout_role;
 mod servers_controller;
+mod signals;
 mod sse;
 mod status;
 mod tombstones;
@@ -99,8 +100,11 @@
 }
 
 fn run(settings: Settings, file: &Path) -> ExitCode {
+    let started = process::start(&settings);
     let _written = logs::start(&settings);
-    match process::run(settings, file) {
+    let ended =
+        started.and_then(|(traffic, signals)| process::run(settings, file, &traffic, signals));
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             tracing::error!("process: {err:#}");
--- a/daemon/src/process.rs
+++ b/daemon/src/process.rs
@@ -30,10 +30,12 @@
 use crate::relay_role;
 use crate::scout_role;
 use crate::servers_controller::ServersController;
+use crate::signals::Signals;
 use crate::status::Process;
 
-/// Runs until the process has drained or is stopped.
-pub(crate) fn run(settings: Settings, file: &Path) -> eyre::Result<()> {
+/// Receives signals from now on, and starts the threads for traffic.
+pub(crate) fn start(settings: &Settings) -> eyre::Result<(Runtime, Signals)> {
+    let signals = first_signals()?;
     let threads = settings.count("process", "threads") as usize;
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(threads)
@@ -41,15 +43,36 @@
         .enable_all()
         .build()
         .wrap_err("process: the runtime could not be started")?;
+    Ok((traffic, signals))
+}
+
+/// Receives signals without waiting for the threads for traffic, which deliver them: a process may be stopped right after
+/// its start.
+fn first_signals() -> eyre::Result<Signals> {
+    let first = tokio::runtime::Builder::new_current_thread()
+        .enable_io()
+        .build()
+        .wrap_err("process: signals cannot be received")?;
+    let _entered = first.enter();
+    Signals::new()
+}
+
+/// Runs until the process has drained or is stopped.
+pub(crate) fn run(
+    settings: Settings,
+    file: &Path,
+    traffic: &Runtime,
+    signals: Signals,
+) -> eyre::Result<()> {
     match settings.program() {
-        Program::Entry => run_entry(settings, &traffic),
-        Program::Agent => run_agent(settings, &traffic),
-        Program::Relay => relay_role::run(settings, file, &traffic),
-        Program::Scout => scout_role::run(&settings, &traffic),
+        Program::Entry => run_entry(settings, traffic, signals),
+        Program::Agent => run_agent(settings, traffic, signals),
+        Program::Relay => relay_role::run(settings, file, traffic, signals),
+        Program::Scout => scout_role::run(&settings, traffic, signals),
     }
 }
 
-fn run_entry(settings: Settings, traffic: &Runtime) -> eyre::Result<()> {
+fn run_entry(settings: Settings, traffic: &Runtime, signals: Signals) -> eyre::Result<()> {
     let metrics = Metrics::new();
     let figures = EntryMetrics::new(&metrics);
     let open = figures.open().clone();
@@ -90,10 +113,10 @@
     let threads = settings.count("process", "threads") as usize;
     Callers::new(entry).serve(listen, threads)?;
     tracing::info!(name = %process.name(), %listen, "process: entry started");
-    traffic.block_on(drain::wait(&process, &common, None))
+    traffic.block_on(drain::wait(signals, &process, &common, None))
 }
 
-fn run_agent(settings: Settings, traffic: &Runtime) -> eyre::Result<()> {
+fn run_agent(settings: Settings, traffic: &Runtime, signals: Signals) -> eyre::Result<()> {
     let metrics = Metrics::new();
     let (open, reader) = agent::open_count();
     let process = Arc::new(Process::new(settings, metrics.clone(), reader));
@@ -119,5 +142,5 @@
     }
     common.start(vec![agent.config_sink()], controllers)?;
     tracing::info!(name = %process.name(), "process: agent started");
-    traffic.block_on(drain::wait(&process, &common, Some(&agent)))
+    traffic.block_on(drain::wait(signals, &process, &common, Some(&agent)))
 }
--- a/daemon/src/relay_role.rs
+++ b/daemon/src/relay_role.rs
@@ -26,13 +26,12 @@
 use eyre::OptionExt;
 use serde::Serialize;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 use crate::metrics::Metrics;
 use crate::reload;
 use crate::reload::Look;
 use crate::reload::Reload;
+use crate::signals::Signals;
 use crate::status;
 use crate::status::ProcessState;
 use crate::status::StatusSource;
@@ -40,7 +39,12 @@
 const MEGABYTE: usize = 1024 * 1024;
 
 /// Runs until the process has drained.
-pub(crate) fn run(settings: Settings, file: &Path, traffic: &Runtime) -> eyre::Result<()> {
+pub(crate) fn run(
+    settings: Settings,
+    file: &Path,
+    traffic: &Runtime,
+    signals: Signals,
+) -> eyre::Result<()> {
     let metrics = Metrics::new();
     let relay_metrics = RelayMetrics::new(metrics.registry())?;
     let rejections = Arc::new(Rejections::new());
@@ -67,12 +71,15 @@
         settings: settings.clone(),
     };
     status::serve(Arc::new(source), status)?;
-    traffic.block_on(serve(&settings, file, &relay))
+    traffic.block_on(serve(&settings, file, &relay, signals))
 }
 
-async fn serve(settings: &Settings, file: &Path, relay: &Arc<Relay>) -> eyre::Result<()> {
-    let mut term = signal(SignalKind::terminate()).wrap_err("process: no SIGTERM")?;
-    let mut hup = signal(SignalKind::hangup()).wrap_err("process: no SIGHUP")?;
+async fn serve(
+    settings: &Settings,
+    file: &Path,
+    relay: &Arc<Relay>,
+    mut signals: Signals,
+) -> eyre::Result<()> {
     relay
         .serve()
         .await
@@ -86,8 +93,10 @@
     let mut looks = tokio::time::interval(reload::LOOK);
     loop {
         tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => {
+            must_stop = signals.next() => {
+                if must_stop {
+                    break;
+                }
                 reload.look(true, |new| apply_reloaded(relay, new));
             }
             _ = looks.tick() => {
--- a/daemon/src/scout_role.rs
+++ b/daemon/src/scout_role.rs
@@ -9,19 +9,16 @@
 use eyre::Context;
 use eyre::OptionExt;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 use crate::relay_role;
+use crate::signals::Signals;
 
 /// Runs until the process is told to end. A scout holds no request, so that it ends at once.
-pub(crate) fn run(settings: &Settings, traffic: &Runtime) -> eyre::Result<()> {
-    traffic.block_on(serve(settings))
+pub(crate) fn run(settings: &Settings, traffic: &Runtime, signals: Signals) -> eyre::Result<()> {
+    traffic.block_on(serve(settings, signals))
 }
 
-async fn serve(settings: &Settings) -> eyre::Result<()> {
-    let mut term = signal(SignalKind::terminate()).wrap_err("process: no SIGTERM")?;
-    let mut hup = signal(SignalKind::hangup()).wrap_err("process: no SIGHUP")?;
+async fn serve(settings: &Settings, mut signals: Signals) -> eyre::Result<()> {
     let peer = settings.address("process", "peer");
     let peer = peer.ok_or_eyre("[process] peer is missing")?;
     let engine = settings.address("backend", "address");
@@ -39,11 +36,8 @@
     let scout = scout.with_reuse_after(reuse_after);
     tracing::info!(name = settings.text("process", "name"), %engine, "process: scout started");
     tokio::spawn(scout.run());
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = hup.recv() => tracing::info!("process: SIGHUP, nothing of a scout's settings can change"),
-        }
+    while !signals.next().await {
+        tracing::info!("process: SIGHUP, nothing of a scout's settings can change");
     }
     tracing::info!("process: scout ends");
     Ok(())
--- a/daemon/tests/relay_soak.rs
+++ b/daemon/tests/relay_soak.rs
@@ -5,6 +5,7 @@
 
 use cicada_standins::soak;
 use cicada_standins::soak::Plan;
+use cicada_standins::soak_drains;
 use eyre::Result;
 
 /// Duration of a soak run, and of one whose faults take longer.
@@ -53,6 +54,17 @@
     assert_guarantees_hold(Plan::new(3, LONG_DURATION).with_breaks()).await
 }
 
+/// Guards against requests that are cut because they become complete late in the stops of their relays.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_with_slow_heads_are_answered_while_relays_are_stopped_in_turn() -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let report = soak_drains::run_stops(daemon, 1, LONG_DURATION).await?;
+    assert!(report.broken.is_empty(), "{report:#?}");
+    let served = report.ends.get("slow 200").copied().unwrap_or_default();
+    assert!(served > 100, "{:?}", report.ends);
+    Ok(())
+}
+
 #[test]
 fn a_seed_gives_the_same_schedule() {
     assert_eq!(soak::schedule(7, DURATION), soak::schedule(7, DURATION));
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod daemon_keys;
 pub mod daemon_settings;
 pub mod dialect;
+pub mod drain_admission;
 pub mod ejection;
 pub mod engine_http;
 pub mod engine_load_tracker;
--- a/relay/src/caller_io.rs
+++ b/relay/src/caller_io.rs
@@ -34,6 +34,8 @@
 struct State {
     // Requests whose response is not yet sent.
     open_requests: u32,
+    // Whether a request has arrived.
+    used: bool,
     // When the first bytes of the next request's head were read.
     head_since: Option<Instant>,
     // When the last response ended, or the connection was opened.
@@ -63,6 +65,7 @@
         ConnectionActivity {
             state: Mutex::new(State {
                 open_requests: 0,
+                used: false,
                 head_since: None,
                 idle_since: Instant::now(),
                 unread_since: None,
@@ -83,6 +86,7 @@
         let mut state = self.lock();
         state.ends_response = version < Version::HTTP_11;
         state.open_requests += 1;
+        state.used = true;
         state.head_since = None;
     }
 
@@ -99,6 +103,13 @@
         self.lock().aborted = true;
     }
 
+    /// Returns since when no request is open or arriving, and whether there was one before; `None` if there is one.
+    pub(crate) fn idle_since(&self) -> Option<(Instant, bool)> {
+        let state = *self.lock();
+        let idle = state.open_requests == 0 && state.head_since.is_none();
+        idle.then_some((state.idle_since, state.used))
+    }
+
     /// Whether the end of the connection would complete a response that is not complete.
     fn must_reset(&self) -> bool {
         let state = self.lock();
--- a/relay/src/caller_server.rs
+++ b/relay/src/caller_server.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
@@ -23,15 +24,21 @@
 use crate::caller_io::CallerIo;
 use crate::caller_io::ConnectionActivity;
 use crate::caller_io::ConnectionTimeout;
+use crate::drain::ConnectionGuard;
+use crate::drain::DrainPhase;
 use crate::exchange;
 use crate::relay::Relay;
 
 /// Pause after a failed accept, so that running out of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(20);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
 /// Maximum number of connections that wait to be accepted: a burst of callers while the CPU is saturated.
 const BACKLOG: u32 = 1_024;
 
+/// How long a connection without a request is kept after it was opened, once a drain closes connections: its caller may
+/// be about to send.
+const SILENT_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Opens a listener on an address.
 pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = tokio::net::TcpSocket::new_v4()?;
@@ -41,16 +48,20 @@
 }
 
 /// Accepts and serves callers until the relay closes its listener.
-pub(crate) async fn serve_callers(relay: Arc<Relay>, listener: TcpListener) {
-    let mut closing = relay.subscribe_stop_accepting();
+pub(crate) async fn serve_callers(
+    relay: Arc<Relay>,
+    listener: TcpListener,
+    _open: ConnectionGuard,
+) {
+    let mut phase = relay.drain_phase();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.changed() => return,
+            _ = phase.wait_for(|phase| *phase >= DrainPhase::Closing) => break,
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(serve_connection(relay.clone(), stream));
+                start_connection(&relay, stream);
             }
             Err(error) => {
                 tracing::warn!(%error, "callers: failed to accept a connection");
@@ -58,6 +69,42 @@
             }
         }
     }
+    if let Err(error) = serve_backlog(&relay, listener) {
+        tracing::warn!(%error, "callers: connections that were not accepted yet are reset");
+    }
+}
+
+/// Serves the connections that the kernel has accepted already: closing the listener would reset them.
+fn serve_backlog(relay: &Arc<Relay>, listener: TcpListener) -> std::io::Result<()> {
+    let listener = listener.into_std()?;
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        start_connection(relay, TcpStream::from_std(stream)?);
+    }
+    Ok(())
+}
+
+fn start_connection(relay: &Arc<Relay>, stream: TcpStream) {
+    let open = relay.open_connection();
+    let serving = serve_connection(relay.clone(), stream);
+    tokio::spawn(async move {
+        serving.await;
+        drop(open);
+    });
+}
+
+/// Returns when the connection is to be closed in this phase if nothing arrives; `None` while a request is open or
+/// arriving.
+fn drain_close_time(
+    phase: DrainPhase,
+    activity: &ConnectionActivity,
+) -> Option<std::time::Instant> {
+    let (since, used) = activity.idle_since()?;
+    match (phase, used) {
+        (DrainPhase::Serving, _) | (DrainPhase::ClosingIdle, false) => None,
+        (_, true) => Some(since),
+        (_, false) => Some(since + SILENT_TIMEOUT),
+    }
 }
 
 /// Answers the load balancer's checks whether this relay accepts new connections.
@@ -115,8 +162,9 @@
     let serving = builder.serve_connection(io, handler);
     tokio::pin!(serving);
     let mut shutting_down = false;
-    let mut ending = relay.subscribe_close_idle();
+    let mut phase = relay.drain_phase();
     loop {
+        let close_at = drain_close_time(*phase.borrow_and_update(), &activity);
         let timeout = activity.next_timeout(limits.header_timeout, limits.idle_timeout);
         let timed_out = async {
             match timeout {
@@ -132,6 +180,8 @@
             }
         };
         tokio::select! {
+            // What has arrived is read before the connection counts as idle.
+            biased;
             result = &mut serving => {
                 if let Err(error) = result {
                     tracing::debug!(%error, "callers: connection error");
@@ -159,10 +209,20 @@
                 }
             }
             () = activity.changed() => {}
-            _ = ending.changed(), if !shutting_down => {
-                shutting_down = true;
-                serving.as_mut().graceful_shutdown();
+            _ = phase.changed() => {}
+            () = sleep_until_std(close_at), if close_at.is_some() && !shutting_down => {
+                if activity.idle_since().is_some() {
+                    shutting_down = true;
+                    serving.as_mut().graceful_shutdown();
+                }
             }
         }
     }
 }
+
+async fn sleep_until_std(at: Option<std::time::Instant>) {
+    match at {
+        Some(at) => sleep_until(Instant::from_std(at)).await,
+        None => std::future::pending().await,
+    }
+}
--- a/relay/src/exchange.rs
+++ b/relay/src/exchange.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::OnceLock;
-use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -54,6 +53,7 @@
 use crate::plain;
 use crate::poison::Trial;
 use crate::relay::Relay;
+use crate::send_gate::SendGate;
 use crate::stream;
 
 /// Retry-after of an entry that has no configuration yet: the minimum, and the width of the random range added to it.
@@ -65,11 +65,6 @@
 /// Mean Retry-after of a caller whose body this host has no memory for: others are sent on or read meanwhile.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// A draining relay rejects calls if less than this is left before it ends. If it is the only relay of its zone,
-/// callers keep arriving until the end, and calls accepted later would be cut off: a call that is retried in another
-/// region takes a quarter of a second, one that waits for a full server longer.
-const MIN_TIME_FOR_CALLS: Duration = Duration::from_millis(1_300);
-
 /// Retry-after of callers that are rejected because this relay ends: they can go to another relay at once.
 pub(crate) const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 
@@ -98,8 +93,8 @@
     // The same by the clock that also advances while the host is suspended.
     deadline: Time,
     clock: Clock,
-    // Times that it was sent to a backend server.
-    sends: AtomicU32,
+    // Its sends to backend servers.
+    sends: Arc<SendGate>,
     // When the connection was opened that it was last sent on, in microseconds.
     opened_at: AtomicU64,
     // Computed when they are first needed.
@@ -110,9 +105,10 @@
 }
 
 impl Call {
-    /// Records that the request is sent to a backend server, and returns how often it was sent before.
-    pub(crate) fn record_send(&self) -> u32 {
-        self.sends.fetch_add(1, Ordering::Relaxed)
+    /// Records that the request is sent to a backend server, and returns how often it was sent before; `None` if it must
+    /// not be sent any more.
+    pub(crate) fn record_send(&self) -> Option<u32> {
+        self.sends.pass()
     }
 
     /// Records when the connection was opened on which it is sent.
@@ -267,9 +263,17 @@
     let open_requests = relay.metrics().open_requests().clone();
     let open = OpenResponseGuard::new(activity, request.version(), open_requests);
     let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-    let mut response = match read_call(&relay, request).await {
-        Ok(call) => handle(&relay, call).await,
-        Err(own) => own.into_response(),
+    let sends = Arc::<SendGate>::default();
+    let answering = async {
+        match read_call(&relay, request, sends.clone()).await {
+            Ok(call) => handle(&relay, call).await,
+            Err(own) => own.into_response(),
+        }
+    };
+    let mut response = tokio::select! {
+        biased;
+        response = answering => response,
+        () = relay.drain_ending() => relay.end_request(&sends),
     };
     // Prevents request smuggling: a chunked body that also has a content length can be delimited in two ways, and what
     // follows the shorter reading would run as the caller's next request. The connection is closed after the answer.
@@ -282,16 +286,8 @@
 
 /// Passes the request to the handler for its kind, unless this relay is about to end.
 async fn handle(relay: &Arc<Relay>, call: Call) -> Response<ResponseBody> {
-    if relay
-        .grace_left()
-        .is_some_and(|left| left < MIN_TIME_FOR_CALLS)
-    {
-        relay.metrics().count_refusal("draining");
-        tracing::info!(
-            id = call.id(),
-            "request: rejected because this relay is about to end"
-        );
-        return LocalResponse::NotRun(RETRY_ELSEWHERE).into_response();
+    if let Some(refusal) = relay.refuse_late(&call) {
+        return refusal;
     }
     if relay.budget().is_nearly_used_up() {
         relay.metrics().count_refusal("memory");
@@ -310,7 +306,11 @@
 }
 
 /// Reads the request and admits it to a route.
-async fn read_call(relay: &Relay, request: Request<Incoming>) -> Result<Call, LocalResponse> {
+async fn read_call(
+    relay: &Relay,
+    request: Request<Incoming>,
+    sends: Arc<SendGate>,
+) -> Result<Call, LocalResponse> {
     let arrived = Instant::now();
     let arrived_at = relay.now();
     relay.wait_until_confirmed().await;
@@ -321,6 +321,7 @@
     }
     let (parts, body) = request.into_parts();
     let head = relay.dialect().call_head(&parts.headers);
+    sends.set_id(head.id.as_ref());
     let admitted = admit(relay, &table, &parts, &head)?;
     let timeout = time_limit(&admitted.route, head.deadline);
     let timer_deadline = arrived + timeout;
@@ -352,7 +353,7 @@
         timer_deadline,
         deadline,
         clock: relay.clock(),
-        sends: AtomicU32::new(0),
+        sends,
         opened_at: AtomicU64::new(0),
         content: OnceLock::new(),
         shared_parts: OnceLock::new(),
@@ -420,6 +421,12 @@
         let frame = tokio::select! {
             biased;
             () = growing.evicted() => return Err(refuse_body(relay, body, BudgetError::Total, limit)),
+            () = relay.drain_ending() => {
+                relay.metrics().count_refusal("draining_body");
+                tracing::info!("request: refused, its body is still arriving as this relay ends");
+                discard_body(body, limit);
+                return Err(LocalResponse::NotRun(RETRY_ELSEWHERE));
+            }
             frame = timeout_at(limit, body.frame()) => frame,
         };
         let frame = match frame {
@@ -445,21 +452,21 @@
     }
 }
 
-/// Refuses a request whose body cannot be held. What is left of the body is read and discarded meanwhile: closing a
-/// connection with unread bytes resets it, and the caller would not get the answer.
-fn refuse_body(
-    relay: &Relay,
-    mut body: Incoming,
-    error: BudgetError,
-    limit: Instant,
-) -> LocalResponse {
+/// Refuses a request whose body cannot be held.
+fn refuse_body(relay: &Relay, body: Incoming, error: BudgetError, limit: Instant) -> LocalResponse {
     relay.metrics().count_refusal("memory");
     let (used, total) = (relay.budget().used(), relay.budget().total());
     tracing::info!(%error, used, total, "request: refused, its body is not held");
+    discard_body(body, limit);
+    LocalResponse::NotRun(memory_retry_after())
+}
+
+/// Reads and discards what is left of a body that is refused: closing a connection with unread bytes resets it, and the
+/// caller would not get the answer.
+fn discard_body(mut body: Incoming, limit: Instant) {
     tokio::spawn(
         async move { while let Ok(Some(Ok(_))) = timeout_at(limit, body.frame()).await {} },
     );
-    LocalResponse::NotRun(memory_retry_after())
 }
 
 /// The headers that are forwarded to a backend server.
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -52,6 +52,7 @@
 mod scout_reports;
 mod scout_supervision;
 mod send;
+mod send_gate;
 mod server_statements;
 mod stop_permission;
 mod stop_queries;
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -7,8 +7,11 @@
 
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::fleet::Fleet;
+use cicada_lib::ids::Name;
 use cicada_lib::retry_after;
 use http::Response;
+use http::StatusCode;
+use tokio::time::Instant;
 
 use crate::answer::LocalResponse;
 use crate::answer::ResponseBody;
@@ -36,7 +39,8 @@
 
 /// Serves a request that may run more than once.
 pub(crate) async fn serve_repeatable(relay: &Arc<Relay>, call: Call) -> Response<ResponseBody> {
-    run(relay, &call, &AtomicBool::new(false)).await
+    let service = call.service.clone();
+    timed(relay, &service, run(relay, &call, &AtomicBool::new(false))).await
 }
 
 /// Serves a request that must run at most once. If its caller disconnects while it is at a server, it is left to finish
@@ -45,12 +49,29 @@
     let disconnected = Arc::new(AtomicBool::new(false));
     let guard = DisconnectGuard(disconnected.clone());
     let relay = relay.clone();
-    let running = tokio::spawn(async move { run(&relay, &call, &disconnected).await });
+    let running = tokio::spawn(async move {
+        let service = call.service.clone();
+        timed(&relay, &service, run(&relay, &call, &disconnected)).await
+    });
     let response = running.await;
     drop(guard);
     response.unwrap_or_else(|_| LocalResponse::Failed.into_response())
 }
 
+/// Records how long a call takes, unless it is refused.
+async fn timed(
+    relay: &Relay,
+    service: &Name,
+    answering: impl Future<Output = Response<ResponseBody>>,
+) -> Response<ResponseBody> {
+    let begun = Instant::now();
+    let response = answering.await;
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        relay.record_call_time(service, begun.elapsed());
+    }
+    response
+}
+
 /// Records that the caller has disconnected, when dropped.
 struct DisconnectGuard(Arc<AtomicBool>);
 
--- a/relay/src/relay.rs
+++ b/relay/src/relay.rs
@@ -39,9 +39,9 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 use crate::caller_server;
+use crate::drain::DrainState;
 use crate::limit_loans;
 use crate::load_probes::LoadProbes;
 use crate::lock::lock;
@@ -129,8 +129,7 @@
     // Whether calls to the directory fail, and whether this relay watches it successfully.
     pub(crate) directory_unreachable: AtomicBool,
     pub(crate) watching_directory: AtomicBool,
-    // When the drain began, if it has.
-    pub(crate) draining: Mutex<Option<Instant>>,
+    pub(crate) drain: DrainState,
     // Incremented when the list of servers, or what is known of servers that leave, changes.
     pub(crate) leaving_changes: watch::Sender<u64>,
     pub(crate) moved_runs: MovedRuns,
@@ -158,10 +157,6 @@
     pub(crate) era: watch::Sender<EraTracker>,
     // Recent changes of the list of servers, for relays that missed some.
     pub(crate) change_log: Mutex<ChangeLog>,
-    // Set when idle connections are to be closed.
-    pub(crate) close_idle: watch::Sender<bool>,
-    // Set when no more connections are accepted.
-    pub(crate) stop_accepting: watch::Sender<bool>,
 }
 
 impl Relay {
@@ -213,7 +208,7 @@
             has_server_list: AtomicBool::new(false),
             directory_unreachable: AtomicBool::new(false),
             watching_directory: AtomicBool::new(false),
-            draining: Mutex::new(None),
+            drain: DrainState::new(),
             leaving_changes: watch::Sender::new(0),
             moved_runs: MovedRuns::new(),
             wait_queues: WaitQueues::new(clock),
@@ -224,8 +219,6 @@
             revision: Mutex::default(),
             era: watch::Sender::new(EraTracker::default()),
             change_log: Mutex::default(),
-            close_idle: watch::Sender::new(false),
-            stop_accepting: watch::Sender::new(false),
         })
     }
 
@@ -242,7 +235,8 @@
         }
         let callers = caller_server::listen(self.settings.listen)?;
         let ready = caller_server::listen(self.settings.ready)?;
-        tokio::spawn(caller_server::serve_callers(self.clone(), callers));
+        let open = self.open_connection();
+        tokio::spawn(caller_server::serve_callers(self.clone(), callers, open));
         tokio::spawn(caller_server::serve_readiness(self.clone(), ready));
         tokio::spawn(supervision::run_prefill_groups(self.clone()));
         Ok(())
@@ -390,43 +384,10 @@
         lock(&self.fleet)
     }
 
-    pub(crate) fn is_draining(&self) -> bool {
-        self.grace_left().is_some()
-    }
-
-    /// The time left until the process is killed, if it drains.
-    pub(crate) fn grace_left(&self) -> Option<Duration> {
-        let drain_start = *lock(&self.draining);
-        drain_start.map(|drain_start| self.grace().saturating_sub(drain_start.elapsed()))
-    }
-
-    pub(crate) fn set_draining(&self) {
-        let mut drain_start = lock(&self.draining);
-        drain_start.get_or_insert_with(Instant::now);
-        drop(drain_start);
-        self.wait_queues.wake_all();
-    }
-
     pub(crate) fn open_requests(&self) -> i64 {
         self.metrics.open_requests().get()
     }
 
-    pub(crate) fn close_idle_connections(&self) {
-        self.close_idle.send_replace(true);
-    }
-
-    pub(crate) fn stop_accepting(&self) {
-        self.stop_accepting.send_replace(true);
-    }
-
-    pub(crate) fn subscribe_stop_accepting(&self) -> watch::Receiver<bool> {
-        self.stop_accepting.subscribe()
-    }
-
-    pub(crate) fn subscribe_close_idle(&self) -> watch::Receiver<bool> {
-        self.close_idle.subscribe()
-    }
-
     pub(crate) fn subscribe_leaving(&self) -> watch::Receiver<u64> {
         self.leaving_changes.subscribe()
     }
--- a/relay/src/send.rs
+++ b/relay/src/send.rs
@@ -44,8 +44,8 @@
     Refused,
     /// The server could not be reached, so nothing was sent.
     Unreached,
-    /// The server stopped taking work while the connection was opened, or another one answered there, so nothing was
-    /// sent.
+    /// The server stopped taking work while the connection was opened, or another one answered there, or this relay ends,
+    /// so nothing was sent.
     Withdrawn,
     /// The request became a suspect, or lost its trial, before it was sent.
     Suspect,
@@ -107,7 +107,10 @@
         left,
         ..dispatch.clone()
     };
-    log_send(relay, call, placed, &dispatch);
+    let Some(sends_before) = call.record_send() else {
+        return Err(NoAnswer::Withdrawn);
+    };
+    log_send(relay, call, placed, &dispatch, sends_before);
     let age = opened.age().as_micros() as u64;
     call.set_opened_at(Time::from_micros(relay.now().micros().saturating_sub(age)));
     call.set_unresolved(true);
@@ -162,8 +165,13 @@
 }
 
 /// Counts the send, and logs it unless it is the request's first.
-fn log_send(relay: &Relay, call: &Call, placed: &PlacedRequest, dispatch: &Dispatch) {
-    let sends_before = call.record_send();
+fn log_send(
+    relay: &Relay,
+    call: &Call,
+    placed: &PlacedRequest,
+    dispatch: &Dispatch,
+    sends_before: u32,
+) {
     let kind = match (&dispatch.memory, sends_before) {
         (Some(_), _) => "moved",
         (None, 0) => "first",
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -6,6 +6,7 @@
 
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::dialect::RunMemory;
+use cicada_lib::drain_admission::ExpectedTime;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::ids::Name;
 use cicada_lib::move_plan;
@@ -25,7 +26,6 @@
 use crate::attempts::SendFailure;
 use crate::event_queue::event_queue;
 use crate::exchange::Call;
-use crate::exchange::RETRY_ELSEWHERE;
 use crate::exchange::returned_headers;
 use crate::placed_request::PlacedRequest;
 use crate::relay::Relay;
@@ -37,9 +37,6 @@
 use crate::waiting;
 use crate::waiting::Unplaced;
 
-/// A drain is in its early phase while more than this fraction of the grace period is left.
-const EARLY_DRAIN_FRACTION: f64 = 0.7;
-
 /// Maximum number of events of a short run. They take less than a second.
 const SHORT_RUN_EVENTS: u32 = 16;
 
@@ -51,18 +48,6 @@
 
 /// Serves a streaming request.
 pub(crate) async fn serve(relay: &Arc<Relay>, call: Call) -> Response<ResponseBody> {
-    if let Some(left) = relay
-        .grace_left()
-        .filter(|left| may_outlast_drain(relay, &call, *left))
-    {
-        relay.metrics().count_refusal("draining");
-        tracing::info!(
-            id = call.id(),
-            ?left,
-            "stream: refused, it may outlast this draining relay"
-        );
-        return LocalResponse::NotRun(RETRY_ELSEWHERE).into_response();
-    }
     let tokens = expected_tokens(&call);
     let mut attempts = Attempts::new();
     let mut failure: Option<Response<ResponseBody>> = None;
@@ -263,16 +248,13 @@
         .min(call.head.output)
 }
 
-/// Whether the stream may take longer than the time `left` to this draining relay. Early in the drain this is judged by
-/// the expected output, since few streams exceed it by all the time that is left. Later it is judged by the maximum
-/// output, since a stream that exceeds its estimate would be cut off.
-fn may_outlast_drain(relay: &Relay, call: &Call, left: Duration) -> bool {
-    let early = left > relay.grace().mul_f64(EARLY_DRAIN_FRACTION);
-    let tokens = match early {
-        true => expected_output(call),
-        false => call.head.output,
-    };
-    FIRST_EVENT_TIME + DEFAULT_TOKEN_TIME * tokens > left
+/// What is known of the time that the stream takes.
+pub(crate) fn expected_time(call: &Call) -> ExpectedTime {
+    let time = |tokens| FIRST_EVENT_TIME + DEFAULT_TOKEN_TIME * tokens;
+    ExpectedTime::Stream {
+        expected: time(expected_output(call)),
+        longest: time(call.head.output),
+    }
 }
 
 /// Whether the run is expected to end before an engine that announces its shutdown is gone.
