draining: streams are taken by the pace of their engines

Callers of a relay that was stopped saw streams cut at the end of the grace period that had begun late in it. Whether a stream was taken was judged by 10 ms a token, whatever its engines needed. The longest recent time per token of its service is measured now, and a stream that may outlast the grace period by it is refused before it is sent.

--- a/daemon/tests/relay_draining.rs
+++ b/daemon/tests/relay_draining.rs
@@ -35,6 +35,10 @@
 /// The longest `Retry-After` of a caller that another relay could serve at once, in seconds.
 const AT_ONCE: f64 = 0.1;
 
+/// Time between two events of a slow engine, and events of a stream there, which takes 3 s.
+const SLOW_PACE: Duration = Duration::from_millis(150);
+const SLOW_EVENTS: u32 = 20;
+
 /// Starts that are followed by a stop.
 const STARTS: usize = 10;
 
@@ -253,6 +257,34 @@
     Ok(())
 }
 
+/// Guards against streams that are cut by the end of the grace period because their engine is slower than expected.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_of_a_slow_engine_are_whole_or_sent_elsewhere() -> Result<()> {
+    let mut deployment = start(1, 0, Duration::from_secs(2)).await?;
+    let relay = deployment.relays[0].callers;
+    deployment.engines[0].engine.set_pace(SLOW_PACE);
+    let before = Ask::stream("before", KEY, 200, SLOW_EVENTS);
+    assert!(before.send(relay).await?.whole);
+    deployment.relays[0].process.signal(Signal::Term)?;
+    let begun = Instant::now();
+    let mut streams = Vec::new();
+    for number in 0..12_u32 {
+        sleep_until(begun + Duration::from_millis(250) * number).await;
+        let ask = Ask::stream(&format!("late-{number}"), KEY, 200, SLOW_EVENTS);
+        streams.push(tokio::spawn(async move { ask.send(relay).await }));
+    }
+    let mut whole = 0;
+    for stream in streams {
+        // A connection that is refused is the caller's sign to go elsewhere.
+        let Ok(answer) = stream.await? else { continue };
+        let log = deployment.relays[0].process.log();
+        assert!(answer.whole, "{answer:?}: {log}");
+        whole += u32::from(answer.status == StatusCode::OK);
+    }
+    assert!(whole >= 1, "{}", deployment.relays[0].process.log());
+    assert_ended_well(&mut deployment).await
+}
+
 /// Guards against requests that are cut without an answer because their bodies arrive until the grace period ends.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_whose_body_is_still_arriving_is_sent_elsewhere() -> Result<()> {
--- a/lib/src/drain_admission.rs
+++ b/lib/src/drain_admission.rs
@@ -30,9 +30,20 @@
 const REPEATABLE_HEADROOM: f64 = 1.5;
 const UNREPEATABLE_HEADROOM: f64 = 2.5;
 
+/// By how much the time per token of a stream may exceed the longest recent one of its service.
+const STREAM_HEADROOM: f64 = 1.2;
+
 /// A stop is in its early phase while more than this fraction of the grace period is left.
 const EARLY_FRACTION: f64 = 0.7;
 
+/// Upper estimate of the time to the first event of a stream. Few wait longer.
+const FIRST_EVENT_TIME: Duration = Duration::from_millis(1_500);
+
+/// Time per token of a stream before one was measured, and at least: a step of an engine with a typical batch. At most
+/// four times that, so that callers that read slowly do not have all streams refused.
+const TOKEN_TIME: Duration = Duration::from_millis(10);
+const MAX_TOKEN_TIME: Duration = Duration::from_millis(40);
+
 /// How long a slow request is remembered, at least; at most twice as long.
 const MEMORY: Duration = Duration::from_secs(30);
 
@@ -126,7 +137,19 @@
     }
 }
 
-/// The slowest recent request of a service.
+/// The time per token of a stream that took so long, for as many tokens as its caller allowed.
+pub fn token_time(took: Duration, tokens: u32) -> Duration {
+    took.saturating_sub(FIRST_EVENT_TIME) / tokens.max(1)
+}
+
+/// How long a stream of so many tokens may take, by the longest recent time per token of its service.
+pub fn stream_time(slowest: Option<Duration>, tokens: u32) -> Duration {
+    let slowest = slowest.unwrap_or_default().mul_f64(STREAM_HEADROOM);
+    let token_time = slowest.clamp(TOKEN_TIME, MAX_TOKEN_TIME);
+    FIRST_EVENT_TIME + token_time * tokens
+}
+
+/// The slowest recent request of a service, or the longest time per token of its streams.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct SlowestRequest {
     // Of the present span of `MEMORY` and of the one before it.
--- a/lib/tests/drain_admission.rs
+++ b/lib/tests/drain_admission.rs
@@ -8,6 +8,8 @@
 use cicada_lib::drain_admission::LateRequest;
 use cicada_lib::drain_admission::STOP_MARGIN;
 use cicada_lib::drain_admission::SlowestRequest;
+use cicada_lib::drain_admission::stream_time;
+use cicada_lib::drain_admission::token_time;
 use cicada_lib::time::Time;
 use fastrand::Rng;
 use quickcheck::quickcheck;
@@ -139,6 +141,21 @@
     assert_eq!(check(800, 100), Err(LateRefusal::TooLate));
 }
 
+/// Guards against streams that are cut by the end of a stop because their engines are slower than usual.
+#[test]
+fn streams_are_judged_by_the_pace_of_their_engines() {
+    const TOKENS: u32 = 200;
+    let pace = |took| Some(token_time(Duration::from_millis(took), TOKENS));
+    let usual = stream_time(None, TOKENS);
+    assert_eq!(stream_time(pace(1_800), TOKENS), usual);
+    assert!(stream_time(pace(7_000), TOKENS) > Duration::from_millis(7_500));
+    // A caller that read for two minutes.
+    assert_eq!(
+        stream_time(pace(120_000), TOKENS),
+        Duration::from_millis(9_500)
+    );
+}
+
 /// Guards against one slow call that makes all later stops refuse calls.
 #[test]
 fn a_slow_call_is_forgotten_after_a_while() {
--- a/relay/src/drain.rs
+++ b/relay/src/drain.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cicada_lib::drain_admission;
 use cicada_lib::drain_admission::ANSWER_MARGIN;
 use cicada_lib::drain_admission::ExpectedTime;
 use cicada_lib::drain_admission::LateRefusal;
@@ -71,8 +72,8 @@
     phase: watch::Sender<DrainPhase>,
     // Open connections of callers, and the listener while it accepts more.
     connections: Arc<AtomicUsize>,
-    // Of each service.
-    slowest_calls: Mutex<HashMap<Name, SlowestRequest>>,
+    // Of each service: the slowest call, or the longest time per token of a stream.
+    slowest_requests: Mutex<HashMap<Name, SlowestRequest>>,
 }
 
 impl DrainState {
@@ -82,7 +83,7 @@
             started: Mutex::default(),
             phase: watch::Sender::new(DrainPhase::Serving),
             connections: Arc::default(),
-            slowest_calls: Mutex::default(),
+            slowest_requests: Mutex::default(),
         }
     }
 }
@@ -96,6 +97,33 @@
     }
 }
 
+/// Records the time per token of a stream when dropped.
+pub(crate) struct StreamTimer {
+    relay: Arc<Relay>,
+    service: Name,
+    begun: Instant,
+    tokens: u32,
+}
+
+impl StreamTimer {
+    /// Measures from the arrival of the request.
+    pub(crate) fn start(relay: &Arc<Relay>, call: &Call) -> Self {
+        StreamTimer {
+            relay: relay.clone(),
+            service: call.service.clone(),
+            begun: call.arrived,
+            tokens: call.head.output,
+        }
+    }
+}
+
+impl Drop for StreamTimer {
+    fn drop(&mut self) {
+        let token_time = drain_admission::token_time(self.begun.elapsed(), self.tokens);
+        self.relay.record_request_time(&self.service, token_time);
+    }
+}
+
 impl Relay {
     pub(crate) fn is_draining(&self) -> bool {
         self.grace_left().is_some()
@@ -137,18 +165,18 @@
         self.drain.connections.load(Ordering::Relaxed)
     }
 
-    /// Records how long a call to a service took.
-    pub(crate) fn record_call_time(&self, service: &Name, took: Duration) {
+    /// Records how long a call to a service took, or a token of a stream.
+    pub(crate) fn record_request_time(&self, service: &Name, took: Duration) {
         let now = self.now();
-        let mut slowest_calls = lock(&self.drain.slowest_calls);
-        let slowest = slowest_calls.entry(service.clone()).or_default();
+        let mut slowest = lock(&self.drain.slowest_requests);
+        let slowest = slowest.entry(service.clone()).or_default();
         slowest.record(now, took);
     }
 
-    fn slowest_call(&self, service: &Name) -> Option<Duration> {
+    fn slowest_request(&self, service: &Name) -> Option<Duration> {
         let now = self.now();
-        let mut slowest_calls = lock(&self.drain.slowest_calls);
-        slowest_calls.get_mut(service)?.longest(now)
+        let mut slowest = lock(&self.drain.slowest_requests);
+        slowest.get_mut(service)?.longest(now)
     }
 
     /// Whether the request is taken, if this relay drains.
@@ -156,11 +184,12 @@
         let Some(left) = self.grace_left() else {
             return Ok(());
         };
+        let slowest = self.slowest_request(&call.service);
         let expected = match call.admitted.route.kind {
-            CallKind::Streaming => stream::expected_time(call),
+            CallKind::Streaming => stream::expected_time(call, slowest),
             kind => ExpectedTime::Call {
                 repeatable: kind == CallKind::Idempotent,
-                slowest: self.slowest_call(&call.service),
+                slowest,
             },
         };
         let request = LateRequest {
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -6,6 +6,7 @@
 
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::dialect::RunMemory;
+use cicada_lib::drain_admission;
 use cicada_lib::drain_admission::ExpectedTime;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::ids::Name;
@@ -24,6 +25,7 @@
 use crate::answer::ResponseBody;
 use crate::attempts::Attempts;
 use crate::attempts::SendFailure;
+use crate::drain::StreamTimer;
 use crate::event_queue::event_queue;
 use crate::exchange::Call;
 use crate::exchange::returned_headers;
@@ -40,9 +42,6 @@
 /// Maximum number of events of a short run. They take less than a second.
 const SHORT_RUN_EVENTS: u32 = 16;
 
-/// Upper estimate of the time to the first event. Few requests wait longer.
-const FIRST_EVENT_TIME: Duration = Duration::from_millis(1_500);
-
 /// Time per token before one was measured: a step of an engine with a typical batch.
 pub(crate) const DEFAULT_TOKEN_TIME: Duration = Duration::from_millis(10);
 
@@ -248,12 +247,11 @@
         .min(call.head.output)
 }
 
-/// What is known of the time that the stream takes.
-pub(crate) fn expected_time(call: &Call) -> ExpectedTime {
-    let time = |tokens| FIRST_EVENT_TIME + DEFAULT_TOKEN_TIME * tokens;
+/// What is known of the time that the stream takes, by the longest recent time per token of its service.
+pub(crate) fn expected_time(call: &Call, slowest: Option<Duration>) -> ExpectedTime {
     ExpectedTime::Stream {
-        expected: time(expected_output(call)),
-        longest: time(call.head.output),
+        expected: drain_admission::stream_time(slowest, expected_output(call)),
+        longest: drain_admission::stream_time(slowest, call.head.output),
     }
 }
 
@@ -333,7 +331,8 @@
         relay.fleet().record_run_length(&call.service, events);
     }
     let (sender, receiver) = event_queue(relay.budget().holder());
-    let response = response_from(&answered.parts, ResponseBody::from_events(receiver));
+    let body = ResponseBody::from_events(receiver).with_timer(StreamTimer::start(relay, &call));
+    let response = response_from(&answered.parts, body);
     let run = Run::new(relay, call, placed, answered, tokens, attempts, sender);
     tokio::spawn(run.relay_to_end());
     response
