draining: calls and streams of one service are timed apart

A service may have both kinds of routes. The time per token of its streams counted as the time of a call, so that a call could be taken too late in a stop and end as 502. Found by reading; no test shows it.

--- a/relay/src/drain.rs
+++ b/relay/src/drain.rs
@@ -18,6 +18,7 @@
 use cicada_lib::drain_admission::SlowestRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::site::CallKind;
+use cicada_lib::time::Time;
 use http::Response;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -72,8 +73,9 @@
     phase: watch::Sender<DrainPhase>,
     // Open connections of callers, and the listener while it accepts more.
     connections: Arc<AtomicUsize>,
-    // Of each service: the slowest call, or the longest time per token of a stream.
-    slowest_requests: Mutex<HashMap<Name, SlowestRequest>>,
+    // Of each service: the slowest call, and the longest time per token of a stream.
+    slowest_calls: SlowestRequests,
+    token_times: SlowestRequests,
 }
 
 impl DrainState {
@@ -83,7 +85,8 @@
             started: Mutex::default(),
             phase: watch::Sender::new(DrainPhase::Serving),
             connections: Arc::default(),
-            slowest_requests: Mutex::default(),
+            slowest_calls: Mutex::default(),
+            token_times: Mutex::default(),
         }
     }
 }
@@ -97,6 +100,19 @@
     }
 }
 
+/// The slowest recent request of each service.
+type SlowestRequests = Mutex<HashMap<Name, SlowestRequest>>;
+
+fn record(slowest: &SlowestRequests, service: &Name, now: Time, took: Duration) {
+    let mut slowest = lock(slowest);
+    let slowest = slowest.entry(service.clone()).or_default();
+    slowest.record(now, took);
+}
+
+fn longest(slowest: &SlowestRequests, service: &Name, now: Time) -> Option<Duration> {
+    lock(slowest).get_mut(service)?.longest(now)
+}
+
 /// Records the time per token of a stream when dropped.
 pub(crate) struct StreamTimer {
     relay: Arc<Relay>,
@@ -120,7 +136,8 @@
 impl Drop for StreamTimer {
     fn drop(&mut self) {
         let token_time = drain_admission::token_time(self.begun.elapsed(), self.tokens);
-        self.relay.record_request_time(&self.service, token_time);
+        let token_times = &self.relay.drain.token_times;
+        record(token_times, &self.service, self.relay.now(), token_time);
     }
 }
 
@@ -165,18 +182,9 @@
         self.drain.connections.load(Ordering::Relaxed)
     }
 
-    /// Records how long a call to a service took, or a token of a stream.
-    pub(crate) fn record_request_time(&self, service: &Name, took: Duration) {
-        let now = self.now();
-        let mut slowest = lock(&self.drain.slowest_requests);
-        let slowest = slowest.entry(service.clone()).or_default();
-        slowest.record(now, took);
-    }
-
-    fn slowest_request(&self, service: &Name) -> Option<Duration> {
-        let now = self.now();
-        let mut slowest = lock(&self.drain.slowest_requests);
-        slowest.get_mut(service)?.longest(now)
+    /// Records how long a call to a service took.
+    pub(crate) fn record_call_time(&self, service: &Name, took: Duration) {
+        record(&self.drain.slowest_calls, service, self.now(), took);
     }
 
     /// Whether the request is taken, if this relay drains.
@@ -184,12 +192,14 @@
         let Some(left) = self.grace_left() else {
             return Ok(());
         };
-        let slowest = self.slowest_request(&call.service);
+        let (service, now) = (&call.service, self.now());
         let expected = match call.admitted.route.kind {
-            CallKind::Streaming => stream::expected_time(call, slowest),
+            CallKind::Streaming => {
+                stream::expected_time(call, longest(&self.drain.token_times, service, now))
+            }
             kind => ExpectedTime::Call {
                 repeatable: kind == CallKind::Idempotent,
-                slowest,
+                slowest: longest(&self.drain.slowest_calls, service, now),
             },
         };
         let request = LateRequest {
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -67,7 +67,7 @@
     let begun = Instant::now();
     let response = answering.await;
     if response.status() != StatusCode::SERVICE_UNAVAILABLE {
-        relay.record_request_time(service, begun.elapsed());
+        relay.record_call_time(service, begun.elapsed());
     }
     response
 }
