relay: the outcome of a stop is not awaited from a scout that is gone

Callers got a pause of 1.7 s when the scout of a leaving engine ended during a stop: the relay waited for its word although it had missed its reports. Memory that the scout handed over is used also where the outcome counts as unknown by then. A scout does not wait for the reply to its question when the copy of a run has failed.

--- a/lib/src/migration/run_stops.rs
+++ b/lib/src/migration/run_stops.rs
@@ -90,7 +90,7 @@
     pub request: StopRequest,
     /// What is known of it.
     pub state: StopState,
-    // Whether the run was resumed from the copy, or that was tried. A handle is usable once.
+    // Whether a resume from this copy was attempted. A handle is usable once.
     is_spent: bool,
 }
 
--- a/relay/src/moved_runs.rs
+++ b/relay/src/moved_runs.rs
@@ -138,12 +138,14 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
-    /// Waits for the outcome of the scout's stop of a run off `engine`, whose stream has ended.
+    /// Waits for the outcome of the scout's stop of a run off `engine`, whose stream has ended. Gives up once the scout is
+    /// not live any more.
     pub(crate) async fn wait(
         &self,
         id: &Name,
         engine: SocketAddr,
         run: &LocalRunGuard,
+        is_scout_live: impl Fn() -> bool,
     ) -> ScoutOutcome {
         let mut notices = self.changed.subscribe();
         let end = Instant::now() + OUTCOME_WAIT;
@@ -151,6 +153,9 @@
             if let Some(outcome) = self.outcome(id, engine, run) {
                 return outcome;
             }
+            if !is_scout_live() {
+                break;
+            }
             let query = MoveQuery {
                 engine,
                 id: id.clone(),
--- a/relay/src/run_mover.rs
+++ b/relay/src/run_mover.rs
@@ -133,7 +133,7 @@
 /// Message to relays about a run's move.
 #[derive(Clone, Debug)]
 pub(crate) enum MoveNotice {
-    /// The run's memory is copied. Asks whether the run may be stopped.
+    /// Asks whether the run may be stopped, and then tells the handle of its copy.
     QueryStop(StopQuery),
     /// The run has stopped.
     Moved(MovedRun),
@@ -234,8 +234,7 @@
             number: self.queries.open(),
         };
         // The holder of the stream is asked while the run goes on: the reply takes a round trip.
-        let copy = self.move_step(run, address, MoveStep::Copy);
-        let (copied, permitted) = tokio::join!(copy, self.ask(&query));
+        let (copied, permitted) = self.copy_and_ask(run, address, &query).await;
         match copied {
             Ok(handle) => query.run.handle = handle,
             Err(error) => {
@@ -287,6 +286,25 @@
         None
     }
 
+    /// Copies the run and asks for permission to stop it meanwhile. Does not wait for the reply if the copy fails.
+    async fn copy_and_ask(
+        &self,
+        run: &EngineRun,
+        target: SocketAddr,
+        query: &StopQuery,
+    ) -> (Result<Name, MoveError>, Option<bool>) {
+        let copy = self.move_step(run, target, MoveStep::Copy);
+        let ask = self.ask(query);
+        tokio::pin!(copy, ask);
+        tokio::select! {
+            copied = &mut copy => match copied {
+                Ok(handle) => (Ok(handle), ask.await),
+                Err(error) => (Err(error), None),
+            },
+            permitted = &mut ask => (copy.await, permitted),
+        }
+    }
+
     /// Asks the relay that holds the run's stream whether the run may be stopped. `None` without a reply. The run then stays:
     /// the relay would take the end of the stream for that of the answer.
     async fn ask(&self, query: &StopQuery) -> Option<bool> {
--- a/relay/src/run_moves.rs
+++ b/relay/src/run_moves.rs
@@ -56,8 +56,7 @@
         if !scout_alive {
             self.lose_scout_stop();
         }
-        // But a run that was refused by its target and returned to its engine counts as moved for the scout, and so does
-        // one that goes on although its stop was asked for.
+        // It does so once: a run that has returned to its engine, or goes on after a failed stop, is moved by this relay.
         if scout_alive && self.refused_target.is_none() && !self.has_lost_stop() {
             return;
         }
--- a/relay/src/run_stop.rs
+++ b/relay/src/run_stop.rs
@@ -144,7 +144,7 @@
         let Some(stop) = self.open_stop() else {
             return Followed::NotStopped;
         };
-        if stop.state == StopState::Pending && stop.request.by == Stopper::Scout {
+        if stop.request.by == Stopper::Scout {
             let followed = self.follow_scout(stop.key).await;
             if followed != Followed::Unknown {
                 return followed;
@@ -185,7 +185,10 @@
             return Followed::NotStopped;
         };
         let engine = self.placed.record.address;
-        let moved = match self.relay.moved_runs().wait(id, engine, run).await {
+        let key = self.placed.key;
+        let is_scout_live = || self.relay.fleet().has_live_scout(self.relay.now(), key);
+        let moved_runs = self.relay.moved_runs();
+        let moved = match moved_runs.wait(id, engine, run, is_scout_live).await {
             ScoutOutcome::NotStopped => return Followed::NotStopped,
             ScoutOutcome::Unknown => {
                 run.lose_stop(stop);
--- a/relay/src/stop_queries.rs
+++ b/relay/src/stop_queries.rs
@@ -9,8 +9,7 @@
 
 use crate::lock::lock;
 
-/// Delays until the question is asked again, and at the end given up. Datagrams are lost now and then. Copies take as long,
-/// so that the run does not wait for the reply.
+/// Delays until the question is asked again, and at the end given up. Datagrams are lost now and then.
 pub(crate) const ASK_DELAYS: [Duration; 3] = [
     Duration::from_millis(60),
     Duration::from_millis(90),
