--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -18,6 +18,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+/// Time in which a relay that is registered reads the list of relays.
+const SHARE_TIME: Duration = Duration::from_millis(200);
+
 /// Upper bound of a wait for a condition that normally holds within moments. It asserts no speed.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -219,6 +222,13 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_was_turned_away_goes_elsewhere_or_is_told_not_run() -> Result<()> {
     let deployment = Deployment::start(daemon(), 1, 0, 2).await?;
+    // Until it knows the relays that share the limit on retries, a relay takes no share. It reads their list after it has
+    // registered.
+    wait_until("the relay is registered", || {
+        deployment.listed_relays() == 1
+    })
+    .await?;
+    sleep(SHARE_TIME).await;
     deployment.services[0].0.set_mode(Mode::Full);
     for number in 0..4 {
         let ask = Ask::new("POST", "/deposits/1", &format!("deposit-{number}"), KEY);
