relay: a connection opened for a former target is not used for the next one

The target of a run's move may change, where the first one has no room. The record of the run then named the new target while it still held the connection to the former one, until the new one was open. A run that went on in that moment would have been sent to the wrong engine, whose 421 would have cost the move. Found by reading; no test plays the moment.

--- a/relay/src/local_runs.rs
+++ b/relay/src/local_runs.rs
@@ -70,8 +70,15 @@
 
     /// Whether a connection to `target` is to be opened ahead of the run's move: there is none, and none on its way.
     pub(crate) fn begin_ahead(&self, id: &Name, target: SocketAddr) -> bool {
-        let begun = self.with(id, |run| run.ahead_target.replace(target));
-        begun.is_some_and(|before| before != Some(target))
+        let begun = self.with(id, |run| {
+            let is_new = run.ahead_target.replace(target) != Some(target);
+            if is_new {
+                // It leads to the former target.
+                run.ahead = None;
+            }
+            is_new
+        });
+        begun.unwrap_or_default()
     }
 
     /// Keeps a connection for the run's move to `target`.
