Review: the case of a crash behind a cut allows moves, as the site does

Change: the config has the site's engine fields, entries carry `born`, replicas answer first calls of kv-move, and other paths of their interface with 404.

--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -210,8 +210,8 @@
         let (up, is_up) = mpsc::channel();
         thread::spawn(move || {
             for line in BufReader::new(output).lines().map_while(Result::ok) {
-                if line == "up" {
-                    let _ = up.send(());
+                if let Some(born) = line.strip_prefix("up ") {
+                    let _ = up.send(born.to_string());
                     continue;
                 }
                 record.write(&format!("replica {line}"));
@@ -220,9 +220,9 @@
             }
         });
         self.keep(&format!("replica-{host}-{life}"), child);
-        is_up.recv_timeout(Duration::from_secs(5))?;
+        let born = is_up.recv_timeout(Duration::from_secs(5))?;
         let spec = format!(
-            r#"{{"service":"liturgy","address":"{}","zone":"{zone}","version":1,"slots":24,"state":"ready","coldRemainingMs":0,"seq":1}}"#,
+            r#"{{"service":"liturgy","address":"{}","zone":"{zone}","version":1,"slots":24,"state":"ready","coldRemainingMs":0,"seq":1,"born":{born}}}"#,
             self.at(host, APP)
         );
         self.store.put("servers", &id, &spec);
@@ -364,5 +364,5 @@
 
 /// The operator's config: one streaming route, whose requests must not run twice.
 fn config() -> String {
-    r#"{"version":3,"routes":[{"name":"drafts","host":"rites.example","pathPrefix":"/drafts/","type":"streaming","timeoutMs":39000,"sloMs":1800,"gapTargetMs":180,"priority":0,"service":"liturgy","maxAttempts":1,"anonymous":false,"sticky":true}],"services":[{"name":"liturgy","healthPath":"/healthz","maxConnections":252,"engine":{"slots":24,"kvCapacity":34263,"kvBytes":18432,"linkMbps":2700.0,"moves":false,"backups":false,"stride":4}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":1500,"idleTimeoutMs":60000},"tenants":[{"name":"chapel","apiKeys":["key-of-the-chapel"]}]}"#.into()
+    r#"{"version":3,"routes":[{"name":"drafts","host":"rites.example","pathPrefix":"/drafts/","type":"streaming","timeoutMs":39000,"sloMs":1800,"gapTargetMs":180,"priority":0,"service":"liturgy","maxAttempts":1,"anonymous":false,"sticky":true}],"services":[{"name":"liturgy","healthPath":"/healthz","maxConnections":252,"engine":{"slots":24,"kvCapacity":34263,"kvBytes":18432,"linkMbps":2700.0,"moves":true,"backups":true,"stride":4,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handleTtlS":5.0,"models":[{"name":"m"}]}}],"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":1500,"idleTimeoutMs":60000},"tenants":[{"name":"chapel","apiKeys":["key-of-the-chapel"]}]}"#.into()
 }
--- a/review/standins-2/replica.rs
+++ b/review/standins-2/replica.rs
@@ -45,9 +45,10 @@
         return Err("replica ADDRESS ID FIRST_MS GAP_MS close|chunks CRASH_AT".into());
     };
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?;
+    let born = since.as_millis() as u64;
     let replica = Arc::new(Replica {
         id: id.to_string(),
-        born: since.as_millis() as u64,
+        born,
         first: Duration::from_millis(first.parse()?),
         gap: Duration::from_millis(gap.parse()?),
         crash_at: crash_at.parse()?,
@@ -57,7 +58,7 @@
     });
     let address: SocketAddr = address.parse()?;
     http::serve(address, move |request, stream| replica.handle(request, stream))?;
-    println!("up");
+    println!("up {born}");
     loop {
         thread::sleep(Duration::from_secs(60));
     }
@@ -91,6 +92,21 @@
                 stream.write_all(http::answer("200 OK", &headers, "").as_bytes())?;
                 return Ok(true);
             }
+            // No other replica has room for a copy. The answer to a first call, which has no `last`; the run goes on.
+            "/api/kv-move" => {
+                let body = String::from_utf8_lossy(&request.body).into_owned();
+                let runs_here = self.runs().iter().any(|run| body.contains(&format!("\"{}\"", run.0)));
+                let status = if runs_here { "503 Service Unavailable" } else { "404 Not Found" };
+                println!("{} is asked for a copy: {status}, {body}", self.id);
+                let json = [("Content-Type", "application/json")];
+                stream.write_all(http::answer(status, &json, "{}").as_bytes())?;
+                return Ok(true);
+            }
+            path if path.starts_with("/api/") => {
+                println!("{} is asked for {path}", self.id);
+                stream.write_all(http::answer("404 Not Found", &[], "").as_bytes())?;
+                return Ok(true);
+            }
             _ => {}
         }
         let expected = request.header("x-cicadastream-expect-instance");
