Review: the case of a poison request crashes replicas sooner

Change: the crash comes under the 9th event, a quarter of a second after the first; entries lapse 3.6 s after the crash.

--- a/review/standins-2/case_poison.rs
+++ b/review/standins-2/case_poison.rs
@@ -1,4 +1,4 @@
-//! A request crashes each replica that runs it, a second after its first token, and comes again and again.
+//! A request crashes each replica that runs it, a quarter of a second after its first token, and comes again and again.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -27,8 +27,11 @@
 const STABLE_MS: u64 = 4_000;
 const RETRIES: usize = 3;
 
-/// The event after which the request crashes a replica, and how many it would have.
-const CRASH_AT: u32 = 20;
+/// When the entry of a crashed replica is removed: after three check-in intervals of 1.2 s.
+const LAPSE_AFTER: Duration = Duration::from_millis(3_600);
+
+/// The event after which the request crashes a replica, and how many tokens it would have.
+const CRASH_AT: u32 = 9;
 const OUTPUT: u32 = 400;
 
 /// The output of other requests.
@@ -44,7 +47,7 @@
 
 fn play_on(deployment: &Arc<Deployment>) -> Result<bool, Failure> {
     let crash_at = if with_trouble() { CRASH_AT } else { 0 };
-    let pace = Pace { first_ms: 200, gap_ms: 48, framing: "chunks", crash_at };
+    let pace = Pace { first_ms: 200, gap_ms: 30, framing: "chunks", crash_at };
     for replica in REPLICAS {
         deployment.start_replica(replica, "taipei-a", 4, 1, pace)?;
         deployment.start_scout(replica, "taipei-a")?;
@@ -115,6 +118,8 @@
 /// Starts replicas that have crashed again, and enters their new lives into the store.
 fn bring_back(deployment: &Deployment, pace: Pace, is_over: &AtomicBool) {
     let mut lives = REPLICAS.map(|replica| (replica, 1));
+    // Entries of former lives, and when these were followed by others.
+    let mut lapsing: Vec<(String, u64)> = Vec::new();
     while !is_over.load(Ordering::Relaxed) {
         let lines = deployment.lines.lock().unwrap_or_else(|error| error.into_inner()).clone();
         for (replica, life) in &mut lives {
@@ -122,7 +127,7 @@
             let crashed = lines.iter().find(|(_, line)| line.starts_with(&mark)).map(|(at, _)| *at);
             let back = crashed.map(|at| at + BACK_AFTER.as_millis() as u64);
             if back.is_some_and(|back| deployment.record.now() >= back) {
-                deployment.store.remove("servers", &format!("i-{replica}-{life}"));
+                lapsing.push((format!("i-{replica}-{life}"), back.unwrap_or(0)));
                 *life += 1;
                 match deployment.start_replica(*replica, "taipei-a", 4, *life, pace) {
                     Ok(()) => deployment.record.write(&format!("i-{replica}-{life} has started")),
@@ -130,6 +135,15 @@
                 }
             }
         }
+        let now = deployment.record.now();
+        let after = (LAPSE_AFTER - BACK_AFTER).as_millis() as u64;
+        lapsing.retain(|(former, back)| {
+            let is_due = now >= back + after;
+            if is_due {
+                deployment.store.remove("servers", former);
+            }
+            !is_due
+        });
         thread::sleep(Duration::from_millis(50));
     }
 }
