draining: late streams are taken on observations of their engine

Callers of a relay that was stopped saw streams cut at the end of its grace period that had begun 3.6 and 4.1 s after the signal, when a 503 would have sent them to the relay that stays. Streams must not be repeated, so these were lost.

Cause: an estimate was taken for a bound. What was recorded of a stream was its caller's time from the head to the last byte, less 1.5 s that were assumed for the first event, over the tokens that the caller allowed, and held between 10 and 40 ms. Streams that are open told nothing. Evidence, from a relay's log with the figures of the decision added to it: an 8 token stream of 1.08 s was recorded as 0 ns a token, so that 160 tokens were expected to take 1.5 s and 160 times 10 ms, 3.1 s, while 4.09 and 3.64 s were left; at 20 ms a token they take 4.1 s. Dropped: that nothing had been measured, that the engine had slowed down, that the streams waited for a slot (80 ms between events and 1.0 s to the first one throughout).

Change: the waits for first events and the times between events are observed as they arrive from the engine, of open streams too, with the scout's report beside them. A stream that comes late is judged for the engine that was chosen, before each send: it is taken if its own time limit ends in time, or if its longest output fits by these observations with headroom. Nothing observed is no reason to take it. The one part that can still be answered for, the first event, is waited for only as long as the rest fits: after it the caller gets 502. One log line has the figures of each decision and their ages, another one those of each stream that is cut.

Two tests changed: - `streams_are_judged_by_the_pace_of_their_engines` asserted the cap of 40 ms and the division by allowed tokens, which are the fault. It asserts the observed pace now, at the same moments of the stop. - `requests_whose_heads_arrive_slowly_...` sends a stream before the signal. Without one nothing is known of its engine, and its late streams are refused; what it asserts is as before.

--- a/daemon/tests/relay_draining.rs
+++ b/daemon/tests/relay_draining.rs
@@ -148,6 +148,9 @@
     let mut deployment = start_with_grace(2 * GRACE, 1, 1, Duration::from_secs(2)).await?;
     deployment.services[0].0.set_mode(Mode::Slow(300));
     let relay = deployment.relays[0].callers;
+    // Without it, late streams are refused: nothing is known of their engine.
+    let before = Ask::stream("before", KEY, 200, 10);
+    assert!(before.send(relay).await?.whole);
     deployment.relays[0].process.signal(Signal::Term)?;
     let begun = Instant::now();
     let counts = format!("{}: m\r\n{}: 200,40\r\n", headers::MODEL, headers::COUNTS);
--- a/lib/src/drain_admission.rs
+++ b/lib/src/drain_admission.rs
@@ -6,13 +6,16 @@
 //! taken too late is cut by the end of the process, after it ran; one that is refused needlessly costs its caller one of
 //! a few attempts.
 //!
-//! A request is taken if it is certain to have a final answer within what is left, because its own time limit ends
-//! sooner, or if the slowest recent requests of its service, with headroom, would have. All others are refused before
+//! A call is taken if it is certain to have a final answer within what is left, because its own time limit ends sooner, or
+//! if the slowest recent calls of its service, with headroom, would have. A stream is taken by its expected output until
+//! the load balancer has stopped sending requests. Later it is taken only if the longest output that its caller allows
+//! fits, by what has been observed of its engine; nothing observed is no reason to take it. All others are refused before
 //! they are sent to any server, so that their callers can go to another relay at once.
 
 use std::time::Duration;
 
-use crate::time::Time;
+use crate::recent_max::RecentMax;
+use crate::stream_timings::StreamEvidence;
 
 /// Time from the last answer that the relay makes itself to the platform's forced stop: what is open then gets a final
 /// answer, which must be written before the process ends.
@@ -30,22 +33,22 @@
 const REPEATABLE_HEADROOM: f64 = 1.5;
 const UNREPEATABLE_HEADROOM: f64 = 2.5;
 
-/// By how much the time per token of a stream may exceed the longest recent one of its service.
-const STREAM_HEADROOM: f64 = 1.2;
+/// By how much an early stream may exceed the observed or assumed times.
+const EARLY_HEADROOM: f64 = 1.2;
+
+/// By how much a late stream may exceed the observed wait for the first event, and the observed time after it. One that
+/// is exceeded by the wait gets a final answer from the relay, one that is exceeded later is cut.
+const LATE_WAIT_HEADROOM: f64 = 1.5;
+const LATE_STREAMING_HEADROOM: f64 = 2.0;
 
 /// A stop is in its early phase while more than this fraction of the grace period is left.
 const EARLY_FRACTION: f64 = 0.7;
 
-/// Upper estimate of the time to the first event of a stream. Few wait longer.
+/// Assumed time to the first event of an early stream if none was observed.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(1_500);
 
-/// Time per token of a stream before one was measured, and at least: a step of an engine with a typical batch. At most
-/// four times that, so that callers that read slowly do not have all streams refused.
+/// Assumed time per token of an early stream if none was observed: a step of an engine with a typical batch.
 const TOKEN_TIME: Duration = Duration::from_millis(10);
-const MAX_TOKEN_TIME: Duration = Duration::from_millis(40);
-
-/// How long a slow request is remembered, at least; at most twice as long.
-const MEMORY: Duration = Duration::from_secs(30);
 
 /// What is known of the time that a request takes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,8 +64,8 @@
     Stream {
         /// With the expected output.
         expected: Duration,
-        /// With the longest output that its caller allows.
-        longest: Duration,
+        /// With the longest output that its caller allows; `None` if too little has been observed.
+        longest: Option<Duration>,
     },
 }
 
@@ -109,11 +112,8 @@
                 let available = self.left.saturating_sub(ANSWER_MARGIN);
                 (self.longest_call(repeatable, slowest), available)
             }
-            ExpectedTime::Stream { expected, longest } => {
-                // Few streams exceed their estimate by all the time that is left early in a stop. Later one that does
-                // would be cut off.
-                let early = self.left > self.grace.mul_f64(EARLY_FRACTION);
-                let longest = if early { expected } else { longest };
+            ExpectedTime::Stream { .. } => {
+                let longest = self.stream_time().unwrap_or(self.time_limit);
                 (longest, self.left.saturating_sub(STOP_MARGIN))
             }
         };
@@ -126,6 +126,20 @@
         }
     }
 
+    /// Whether the load balancer may still send requests.
+    pub fn is_early(&self) -> bool {
+        self.left > self.grace.mul_f64(EARLY_FRACTION)
+    }
+
+    /// How long a stream is taken to last; `None` if that is not known.
+    pub fn stream_time(&self) -> Option<Duration> {
+        match self.expected {
+            ExpectedTime::Call { .. } => None,
+            ExpectedTime::Stream { expected, .. } if self.is_early() => Some(expected),
+            ExpectedTime::Stream { longest, .. } => longest,
+        }
+    }
+
     fn longest_call(&self, repeatable: bool, slowest: Option<Duration>) -> Duration {
         let headroom = match repeatable {
             true => REPEATABLE_HEADROOM,
@@ -137,47 +151,64 @@
     }
 }
 
-/// The time per token of a stream that took so long, for as many tokens as its caller allowed.
-pub fn token_time(took: Duration, tokens: u32) -> Duration {
-    took.saturating_sub(FIRST_EVENT_TIME) / tokens.max(1)
-}
-
-/// How long a stream of so many tokens may take, by the longest recent time per token of its service.
-pub fn stream_time(slowest: Option<Duration>, tokens: u32) -> Duration {
-    let slowest = slowest.unwrap_or_default().mul_f64(STREAM_HEADROOM);
-    let token_time = slowest.clamp(TOKEN_TIME, MAX_TOKEN_TIME);
-    FIRST_EVENT_TIME + token_time * tokens
+/// The events of a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StreamLength {
+    /// Expected output in tokens.
+    pub expected: u32,
+    /// The longest output in tokens that its caller allows.
+    pub longest: u32,
+    /// Tokens per event.
+    pub event_tokens: u32,
 }
 
-/// The slowest recent request of a service, or the longest time per token of its streams.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct SlowestRequest {
-    // Of the present span of `MEMORY` and of the one before it.
-    present: Option<Duration>,
-    former: Option<Duration>,
-    since: Time,
-}
+impl StreamLength {
+    /// How long the stream takes, by what has been observed.
+    pub fn time(&self, evidence: &StreamEvidence) -> ExpectedTime {
+        let first = evidence.first_event.map(|first| first.value);
+        let gap = evidence.gap.map(|gap| gap.value);
+        let assumed_gap = TOKEN_TIME * self.event_tokens;
+        let expected = first.unwrap_or(FIRST_EVENT_TIME)
+            + gap.unwrap_or(assumed_gap) * self.gaps(self.expected);
+        let streaming = self.streaming_time(evidence);
+        let longest = first.zip(streaming).map(|(first, streaming)| {
+            first.mul_f64(LATE_WAIT_HEADROOM)
+                + streaming.mul_f64(LATE_STREAMING_HEADROOM)
+                + evidence.pause
+        });
+        ExpectedTime::Stream {
+            expected: expected.mul_f64(EARLY_HEADROOM),
+            longest,
+        }
+    }
 
-impl SlowestRequest {
-    /// Records how long a request took.
-    pub fn record(&mut self, now: Time, took: Duration) {
-        self.advance(now);
-        self.present = self.present.max(Some(took));
+    /// How long the longest output takes from its first event on, by what has been observed.
+    pub fn streaming_time(&self, evidence: &StreamEvidence) -> Option<Duration> {
+        match self.gaps(self.longest) {
+            0 => Some(Duration::ZERO),
+            gaps => evidence.gap.map(|gap| gap.value * gaps),
+        }
     }
 
-    /// How long the slowest recent request took; `None` if there was none.
-    pub fn longest(&mut self, now: Time) -> Option<Duration> {
-        self.advance(now);
-        self.present.max(self.former)
+    fn gaps(&self, tokens: u32) -> u32 {
+        tokens.div_ceil(self.event_tokens.max(1)).saturating_sub(1)
     }
+}
 
-    fn advance(&mut self, now: Time) {
-        let passed = now.since(self.since);
-        if passed < MEMORY {
-            return;
-        }
-        self.former = self.present.filter(|_| passed < 2 * MEMORY);
-        self.present = None;
-        self.since = now;
+/// How long the first event of a late stream may still take, if the rest takes as long as observed. A stream whose time
+/// limit ends in time may wait for all of that.
+pub fn first_event_limit(
+    left: Duration,
+    time_limit: Duration,
+    streaming: Option<Duration>,
+) -> Duration {
+    let available = left.saturating_sub(STOP_MARGIN);
+    match streaming {
+        _ if time_limit <= available => time_limit,
+        Some(streaming) => available.saturating_sub(streaming),
+        None => Duration::ZERO,
     }
 }
+
+/// The slowest recent request of a service.
+pub type SlowestRequest = RecentMax<Duration>;
--- a/lib/tests/drain_admission.rs
+++ b/lib/tests/drain_admission.rs
@@ -8,8 +8,10 @@
 use cicada_lib::drain_admission::LateRequest;
 use cicada_lib::drain_admission::STOP_MARGIN;
 use cicada_lib::drain_admission::SlowestRequest;
-use cicada_lib::drain_admission::stream_time;
-use cicada_lib::drain_admission::token_time;
+use cicada_lib::drain_admission::StreamLength;
+use cicada_lib::drain_admission::first_event_limit;
+use cicada_lib::recent_max::Observed;
+use cicada_lib::stream_timings::StreamEvidence;
 use cicada_lib::time::Time;
 use fastrand::Rng;
 use quickcheck::quickcheck;
@@ -130,7 +132,7 @@
             time_limit: 4 * GRACE,
             expected: ExpectedTime::Stream {
                 expected: Duration::from_secs(1),
-                longest: Duration::from_millis(longest),
+                longest: Some(Duration::from_millis(longest)),
             },
         };
         request.check()
@@ -141,19 +143,93 @@
     assert_eq!(check(800, 100), Err(LateRefusal::TooLate));
 }
 
+/// What a relay has observed of an engine: the wait for a first event, and the time between two, in milliseconds.
+fn observed(first: u64, gap: u64) -> StreamEvidence {
+    let observed = |value| {
+        Some(Observed {
+            value: Duration::from_millis(value),
+            at: Time::ZERO,
+        })
+    };
+    StreamEvidence {
+        first_event: observed(first),
+        gap: observed(gap),
+        pause: Duration::from_millis(gap),
+    }
+}
+
+/// Checks a stream of so many tokens that arrives after SIGTERM, with these observations.
+fn check_stream(
+    grace: Duration,
+    elapsed: Duration,
+    tokens: u32,
+    evidence: &StreamEvidence,
+) -> Result<(), LateRefusal> {
+    let length = StreamLength {
+        expected: tokens / 2,
+        longest: tokens,
+        event_tokens: 4,
+    };
+    let request = LateRequest {
+        grace,
+        left: grace.saturating_sub(elapsed),
+        time_limit: 10 * grace,
+        expected: length.time(evidence),
+    };
+    request.check()
+}
+
 /// Guards against streams that are cut by the end of a stop because their engines are slower than usual.
 #[test]
 fn streams_are_judged_by_the_pace_of_their_engines() {
-    const TOKENS: u32 = 200;
-    let pace = |took| Some(token_time(Duration::from_millis(took), TOKENS));
-    let usual = stream_time(None, TOKENS);
-    assert_eq!(stream_time(pace(1_800), TOKENS), usual);
-    assert!(stream_time(pace(7_000), TOKENS) > Duration::from_millis(7_500));
-    // A caller that read for two minutes.
-    assert_eq!(
-        stream_time(pace(120_000), TOKENS),
-        Duration::from_millis(9_500)
-    );
+    let at = Duration::from_millis(3_100);
+    let check = |first, gap| check_stream(GRACE, at, 160, &observed(first, gap));
+    assert_eq!(check(200, 20), Ok(()));
+    assert_eq!(check(1_000, 60), Err(LateRefusal::MayOutlast));
+    // No observation is too slow to count.
+    assert_eq!(check(200, 3_000), Err(LateRefusal::MayOutlast));
+    assert_eq!(check(120_000, 20), Err(LateRefusal::MayOutlast));
+    let paused = StreamEvidence {
+        pause: Duration::from_secs(3),
+        ..observed(200, 20)
+    };
+    let verdict = check_stream(GRACE, at, 160, &paused);
+    assert_eq!(verdict, Err(LateRefusal::MayOutlast));
+}
+
+/// Guards against streams that are taken late because an assumed time stands in for an unknown one.
+#[test]
+fn late_streams_are_refused_where_nothing_was_observed() {
+    let at = Duration::from_millis(3_100);
+    let nothing = StreamEvidence::default();
+    let only_first = StreamEvidence {
+        gap: None,
+        ..observed(100, 10)
+    };
+    let only_gap = StreamEvidence {
+        first_event: None,
+        ..observed(100, 10)
+    };
+    for evidence in [nothing, only_first, only_gap] {
+        let verdict = check_stream(GRACE, at, 16, &evidence);
+        assert_eq!(verdict, Err(LateRefusal::MayOutlast), "{evidence:?}");
+        let early = check_stream(GRACE, Duration::from_secs(1), 16, &evidence);
+        assert_eq!(early, Ok(()), "{evidence:?}");
+    }
+    // One event has nothing after it.
+    assert_eq!(check_stream(GRACE, at, 4, &only_first), Ok(()));
+}
+
+/// Guards against a late stream that waits for its first event until the rest of it cannot fit any more.
+#[test]
+fn a_first_event_may_come_as_late_as_the_rest_allows() {
+    let (left, long) = (Duration::from_secs(4), Duration::from_secs(40));
+    let limit = |time_limit, streaming| first_event_limit(left, time_limit, streaming);
+    let streaming = Duration::from_secs(2);
+    assert_eq!(limit(long, Some(streaming)), left - STOP_MARGIN - streaming);
+    assert_eq!(limit(long, Some(long)), Duration::ZERO);
+    // Its own time limit ends it in time, whenever the first event comes.
+    assert_eq!(limit(Duration::from_secs(3), None), Duration::from_secs(3));
 }
 
 /// Guards against one slow call that makes all later stops refuse calls.
--- a/relay/src/answer.rs
+++ b/relay/src/answer.rs
@@ -20,7 +20,6 @@
 use thiserror::Error;
 
 use crate::caller_io::ConnectionActivity;
-use crate::drain::StreamTimer;
 use crate::event_queue::EventReceiver;
 
 /// A complete body is passed on in pieces of this size: what a slow caller has not read stays counted as held.
@@ -39,8 +38,6 @@
     guard: Option<OpenResponseGuard>,
     // Counts the bytes of a complete body as held until then.
     _held: Option<HeldBytes>,
-    // Records how long a stream took.
-    _timer: Option<Box<StreamTimer>>,
 }
 
 enum BodySource {
@@ -55,7 +52,6 @@
             source: BodySource::Full(bytes),
             guard: None,
             _held: None,
-            _timer: None,
         }
     }
 
@@ -65,7 +61,6 @@
             source: BodySource::Events(events),
             guard: None,
             _held: None,
-            _timer: None,
         }
     }
 
@@ -77,14 +72,6 @@
         }
     }
 
-    /// Attaches what records how long a stream took when it is sent or dropped.
-    pub(crate) fn with_timer(self, timer: StreamTimer) -> Self {
-        ResponseBody {
-            _timer: Some(Box::new(timer)),
-            ..self
-        }
-    }
-
     /// Attaches the guard that counts the response as open until its body is sent or dropped.
     pub(crate) fn with_guard(self, guard: OpenResponseGuard) -> Self {
         ResponseBody {
--- a/relay/src/drain.rs
+++ b/relay/src/drain.rs
@@ -9,7 +9,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use cicada_lib::drain_admission;
 use cicada_lib::drain_admission::ANSWER_MARGIN;
 use cicada_lib::drain_admission::ExpectedTime;
 use cicada_lib::drain_admission::LateRefusal;
@@ -18,6 +17,7 @@
 use cicada_lib::drain_admission::SlowestRequest;
 use cicada_lib::ids::Name;
 use cicada_lib::site::CallKind;
+use cicada_lib::stream_timings::StreamTimings;
 use cicada_lib::time::Time;
 use http::Response;
 use tokio::sync::watch;
@@ -33,7 +33,6 @@
 use crate::lock::lock;
 use crate::relay::Relay;
 use crate::send_gate::SendGate;
-use crate::stream;
 
 /// Time until the load balancer sends no more callers: it polls readiness once a second, and removes a relay after two
 /// negative answers.
@@ -73,9 +72,9 @@
     phase: watch::Sender<DrainPhase>,
     // Open connections of callers, and the listener while it accepts more.
     connections: Arc<AtomicUsize>,
-    // Of each service: the slowest call, and the longest time per token of a stream.
+    // The slowest call of each service.
     slowest_calls: SlowestRequests,
-    token_times: SlowestRequests,
+    timings: Mutex<StreamTimings>,
 }
 
 impl DrainState {
@@ -86,9 +85,14 @@
             phase: watch::Sender::new(DrainPhase::Serving),
             connections: Arc::default(),
             slowest_calls: Mutex::default(),
-            token_times: Mutex::default(),
+            timings: Mutex::default(),
         }
     }
+
+    /// The timings of the relay's streams.
+    pub(crate) fn timings(&self) -> &Mutex<StreamTimings> {
+        &self.timings
+    }
 }
 
 /// Counts a connection as open until dropped.
@@ -113,41 +117,13 @@
     lock(slowest).get_mut(service)?.longest(now)
 }
 
-/// Records the time per token of a stream when dropped.
-pub(crate) struct StreamTimer {
-    relay: Arc<Relay>,
-    service: Name,
-    begun: Instant,
-    tokens: u32,
-}
-
-impl StreamTimer {
-    /// Measures from the arrival of the request.
-    pub(crate) fn start(relay: &Arc<Relay>, call: &Call) -> Self {
-        StreamTimer {
-            relay: relay.clone(),
-            service: call.service.clone(),
-            begun: call.arrived,
-            tokens: call.head.output,
-        }
-    }
-}
-
-impl Drop for StreamTimer {
-    fn drop(&mut self) {
-        let token_time = drain_admission::token_time(self.begun.elapsed(), self.tokens);
-        let token_times = &self.relay.drain.token_times;
-        record(token_times, &self.service, self.relay.now(), token_time);
-    }
-}
-
 impl Relay {
     pub(crate) fn is_draining(&self) -> bool {
         self.grace_left().is_some()
     }
 
     /// The time left until the process is killed, if it drains.
-    fn grace_left(&self) -> Option<Duration> {
+    pub(crate) fn grace_left(&self) -> Option<Duration> {
         let started = *lock(&self.drain.started);
         started.map(|started| self.grace().saturating_sub(started.elapsed()))
     }
@@ -194,9 +170,11 @@
         };
         let (service, now) = (&call.service, self.now());
         let expected = match call.admitted.route.kind {
-            CallKind::Streaming => {
-                stream::expected_time(call, longest(&self.drain.token_times, service, now))
-            }
+            // Checked again when its engine is known.
+            CallKind::Streaming => ExpectedTime::Stream {
+                expected: Duration::ZERO,
+                longest: Some(Duration::ZERO),
+            },
             kind => ExpectedTime::Call {
                 repeatable: kind == CallKind::Idempotent,
                 slowest: longest(&self.drain.slowest_calls, service, now),
@@ -265,6 +243,7 @@
         drop(timeout_at(margin(STOP_MARGIN), connections_closed(relay)).await);
     }
     let open = relay.open_requests();
+    relay.log_cut_streams();
     tracing::info!(
         open,
         connections = relay.open_connections(),
--- a/relay/src/stream.rs
+++ b/relay/src/stream.rs
@@ -6,8 +6,7 @@
 
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::dialect::RunMemory;
-use cicada_lib::drain_admission;
-use cicada_lib::drain_admission::ExpectedTime;
+use cicada_lib::drain_admission::StreamLength;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::ids::Name;
 use cicada_lib::move_plan;
@@ -25,7 +24,6 @@
 use crate::answer::ResponseBody;
 use crate::attempts::Attempts;
 use crate::attempts::SendFailure;
-use crate::drain::StreamTimer;
 use crate::event_queue::event_queue;
 use crate::exchange::Call;
 use crate::exchange::returned_headers;
@@ -35,6 +33,8 @@
 use crate::send::StartedAnswer;
 use crate::send::build_own_answer;
 use crate::send::send;
+use crate::stream_observer::StreamObserver;
+use crate::stream_run::BodyRead;
 use crate::stream_run::Run;
 use crate::waiting;
 use crate::waiting::Unplaced;
@@ -58,13 +58,16 @@
             break;
         }
         let placed = match waiting::place(relay, &call, &mut attempts, tokens, &admission).await {
-            Ok(placed) => {
-                relay.record_usage(&call.service, call.admitted.workspace.as_ref(), tokens);
-                placed
-            }
+            Ok(placed) => placed,
             Err(Unplaced::Answer(response)) => return response,
             Err(Unplaced::NoServer) => break,
         };
+        let accepted = match relay.accept_stream(&call, &placed) {
+            Ok(accepted) => accepted,
+            Err(_) if attempts.may_have_run() => break,
+            Err(why) => return relay.refuse_late_stream(why),
+        };
+        relay.record_usage(&call.service, call.admitted.workspace.as_ref(), tokens);
         tracing::info!(
             id = call.id(),
             route = %call.admitted.route.name,
@@ -85,6 +88,7 @@
         let patience =
             (relay.policy().patience && attempts.may_retry(&call)).then_some(first_event_deadline);
         let start = RunStart::New { last, patience };
+        let observer = StreamObserver::start(relay, &call, &placed, accepted);
         let outcome = report_if_slow(
             &placed,
             first_event_deadline,
@@ -93,8 +97,19 @@
         .await;
         let key = placed.key;
         let send_failure = match outcome {
-            Ok(answered) if answered.parts.status.is_success() => {
-                return start_stream(relay, call, placed, answered, tokens, attempts);
+            Ok(mut answered) if answered.parts.status.is_success() => {
+                let first = relay.first_read(&call, accepted.as_ref(), &mut answered);
+                let first_read = match first.await {
+                    Ok(first_read) => first_read,
+                    Err(own) => return own.into_response(),
+                };
+                let started = StartedRun {
+                    placed,
+                    answered,
+                    first_read,
+                    observer,
+                };
+                return start_stream(relay, call, started, tokens, attempts);
             }
             Ok(answered) => {
                 failure = Some(relay_failure(relay, &call, placed, answered).await);
@@ -247,11 +262,12 @@
         .min(call.head.output)
 }
 
-/// What is known of the time that the stream takes, by the longest recent time per token of its service.
-pub(crate) fn expected_time(call: &Call, slowest: Option<Duration>) -> ExpectedTime {
-    ExpectedTime::Stream {
-        expected: drain_admission::stream_time(slowest, expected_output(call)),
-        longest: drain_admission::stream_time(slowest, call.head.output),
+/// The expected and the longest length of the stream.
+pub(crate) fn length(call: &Call) -> StreamLength {
+    StreamLength {
+        expected: expected_output(call),
+        longest: call.head.output,
+        event_tokens: call.tokens_per_event(),
     }
 }
 
@@ -271,6 +287,15 @@
     Moved { memory: RunMemory, last: Name },
 }
 
+/// A run whose engine has begun to answer.
+pub(crate) struct StartedRun {
+    pub(crate) placed: PlacedRequest,
+    pub(crate) answered: StartedAnswer,
+    // What has been read of its body.
+    pub(crate) first_read: Option<BodyRead>,
+    pub(crate) observer: StreamObserver,
+}
+
 /// Sends the request to an engine. Uses the connection that was opened ahead of a move, if there is one.
 pub(crate) async fn send_run(
     relay: &Relay,
@@ -321,8 +346,7 @@
 fn start_stream(
     relay: &Arc<Relay>,
     call: Call,
-    placed: PlacedRequest,
-    answered: StartedAnswer,
+    started: StartedRun,
     tokens: u64,
     attempts: Attempts,
 ) -> Response<ResponseBody> {
@@ -331,9 +355,9 @@
         relay.fleet().record_run_length(&call.service, events);
     }
     let (sender, receiver) = event_queue(relay.budget().holder());
-    let body = ResponseBody::from_events(receiver).with_timer(StreamTimer::start(relay, &call));
-    let response = response_from(&answered.parts, body);
-    let run = Run::new(relay, call, placed, answered, tokens, attempts, sender);
+    let body = ResponseBody::from_events(receiver);
+    let response = response_from(&started.answered.parts, body);
+    let run = Run::new(relay, call, started, tokens, attempts, sender);
     tokio::spawn(run.relay_to_end());
     response
 }
--- a/relay/src/stream_run.rs
+++ b/relay/src/stream_run.rs
@@ -17,6 +17,7 @@
 use cicada_lib::routing::ServerKey;
 use cicada_lib::suspects::PROBATION_TOKENS;
 use http_body_util::BodyExt;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -36,8 +37,10 @@
 use crate::send::NoAnswer;
 use crate::send::StartedAnswer;
 use crate::stream::RunStart;
+use crate::stream::StartedRun;
 use crate::stream::record_unanswered;
 use crate::stream::send_run;
+use crate::stream_observer::StreamObserver;
 use crate::upstream::Connection;
 
 pub(crate) type MoveFuture = Pin<Box<dyn Future<Output = Result<Copied, MoveError>> + Send>>;
@@ -47,9 +50,12 @@
     pub(crate) relay: Arc<Relay>,
     pub(crate) call: Call,
     pub(crate) placed: PlacedRequest,
+    pub(crate) observer: StreamObserver,
     // Tokens that the run is expected to hold at its end.
     pub(crate) tokens: u64,
     pub(crate) attempts: Attempts,
+    // What was read before the stream began.
+    first_read: Option<BodyRead>,
     // `None` after the run has stopped at one engine and before it has started at the next.
     pub(crate) source: Option<(Incoming, Connection)>,
     // How the body at the present engine, or at the last one, is delimited.
@@ -100,14 +106,30 @@
 enum Wake {
     CallerGone,
     TimeOver,
-    Data(Bytes),
-    BodyEnded(Stop),
+    Body(BodyRead),
     ConsiderMove,
     ConsiderPlannedMove,
     NoProgress,
     MoveStepDone(Result<Copied, MoveError>),
 }
 
+/// What a read of an engine's answer brought.
+pub(crate) enum BodyRead {
+    Data(Bytes),
+    Ended(Stop),
+}
+
+impl BodyRead {
+    /// From the next frame of a body.
+    pub(crate) fn of(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Self {
+        match frame {
+            None => BodyRead::Ended(Stop::Announced),
+            Some(Err(_)) => BodyRead::Ended(Stop::Failed),
+            Some(Ok(frame)) => BodyRead::Data(frame.into_data().unwrap_or_default()),
+        }
+    }
+}
+
 /// How a stream ended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum StreamEnd {
@@ -124,12 +146,17 @@
     pub(crate) fn new(
         relay: &Arc<Relay>,
         call: Call,
-        placed: PlacedRequest,
-        answered: StartedAnswer,
+        started: StartedRun,
         tokens: u64,
         attempts: Attempts,
         sender: EventSender,
     ) -> Self {
+        let StartedRun {
+            placed,
+            answered,
+            first_read,
+            observer,
+        } = started;
         let now = Instant::now();
         let events = EventSplitter::after(call.last_event_id());
         let registration = call
@@ -144,8 +171,10 @@
             relay: relay.clone(),
             call,
             placed,
+            observer,
             tokens,
             attempts,
+            first_read,
             source: Some((answered.body, answered.connection)),
             framing: answered.framing,
             events,
@@ -211,15 +240,19 @@
     async fn relay_events(&mut self, leaving: &mut watch::Receiver<u64>) -> StreamEnd {
         self.consider_move();
         loop {
-            match self.next_wake(leaving).await {
+            let wake = match self.first_read.take() {
+                Some(read) => Wake::Body(read),
+                None => self.next_wake(leaving).await,
+            };
+            match wake {
                 Wake::CallerGone => return StreamEnd::CallerGone,
                 Wake::TimeOver => return StreamEnd::TimeOver,
-                Wake::Data(data) => {
+                Wake::Body(BodyRead::Data(data)) => {
                     if let Err(end) = self.forward(&data).await {
                         return end;
                     }
                 }
-                Wake::BodyEnded(stop) => {
+                Wake::Body(BodyRead::Ended(stop)) => {
                     if let Some(end) = self.handle_body_end(stop).await {
                         return end;
                     }
@@ -261,11 +294,7 @@
         tokio::select! {
             biased;
             () = self.sender.closed() => Wake::CallerGone,
-            frame = frame => match frame {
-                None => Wake::BodyEnded(Stop::Announced),
-                Some(Err(_)) => Wake::BodyEnded(Stop::Failed),
-                Some(Ok(frame)) => Wake::Data(frame.into_data().unwrap_or_default()),
-            },
+            frame = frame => Wake::Body(BodyRead::of(frame)),
             outcome = moving => Wake::MoveStepDone(outcome),
             _ = leaving.changed() => Wake::ConsiderMove,
             () = sleep_until(self.next_move_check), if check_move => Wake::ConsiderMove,
@@ -284,6 +313,7 @@
                 false => Ok(()),
             };
         };
+        self.observer.record_events(self.events.count());
         if !self.is_harmless && self.is_past_probation() {
             self.is_harmless = true;
             self.relay.record_harmless(&self.call);
@@ -394,6 +424,7 @@
     /// Continues with the answer of the engine at which the run was resumed, and records since when it was paused.
     pub(crate) fn continue_with(&mut self, paused_since: Instant, answered: StartedAnswer) {
         self.placed.record_first_event();
+        self.observer.move_to(self.placed.key);
         // A copy that is still being made is one of the run at its former engine.
         self.moving = None;
         if let Some(run) = &self.registration {
