draining: the early phase does not grow with the grace period

Callers of a relay with a grace period of 16 or 30 s saw streams cut that had begun up to 4.8 and 9 s after the signal, long after the load balancer had turned away.

Cause: the phase in which a stream is taken by its expected output lasted while 0.7 of the grace period was left. The load balancer takes the same time for every grace period; only at 8 s the two are about the same. The phase now lasts 2.6 s, the time until the load balancer sends no more callers, which the steps of the drain use already.

Tests: on the commit before, `the_early_phase_does_not_grow_with_the_grace_period` fails, `late_streams_are_whole_or_refused` with grace periods of 16 and 30 s added to it (11 streams cut), and `late_streams_are_not_cut_after_a_long_grace_period`, as processes (8 streams sent 3.0 to 4.75 s after the signal cut, of a grace period of 16 s).

--- a/daemon/tests/relay_late_streams.rs
+++ b/daemon/tests/relay_late_streams.rs
@@ -257,6 +257,21 @@
     Ok(())
 }
 
+/// Guards against streams that are taken by an assumed time long after the load balancer has turned away.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_streams_are_not_cut_after_a_long_grace_period() -> Result<()> {
+    let stop = Stop {
+        grace: Duration::from_secs(16),
+        first_wait: Duration::from_millis(4_500),
+        gap: Duration::from_millis(300),
+        before: 0,
+        long: false,
+        ..SOUND
+    };
+    stop.play().await?;
+    Ok(())
+}
+
 /// Guards against a relay that refuses streams which sound engines would have ended in time.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_streams_of_a_quick_engine_are_served() -> Result<()> {
--- a/lib/src/drain_admission.rs
+++ b/lib/src/drain_admission.rs
@@ -41,8 +41,9 @@
 const LATE_WAIT_HEADROOM: f64 = 1.5;
 const LATE_STREAMING_HEADROOM: f64 = 2.0;
 
-/// A stop is in its early phase while more than this fraction of the grace period is left.
-const EARLY_FRACTION: f64 = 0.7;
+/// Time from SIGTERM until the load balancer sends no more callers while other relays are in rotation: it polls readiness
+/// once a second, and removes a relay after two negative answers. Until then a stop is in its early phase.
+pub const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
 
 /// Assumed time to the first event of an early stream if none was observed.
 const FIRST_EVENT_TIME: Duration = Duration::from_millis(1_500);
@@ -128,7 +129,7 @@
 
     /// Whether the load balancer may still send requests.
     pub fn is_early(&self) -> bool {
-        self.left > self.grace.mul_f64(EARLY_FRACTION)
+        self.grace.saturating_sub(self.left) < DEREGISTRATION_DELAY
     }
 
     /// How long a stream is taken to last; `None` if that is not known.
--- a/lib/tests/drain_admission.rs
+++ b/lib/tests/drain_admission.rs
@@ -232,6 +232,19 @@
     assert_eq!(limit(Duration::from_secs(3), None), Duration::from_secs(3));
 }
 
+/// Guards against streams that are taken by an assumed time long after the load balancer has turned away, because the
+/// grace period is long.
+#[test]
+fn the_early_phase_does_not_grow_with_the_grace_period() {
+    let nothing = StreamEvidence::default();
+    for seconds in [4, 8, 16, 30, 300] {
+        let grace = Duration::from_secs(seconds);
+        let check = |elapsed| check_stream(grace, Duration::from_millis(elapsed), 16, &nothing);
+        assert_eq!(check(1_000), Ok(()), "{grace:?}");
+        assert_eq!(check(3_000), Err(LateRefusal::MayOutlast), "{grace:?}");
+    }
+}
+
 /// Guards against one slow call that makes all later stops refuse calls.
 #[test]
 fn a_slow_call_is_forgotten_after_a_while() {
--- a/lib/tests/stream_timings.rs
+++ b/lib/tests/stream_timings.rs
@@ -314,7 +314,7 @@
 /// has been running.
 #[test]
 fn late_streams_are_whole_or_refused() {
-    for grace in [4, 8].map(Duration::from_secs) {
+    for grace in [4, 8, 16, 30].map(Duration::from_secs) {
         for begin in [Duration::ZERO, BEFORE - millis(500), BEFORE] {
             for (first, gap) in [
                 (200, 20),
--- a/relay/src/drain.rs
+++ b/relay/src/drain.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use cicada_lib::drain_admission::ANSWER_MARGIN;
+use cicada_lib::drain_admission::DEREGISTRATION_DELAY;
 use cicada_lib::drain_admission::ExpectedTime;
 use cicada_lib::drain_admission::LateRefusal;
 use cicada_lib::drain_admission::LateRequest;
@@ -34,10 +35,6 @@
 use crate::relay::Relay;
 use crate::send_gate::SendGate;
 
-/// Time until the load balancer sends no more callers: it polls readiness once a second, and removes a relay after two
-/// negative answers.
-const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2_600);
-
 /// When idle connections are closed, so that their callers reconnect through the load balancer. A connection that is
 /// opened later serves a single request.
 const IDLE_CLOSE_DELAY: Duration = Duration::from_millis(1_200);
