draining: open calls tell how slow a service is

Callers of a relay that was stopped while a service slowed down got 502 for calls that may have run, when a 503 would have sent them to another relay at once.

What is known of a service were its calls that had ended; the slow ones were still open, or their callers had disconnected, and counted for nothing. Open calls count now, with the time for which they have been open, and so do abandoned ones. Where no call was answered recently, nothing is known, as before.

`SlowestRequest` was another name for `RecentMax<Duration>`; the tests that used it use that, and assert the same.

--- a/daemon/tests/relay_draining.rs
+++ b/daemon/tests/relay_draining.rs
@@ -188,15 +188,12 @@
     assert_ended_well(&mut deployment).await
 }
 
-/// Guards against slow calls that are taken and sent shortly before the end of the grace period, and cut by it.
-#[tokio::test(flavor = "multi_thread")]
-async fn slow_calls_are_answered_whole_or_sent_elsewhere_until_the_end() -> Result<()> {
-    let mut deployment = start(0, 1, Duration::from_secs(20)).await?;
-    deployment.services[0].0.set_mode(Mode::Slow(1_200));
+/// A call that neither was answered whole nor sent elsewhere: whether it ran, and its answer.
+type LostCall = (String, bool, Option<String>);
+
+/// Sends calls from now to the end of the grace period. Returns how many were served, and those that were lost.
+async fn send_calls(deployment: &Deployment) -> Result<(usize, Vec<LostCall>)> {
     let relay = deployment.relays[0].callers;
-    let ask = Ask::new("GET", "/slots/1", "before", KEY);
-    assert_eq!(ask.send(relay).await?.status, StatusCode::OK);
-    deployment.relays[0].process.signal(Signal::Term)?;
     let begun = Instant::now();
     let mut callers = Vec::new();
     for number in 0_u32.. {
@@ -218,13 +215,26 @@
     for caller in callers {
         let (id, answer) = caller.await?;
         let answer = answer.ok().filter(|answer| !answer.text.is_empty());
-        match (answer, has_run(&deployment, &id)) {
+        match (answer, has_run(deployment, &id)) {
             (Some(answer), true) if answer.status() == Some(200) => served += 1,
             (Some(answer), false) if answer.sends_elsewhere() => {}
             (None, false) => {}
             (answer, ran) => lost.push((id, ran, answer.map(|answer| answer.text))),
         }
     }
+    Ok((served, lost))
+}
+
+/// Guards against slow calls that are taken and sent shortly before the end of the grace period, and cut by it.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_calls_are_answered_whole_or_sent_elsewhere_until_the_end() -> Result<()> {
+    let mut deployment = start(0, 1, Duration::from_secs(20)).await?;
+    deployment.services[0].0.set_mode(Mode::Slow(1_200));
+    let relay = deployment.relays[0].callers;
+    let ask = Ask::new("GET", "/slots/1", "before", KEY);
+    assert_eq!(ask.send(relay).await?.status, StatusCode::OK);
+    deployment.relays[0].process.signal(Signal::Term)?;
+    let (served, lost) = send_calls(&deployment).await?;
     let log = deployment.relays[0].process.log();
     assert!(lost.is_empty(), "{lost:?}: {log}");
     // Most calls of the first second are certain to end in time.
@@ -232,6 +242,25 @@
     assert_ended_well(&mut deployment).await
 }
 
+/// Guards against calls that are taken by the former speed of a service whose slow calls have not ended yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn open_calls_tell_how_slow_a_service_is() -> Result<()> {
+    let mut deployment = start(0, 1, Duration::from_secs(20)).await?;
+    let relay = deployment.relays[0].callers;
+    let ask = Ask::new("GET", "/slots/1", "before", KEY);
+    assert_eq!(ask.send(relay).await?.status, StatusCode::OK);
+    deployment.services[0].0.set_mode(Mode::Slow(3_000));
+    let open = Ask::new("GET", "/slots/1", "open", KEY);
+    let open = tokio::spawn(async move { open.send(relay).await });
+    sleep(Duration::from_millis(1_500)).await;
+    deployment.relays[0].process.signal(Signal::Term)?;
+    let (_, lost) = send_calls(&deployment).await?;
+    let log = deployment.relays[0].process.log();
+    assert!(lost.is_empty(), "{lost:?}: {log}");
+    assert_eq!(open.await??.status, StatusCode::OK);
+    assert_ended_well(&mut deployment).await
+}
+
 /// Guards against calls at a server that are cut without an answer because they outlast the grace period.
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_that_outlast_the_grace_period_get_a_final_answer() -> Result<()> {
--- a/lib/src/drain_admission.rs
+++ b/lib/src/drain_admission.rs
@@ -14,7 +14,6 @@
 
 use std::time::Duration;
 
-use crate::recent_max::RecentMax;
 use crate::stream_timings::StreamEvidence;
 
 /// Time from the last answer that the relay makes itself to the platform's forced stop: what is open then gets a final
@@ -58,7 +57,7 @@
     Call {
         /// Whether it may run more than once.
         repeatable: bool,
-        /// The slowest recent call of its service, if any is known.
+        /// The slowest recent call of its service, open ones included, if any is known.
         slowest: Option<Duration>,
     },
     /// A stream.
@@ -210,6 +209,3 @@
         None => Duration::ZERO,
     }
 }
-
-/// The slowest recent request of a service.
-pub type SlowestRequest = RecentMax<Duration>;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod body_end;
 pub mod broadcast_queue;
 pub mod byte_budget;
+pub mod call_timings;
 pub mod change_log;
 pub mod claim_log;
 pub mod claim_shard;
--- a/lib/tests/drain_admission.rs
+++ b/lib/tests/drain_admission.rs
@@ -7,10 +7,10 @@
 use cicada_lib::drain_admission::LateRefusal;
 use cicada_lib::drain_admission::LateRequest;
 use cicada_lib::drain_admission::STOP_MARGIN;
-use cicada_lib::drain_admission::SlowestRequest;
 use cicada_lib::drain_admission::StreamLength;
 use cicada_lib::drain_admission::first_event_limit;
 use cicada_lib::recent_max::Observed;
+use cicada_lib::recent_max::RecentMax;
 use cicada_lib::stream_timings::StreamEvidence;
 use cicada_lib::time::Time;
 use fastrand::Rng;
@@ -40,7 +40,7 @@
 /// them.
 fn replay(repeatable: bool, limit: Duration, draw: impl Fn(&mut Rng) -> Duration) -> Outcome {
     let mut rng = Rng::with_seed(1);
-    let mut slowest = SlowestRequest::default();
+    let mut slowest = RecentMax::<Duration>::default();
     for number in 0..BEFORE {
         slowest.record(
             Time::ZERO + INTERVAL * number as u32,
@@ -250,7 +250,7 @@
 fn a_slow_call_is_forgotten_after_a_while() {
     let at = |seconds| Time::ZERO + Duration::from_secs(seconds);
     let short = Duration::from_millis(30);
-    let mut slowest = SlowestRequest::default();
+    let mut slowest = RecentMax::<Duration>::default();
     slowest.record(at(100), LIMIT);
     for second in 101..160 {
         slowest.record(at(second), short);
--- a/relay/src/drain.rs
+++ b/relay/src/drain.rs
@@ -2,24 +2,21 @@
 //!
 //! What is decided for each request is in `cicada_lib::drain_admission`; `docs/design/draining.md` has the table.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cicada_lib::call_timings::CallTimings;
 use cicada_lib::drain_admission::ANSWER_MARGIN;
 use cicada_lib::drain_admission::DEREGISTRATION_DELAY;
 use cicada_lib::drain_admission::ExpectedTime;
 use cicada_lib::drain_admission::LateRefusal;
 use cicada_lib::drain_admission::LateRequest;
 use cicada_lib::drain_admission::STOP_MARGIN;
-use cicada_lib::drain_admission::SlowestRequest;
-use cicada_lib::ids::Name;
 use cicada_lib::site::CallKind;
 use cicada_lib::stream_timings::StreamTimings;
-use cicada_lib::time::Time;
 use http::Response;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -69,8 +66,7 @@
     phase: watch::Sender<DrainPhase>,
     // Open connections of callers, and the listener while it accepts more.
     connections: Arc<AtomicUsize>,
-    // The slowest call of each service.
-    slowest_calls: SlowestRequests,
+    calls: Mutex<CallTimings>,
     timings: Mutex<StreamTimings>,
 }
 
@@ -81,7 +77,7 @@
             started: Mutex::default(),
             phase: watch::Sender::new(DrainPhase::Serving),
             connections: Arc::default(),
-            slowest_calls: Mutex::default(),
+            calls: Mutex::default(),
             timings: Mutex::default(),
         }
     }
@@ -101,19 +97,6 @@
     }
 }
 
-/// The slowest recent request of each service.
-type SlowestRequests = Mutex<HashMap<Name, SlowestRequest>>;
-
-fn record(slowest: &SlowestRequests, service: &Name, now: Time, took: Duration) {
-    let mut slowest = lock(slowest);
-    let slowest = slowest.entry(service.clone()).or_default();
-    slowest.record(now, took);
-}
-
-fn longest(slowest: &SlowestRequests, service: &Name, now: Time) -> Option<Duration> {
-    lock(slowest).get_mut(service)?.longest(now)
-}
-
 impl Relay {
     pub(crate) fn is_draining(&self) -> bool {
         self.grace_left().is_some()
@@ -155,9 +138,9 @@
         self.drain.connections.load(Ordering::Relaxed)
     }
 
-    /// Records how long a call to a service took.
-    pub(crate) fn record_call_time(&self, service: &Name, took: Duration) {
-        record(&self.drain.slowest_calls, service, self.now(), took);
+    /// The timings of this relay's calls.
+    pub(crate) fn call_timings(&self) -> &Mutex<CallTimings> {
+        &self.drain.calls
     }
 
     /// Whether the request is taken, if this relay drains.
@@ -165,7 +148,6 @@
         let Some(left) = self.grace_left() else {
             return Ok(());
         };
-        let (service, now) = (&call.service, self.now());
         let expected = match call.admitted.route.kind {
             // Checked again when its engine is known.
             CallKind::Streaming => ExpectedTime::Stream {
@@ -174,7 +156,7 @@
             },
             kind => ExpectedTime::Call {
                 repeatable: kind == CallKind::Idempotent,
-                slowest: longest(&self.drain.slowest_calls, service, now),
+                slowest: lock(self.call_timings()).longest(self.now(), &call.service),
             },
         };
         let request = LateRequest {
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempts;
+mod call_observer;
 mod caller_io;
 mod caller_server;
 mod choice;
--- a/relay/src/plain.rs
+++ b/relay/src/plain.rs
@@ -5,18 +5,19 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use cicada_lib::call_timings::CallEnd;
 use cicada_lib::dialect::Dispatch;
 use cicada_lib::fleet::Fleet;
 use cicada_lib::ids::Name;
 use cicada_lib::retry_after;
 use http::Response;
 use http::StatusCode;
-use tokio::time::Instant;
 
 use crate::answer::LocalResponse;
 use crate::answer::ResponseBody;
 use crate::attempts::Attempts;
 use crate::attempts::SendFailure;
+use crate::call_observer::CallObserver;
 use crate::exchange::Call;
 use crate::exchange::returned_headers;
 use crate::placed_request::PlacedRequest;
@@ -60,15 +61,16 @@
 
 /// Records how long a call takes, unless it is refused.
 async fn timed(
-    relay: &Relay,
+    relay: &Arc<Relay>,
     service: &Name,
     answering: impl Future<Output = Response<ResponseBody>>,
 ) -> Response<ResponseBody> {
-    let begun = Instant::now();
+    let observer = CallObserver::start(relay, service);
     let response = answering.await;
-    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
-        relay.record_call_time(service, begun.elapsed());
-    }
+    observer.finish(match response.status() {
+        StatusCode::SERVICE_UNAVAILABLE => CallEnd::Refused,
+        _ => CallEnd::Answered,
+    });
     response
 }
 
