draining: entries refuse requests that may outlast their stop

Callers of an entry that was stopped saw streams and calls cut at the end of `[drain] limit` that had come long after the balancer had turned away, and that another entry would have served.

Cause: an entry asked nothing of a request while it drained; it took all of them until it was ended by force. An entry's only evidence is the deadline of the request, which is certain, so that a request is taken after the notice if its deadline ends before the limit. A stream that is asked for again by its last event is still taken: its generation runs already, and can be asked for again at another entry.

Tests: `requests_that_may_outlast_a_stop_are_refused`, as processes, fails on the code before (the stream is cut at the limit); `requests_whose_deadlines_end_in_time_are_served` guards the other side and passes on both.

--- a/daemon/src/calls.rs
+++ b/daemon/src/calls.rs
@@ -80,6 +80,7 @@
                 body: self.read_body(ctx).await?.to_vec(),
             }),
         };
+        self.refuse_late(request.deadline)?;
         let dispatch = Dispatch::new(self.entry.clone(), request, Release::Cancel);
         answer(dispatch).await
     }
--- a/daemon/src/completions.rs
+++ b/daemon/src/completions.rs
@@ -77,8 +77,12 @@
             false => Release::Cancel,
         };
         let dispatch = match position {
+            // Its generation runs already, and goes on without this entry.
             Some(position) => Dispatch::resume(self.entry.clone(), request, position),
-            None => Dispatch::new(self.entry.clone(), request, release),
+            None => {
+                self.refuse_late(request.deadline)?;
+                Dispatch::new(self.entry.clone(), request, release)
+            }
         };
         if asked.stream {
             stream(dispatch, writer, inbound.permit.take()).await
--- a/daemon/src/drain.rs
+++ b/daemon/src/drain.rs
@@ -31,19 +31,18 @@
     if let Some(agent) = agent {
         agent.drain().await;
     }
-    let settings = process.settings();
-    let limit = settings.millis("drain", "notice") + settings.millis("drain", "limit");
+    let (notice, limit) = process.drain_times();
     tokio::select! {
-        () = finish(process) => tracing::info!("drain: done, nothing was cut"),
+        () = finish(process, notice) => tracing::info!("drain: done, nothing was cut"),
         () = signals.stop() => cut(process, "a second signal"),
-        () = tokio::time::sleep(limit) => cut(process, "[drain] limit"),
+        () = tokio::time::sleep(notice + limit) => cut(process, "[drain] limit"),
     }
     common.say_leaving().await;
     Ok(())
 }
 
-async fn finish(process: &Process) {
-    tokio::time::sleep(process.settings().millis("drain", "notice")).await;
+async fn finish(process: &Process, notice: Duration) {
+    tokio::time::sleep(notice).await;
     let mut quiet = 0;
     while quiet < QUIET_LOOKS {
         quiet = if process.in_flight() == 0 {
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -23,6 +23,7 @@
 mod filters;
 mod hosts_controller;
 mod isolation;
+mod late_requests;
 mod link;
 mod links;
 mod logs;
--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -2,9 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -70,6 +73,7 @@
     state: AtomicU8,
     // Whether an entry has learned of a backend server; an agent has its own from the start.
     has_servers: AtomicBool,
+    draining_since: OnceLock<Instant>,
     in_flight: Box<dyn Fn() -> i64 + Send + Sync>,
 }
 
@@ -92,6 +96,7 @@
             hosts: ArcSwap::default(),
             state: AtomicU8::new(ProcessState::Starting as u8),
             has_servers: AtomicBool::new(has_servers),
+            draining_since: OnceLock::new(),
             in_flight,
         }
     }
@@ -161,10 +166,22 @@
 
     /// Begins to drain, for good.
     pub(crate) fn drain(&self) {
+        self.draining_since.get_or_init(Instant::now);
         self.state
             .store(ProcessState::Draining as u8, Ordering::Release);
     }
 
+    /// For how long it has been draining; `None` while it serves.
+    pub(crate) fn draining_for(&self) -> Option<Duration> {
+        self.draining_since.get().map(Instant::elapsed)
+    }
+
+    /// How long the balancer takes to turn away, and the longest wait for requests after it.
+    pub(crate) fn drain_times(&self) -> (Duration, Duration) {
+        let time = |key| self.settings.millis("drain", key);
+        (time("notice"), time("limit"))
+    }
+
     /// Requests that are not over.
     pub(crate) fn in_flight(&self) -> i64 {
         (self.in_flight)()
