draining: an entry that is ended by force answers its requests

Callers of an entry that reached `[drain] limit`, or got a second signal, saw the connections of calls and whole completions end without an answer, so that they could not tell whether these had run.

Streams that have begun run on to the end; their callers can ask for the rest at another entry.

Test: `requests_without_an_answer_get_one_at_the_end`, as processes, fails on the code before (the connection is closed).

--- a/daemon/src/calls.rs
+++ b/daemon/src/calls.rs
@@ -143,7 +143,7 @@
     let id = dispatch.request().id;
     let mut said = None;
     loop {
-        match dispatch.next().await {
+        match dispatch.next_or_end().await {
             Part::Tokens(_) => {}
             Part::Answer {
                 status,
--- a/daemon/src/completions.rs
+++ b/daemon/src/completions.rs
@@ -167,7 +167,7 @@
     permit: Option<crate::filters::Permit>,
 ) -> Result<WebResponse> {
     let id = dispatch.request().id;
-    let first = dispatch.next().await;
+    let first = dispatch.next_or_end().await;
     if let Part::End { outcome, .. } = &first
         && let Some(refusal) = Refusal::of(outcome)
     {
@@ -185,7 +185,7 @@
     let id = dispatch.request().id;
     let mut text = String::new();
     loop {
-        match dispatch.next().await {
+        match dispatch.next_or_end().await {
             Part::Tokens(texts) => texts.iter().for_each(|token| text.push_str(token)),
             Part::Answer { .. } => {}
             Part::End {
--- a/daemon/src/dispatch.rs
+++ b/daemon/src/dispatch.rs
@@ -184,6 +184,24 @@
         }
     }
 
+    /// The next part for a caller that has had nothing yet. It gets the end if the process ends before.
+    pub(crate) async fn next_or_end(&mut self) -> Part {
+        let process = self.entry.process().clone();
+        tokio::select! {
+            biased;
+            part = self.next() => part,
+            () = process.ending() => self.end(self.ended_by_force(), 0),
+        }
+    }
+
+    fn ended_by_force(&self) -> Outcome {
+        match self.overdue() {
+            Outcome::NotRun(_) => Outcome::NotRun(NotRun::never_sent(RefusalReason::Draining)),
+            Outcome::Failed(_) => Outcome::Failed(FailureReason::ForcedStop),
+            outcome => outcome,
+        }
+    }
+
     pub(crate) fn overdue(&self) -> Outcome {
         // A stream that was asked for again has a generation before it has a connection.
         let handed = self.stream.is_some() || self.lost.is_some() || self.generation.is_some();
--- a/daemon/src/drain.rs
+++ b/daemon/src/drain.rs
@@ -3,6 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cicada_lib::drain_admission::ANSWER_MARGIN;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
 use crate::agent::Agent;
 use crate::common::Common;
 use crate::signals::Signals;
@@ -32,17 +36,27 @@
         agent.drain().await;
     }
     let (notice, limit) = process.drain_times();
+    // An agent's requests are answered by their entries.
+    let margin = match agent {
+        Some(_) => Duration::ZERO,
+        None => ANSWER_MARGIN,
+    };
     tokio::select! {
         () = finish(process, notice) => tracing::info!("drain: done, nothing was cut"),
-        () = signals.stop() => cut(process, "a second signal"),
-        () = tokio::time::sleep(notice + limit) => cut(process, "[drain] limit"),
+        () = signals.stop() => cut(process, margin, "a second signal").await,
+        () = sleep((notice + limit).saturating_sub(margin)) => cut(process, margin, "[drain] limit").await,
     }
     common.say_leaving().await;
     Ok(())
 }
 
 async fn finish(process: &Process, notice: Duration) {
-    tokio::time::sleep(notice).await;
+    sleep(notice).await;
+    quiet(process).await;
+}
+
+/// Waits until no request has been in flight for a while.
+async fn quiet(process: &Process) {
     let mut quiet = 0;
     while quiet < QUIET_LOOKS {
         quiet = if process.in_flight() == 0 {
@@ -50,11 +64,14 @@
         } else {
             0
         };
-        tokio::time::sleep(LOOK).await;
+        sleep(LOOK).await;
     }
 }
 
-fn cut(process: &Process, why: &str) {
+/// Has requests without an answer get one within the margin. Streams that have begun run on until then.
+async fn cut(process: &Process, margin: Duration, why: &str) {
+    process.end_requests();
+    drop(timeout(margin, quiet(process)).await);
     let in_flight = process.in_flight();
     tracing::warn!(
         in_flight,
--- a/daemon/src/status.rs
+++ b/daemon/src/status.rs
@@ -20,6 +20,7 @@
 use cicada_lib::platform::HostRole;
 use eyre::Context;
 use serde::Serialize;
+use tokio::sync::watch;
 use xitca_web::App;
 use xitca_web::WebContext;
 use xitca_web::bytes::Bytes;
@@ -74,6 +75,8 @@
     // Whether an entry has learned of a backend server; an agent has its own from the start.
     has_servers: AtomicBool,
     draining_since: OnceLock<Instant>,
+    // Whether requests without an answer must get one.
+    ending: watch::Sender<bool>,
     in_flight: Box<dyn Fn() -> i64 + Send + Sync>,
 }
 
@@ -97,6 +100,7 @@
             state: AtomicU8::new(ProcessState::Starting as u8),
             has_servers: AtomicBool::new(has_servers),
             draining_since: OnceLock::new(),
+            ending: watch::Sender::new(false),
             in_flight,
         }
     }
@@ -182,6 +186,18 @@
         (time("notice"), time("limit"))
     }
 
+    /// Has requests without an answer get one from this process.
+    pub(crate) fn end_requests(&self) {
+        self.ending.send_replace(true);
+    }
+
+    /// Waits until requests without an answer must get one.
+    pub(crate) async fn ending(&self) {
+        let mut ending = self.ending.subscribe();
+        // The wait fails only if the process is gone.
+        drop(ending.wait_for(|ending| *ending).await);
+    }
+
     /// Requests that are not over.
     pub(crate) fn in_flight(&self) -> i64 {
         (self.in_flight)()
--- a/daemon/tests/entry_draining.rs
+++ b/daemon/tests/entry_draining.rs
@@ -8,6 +8,7 @@
 use testutils::cluster::Signal;
 use testutils::deployment::Deployment;
 use testutils::deployment::DeploymentSettings;
+use testutils::service::ServiceFaults;
 use tokio::time::sleep;
 
 /// The notice is over 0.3 s after the signal, the process ends 4 s later at the latest.
@@ -69,3 +70,29 @@
     drop(open);
     Ok(())
 }
+
+/// Guards against requests that are cut without an answer when an entry is ended by force.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_without_an_answer_get_one_at_the_end() -> Result<()> {
+    let settings = DeploymentSettings::new(1, 1, 1).with_extra(DRAIN);
+    let mut deployment = Deployment::start(settings).await?;
+    deployment.services[0].service.set_faults(ServiceFaults {
+        slow: 60_000,
+        ..ServiceFaults::default()
+    });
+    let (caller, other) = (deployment.caller(0), deployment.caller(0));
+    let whole = tokio::spawn(async move { caller.complete("whole len=50000").await });
+    let path = "/services/booking/book?font=2";
+    let call = tokio::spawn(async move { other.send("POST", path, &[], "{}").await });
+    sleep(Duration::from_millis(500)).await;
+    let entry = &mut deployment.entries[0];
+    entry.process.signal(Signal::Term)?;
+    let whole = whole.await??;
+    assert_eq!(whole.status(), 502, "{whole:?}");
+    assert_eq!(error_of(&whole)?["code"], "forced_stop");
+    let call = call.await??;
+    assert_eq!(call.status(), 502, "{call:?}");
+    assert_eq!(error_of(&call)?["ran"], "unknown");
+    assert!(entry.process.wait_end(PATIENCE).await?.success());
+    Ok(())
+}
