--- a/daemon/tests/relay_late_streams.rs
+++ b/daemon/tests/relay_late_streams.rs
@@ -45,6 +45,12 @@
     before_allowed: u32,
     // Whether a long stream is open.
     long: bool,
+    // Time between the two halves of a request, the second one of which is body.
+    body_pause: Duration,
+    // Whether streams are asked for again from their second event on.
+    resumed: bool,
+    // Time between events at a second engine, if there is one.
+    second_gap: Option<Duration>,
 }
 
 /// An engine that makes an event every 20 ms, 0.2 s after it was asked.
@@ -58,8 +64,14 @@
     before_events: 40,
     before_allowed: 40,
     long: true,
+    body_pause: Duration::ZERO,
+    resumed: false,
+    second_gap: None,
 };
 
+/// A body that is longer than any head.
+const BODY: [u8; 2_000] = [b'x'; 2_000];
+
 /// What became of the streams that were sent too late to be excused.
 #[derive(Debug, Default)]
 struct Outcome {
@@ -84,11 +96,22 @@
         engine.set_first_wait(self.first_wait);
         engine.set_pace(self.gap);
         engine.set_pause(u64::from(self.events / 2), self.pause);
+        for (second, gap) in deployment.engines.iter().skip(1).zip(self.second_gap) {
+            second.engine.set_first_wait(self.first_wait);
+            second.engine.set_pace(gap);
+        }
+    }
+
+    fn ask(&self, id: &str) -> Ask {
+        match self.resumed {
+            true => Ask::question(id, KEY, 200, self.events).after_event(1),
+            false => Ask::stream(id, KEY, 200, self.events),
+        }
     }
 
     /// Sends streams from the signal to the end of the grace period, and returns what became of the late ones.
     async fn play(&self) -> Result<Outcome> {
-        let mut deployment = start(self.grace).await?;
+        let mut deployment = start(self).await?;
         let relay = deployment.relays[0].callers;
         self.prepare(&deployment);
         let engine = deployment.engines[0].engine.clone();
@@ -124,10 +147,10 @@
                 break;
             }
             let id = format!("late-{number}");
-            let ask = Ask::stream(&id, KEY, 200, self.events);
+            let (ask, pause) = (self.ask(&id).with_body(&BODY), self.body_pause);
             streams.spawn(async move {
-                let sent = begun.elapsed();
-                (id, sent, ask.send(relay).await)
+                let sent = begun.elapsed() + pause;
+                (id, sent, ask.send_slowly(relay, pause).await)
             });
         }
         let mut outcome = Outcome::default();
@@ -147,8 +170,9 @@
 }
 
 fn end_of(deployment: &Deployment, id: &str, heard: Result<Heard>) -> End {
-    let arrivals = deployment.engines[0].engine.arrivals();
-    let ran = arrivals.iter().any(|arrival| arrival.id == id);
+    let engines = deployment.engines.iter();
+    let mut arrivals = engines.flat_map(|host| host.engine.arrivals());
+    let ran = arrivals.any(|arrival| arrival.id == id);
     match heard {
         Ok(heard) if heard.whole_success() => End::Whole,
         Ok(heard) if !ran && heard.status == StatusCode::SERVICE_UNAVAILABLE => End::Refused,
@@ -161,12 +185,14 @@
     }
 }
 
-/// Starts a relay with one engine.
-async fn start(grace: Duration) -> Result<Deployment> {
+/// Starts a relay with its engines.
+async fn start(stop: &Stop) -> Result<Deployment> {
     let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
-    let mut deployment = Deployment::start(daemon, 1, 1, 0).await?;
-    deployment.set(0, "grace = 8", &format!("grace = {}", grace.as_secs()))?;
-    if grace != SOUND.grace {
+    let engines = 1 + usize::from(stop.second_gap.is_some());
+    let mut deployment = Deployment::start(daemon, 1, engines, 0).await?;
+    let grace = format!("grace = {}", stop.grace.as_secs());
+    deployment.set(0, "grace = 8", &grace)?;
+    if stop.grace != SOUND.grace {
         let log = |text: &str| deployment.relays[0].process.log().contains(text);
         wait_until("the change is applied", || log("were read again")).await?;
     }
@@ -257,6 +283,42 @@
     Ok(())
 }
 
+/// Guards against streams that are judged when their heads arrive, and whose bodies arrive so late that they are cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_streams_whose_bodies_arrive_late_are_not_cut() -> Result<()> {
+    let stop = Stop {
+        gap: Duration::from_millis(60),
+        body_pause: Duration::from_millis(1_300),
+        ..SOUND
+    };
+    stop.play().await?;
+    Ok(())
+}
+
+/// Guards against streams that are asked for again, are taken because their rest seems short, and are cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_streams_that_are_resumed_are_not_cut() -> Result<()> {
+    let stop = Stop {
+        first_wait: Duration::from_secs(1),
+        gap: Duration::from_millis(80),
+        resumed: true,
+        ..SOUND
+    };
+    stop.play().await?;
+    Ok(())
+}
+
+/// Guards against streams that are taken by what was observed of another engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_streams_are_not_cut_where_another_engine_is_slow() -> Result<()> {
+    let stop = Stop {
+        second_gap: Some(Duration::from_millis(130)),
+        ..SOUND
+    };
+    stop.play().await?;
+    Ok(())
+}
+
 /// Guards against streams that are taken by an assumed time long after the load balancer has turned away.
 #[tokio::test(flavor = "multi_thread")]
 async fn late_streams_are_not_cut_after_a_long_grace_period() -> Result<()> {
