soak: streams of several speeds over relays that are stopped in turn

A stream that is sent later than 3 s after the signal must be whole or refused, and no stream may be cut before the last sixth of the grace period.

--- a/daemon/tests/relay_soak.rs
+++ b/daemon/tests/relay_soak.rs
@@ -6,6 +6,7 @@
 use cicada_standins::soak;
 use cicada_standins::soak::Plan;
 use cicada_standins::soak_drains;
+use cicada_standins::soak_late_streams;
 use eyre::Result;
 
 /// Duration of a soak run, and of one whose faults take longer.
@@ -65,6 +66,17 @@
     Ok(())
 }
 
+/// Guards against streams that are cut because they are taken late in the stops of their relays.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_streams_are_whole_or_refused_while_relays_are_stopped_in_turn() -> Result<()> {
+    let daemon = Path::new(env!("CARGO_BIN_EXE_cicadad"));
+    let report = soak_late_streams::run_late_streams(daemon, 5, LONG_DURATION).await?;
+    assert!(report.broken.is_empty(), "{report:#?}");
+    let served = report.ends.get("stream 200").copied().unwrap_or_default();
+    assert!(served > 20, "{:?}", report.ends);
+    Ok(())
+}
+
 #[test]
 fn a_seed_gives_the_same_schedule() {
     assert_eq!(soak::schedule(7, DURATION), soak::schedule(7, DURATION));
