answers: an end that only the connection marks is proved by the incarnation

Callers got about 30 of 100 events of a stream, or the first half of a plain answer, and the mark of a complete answer, where the server's answers have no length, it had crashed, and another process was at its address before the relay read the end.

Cause: an accepted connection was taken for the server that made the answer. The end of a connection may be read seconds after the crash, behind a cut or by a relay that stood still. The relay now asks, over a connection that it opens after the end: an engine for its start, which must be the one that it had when it was chosen; a plain server for its identifier, and the list of servers for a later incarnation. One process listens at an address at a time, so that an engine with the same start is the one that made the answer. What is not proved is broken, visibly, and goes on in another run where the route allows it.

`BodyEnd::confirm` takes what became of the server in place of a flag; its tests assert the same, and the third outcome. Open: a plain server that is back under its identifier before its entry says so, and the product's own agents.

--- a/lib/src/body_end.rs
+++ b/lib/src/body_end.rs
@@ -39,6 +39,16 @@
         Unknown,
     }
 
+    /// What became of the server that made an answer, after the answer's end.
+    pub enum ServerFate {
+        /// Its incarnation was there after the end.
+        Alive,
+        /// It is not there any more, or another incarnation is.
+        Gone,
+        /// It did not tell.
+        Unknown,
+    }
+
     /// Where in its content a body stopped.
     pub enum Position {
         /// Between two events, before the first one, or in a content without events.
@@ -69,6 +79,8 @@
         StopUnknown,
         /// The server is gone, and nothing but its connection marked the end.
         ServerGone,
+        /// The server did not tell whether it is the one that made the answer, and nothing but its connection marked the end.
+        ServerUnknown,
     }
 }
 
@@ -93,11 +105,14 @@
         }
     }
 
-    /// Settles an unconfirmed end by whether the server still accepts connections.
-    pub fn confirm(self, is_server_there: bool) -> Self {
-        match (self, is_server_there) {
-            (BodyEnd::Unconfirmed, true) => BodyEnd::Complete,
-            (BodyEnd::Unconfirmed, false) => BodyEnd::Broken(BreakReason::ServerGone),
+    /// Settles an unconfirmed end by what became of the server: the kernel closes the connections of a process that dies.
+    pub fn confirm(self, fate: ServerFate) -> Self {
+        match (self, fate) {
+            (BodyEnd::Unconfirmed, ServerFate::Alive) => BodyEnd::Complete,
+            (BodyEnd::Unconfirmed, ServerFate::Gone) => BodyEnd::Broken(BreakReason::ServerGone),
+            (BodyEnd::Unconfirmed, ServerFate::Unknown) => {
+                BodyEnd::Broken(BreakReason::ServerUnknown)
+            }
             (settled, _) => settled,
         }
     }
@@ -112,6 +127,7 @@
             BodyEnd::Broken(BreakReason::Moved) => "moved",
             BodyEnd::Broken(BreakReason::StopUnknown) => "stop_unknown",
             BodyEnd::Broken(BreakReason::ServerGone) => "server_gone",
+            BodyEnd::Broken(BreakReason::ServerUnknown) => "server_unknown",
         }
     }
 }
--- a/lib/src/dialect.rs
+++ b/lib/src/dialect.rs
@@ -228,6 +228,11 @@
     /// Asks for the load.
     async fn report(&self, engine: SocketAddr) -> Result<EngineReport, ReportError>;
 
+    /// Asks when the engine started, in milliseconds since 1970, over a connection of its own. `None` if it does not tell.
+    async fn start(&self, engine: SocketAddr) -> Result<Option<u64>, ReportError> {
+        self.report(engine).await.map(|report| report.born)
+    }
+
     /// Asks at the service's health path under which identifier the engine lives. Costs more than a
     /// report: once in a life is enough.
     async fn health(&self, engine: SocketAddr, path: &Name) -> Result<EngineHealth, ReportError>;
--- a/lib/src/http_client.rs
+++ b/lib/src/http_client.rs
@@ -31,6 +31,7 @@
 use crate::body_end::BodyEnd;
 use crate::body_end::Framing;
 use crate::body_end::Position;
+use crate::body_end::ServerFate;
 use crate::body_end::Stop;
 use crate::final_status::is_final;
 use crate::informational_limit::InformationalLimit;
@@ -250,9 +251,7 @@
             CallError::Lost(format!("the answer's body takes more than {limit:?}"))
         })??;
         let end = BodyEnd::of(framing, Stop::Announced, Position::Boundary);
-        if end == BodyEnd::Unconfirmed
-            && end.confirm(self.is_peer_there().await) != BodyEnd::Complete
-        {
+        if end == BodyEnd::Unconfirmed && end.confirm(self.peer_fate().await) != BodyEnd::Complete {
             return Err(CallError::Lost(
                 "the peer is gone, and nothing but its connection marked the end of the answer"
                     .into(),
@@ -276,10 +275,13 @@
         Ok(bytes.freeze())
     }
 
-    /// Whether the peer accepts connections.
-    async fn is_peer_there(&self) -> bool {
+    /// What became of the peer, by whether it accepts connections.
+    async fn peer_fate(&self) -> ServerFate {
         let connecting = TcpStream::connect(self.addr);
-        matches!(timeout(self.limits.connect, connecting).await, Ok(Ok(_)))
+        match timeout(self.limits.connect, connecting).await {
+            Ok(Ok(_)) => ServerFate::Alive,
+            Ok(Err(_)) | Err(_) => ServerFate::Gone,
+        }
     }
 
     /// The lines of an answer that comes bit by bit.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod fingerprint;
 pub mod fleet;
 mod fleet_choice;
+mod fleet_incarnations;
 mod fleet_leaving;
 mod fleet_limits;
 mod fleet_loans;
--- a/lib/tests/body_end.rs
+++ b/lib/tests/body_end.rs
@@ -5,11 +5,14 @@
 use cicada_lib::body_end::Framing;
 use cicada_lib::body_end::Position;
 use cicada_lib::body_end::RunStop;
+use cicada_lib::body_end::ServerFate;
 use cicada_lib::body_end::Stop;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::header::TRANSFER_ENCODING;
 
+const FATES: [ServerFate; 3] = [ServerFate::Alive, ServerFate::Gone, ServerFate::Unknown];
+
 fn framing(codings: &[&'static str], length: Option<u64>) -> Framing {
     let mut headers = HeaderMap::new();
     for coding in codings {
@@ -34,12 +37,14 @@
     for framing in [Framing::Length, Framing::Chunks] {
         let complete = end(framing, Position::Boundary);
         assert_eq!(complete, BodyEnd::Complete);
-        assert_eq!(complete.confirm(false), BodyEnd::Complete);
+        assert_eq!(complete.confirm(ServerFate::Gone), BodyEnd::Complete);
     }
     let unconfirmed = end(Framing::Close, Position::Boundary);
-    assert_eq!(unconfirmed.confirm(true), BodyEnd::Complete);
+    assert_eq!(unconfirmed.confirm(ServerFate::Alive), BodyEnd::Complete);
     let gone = BodyEnd::Broken(BreakReason::ServerGone);
-    assert_eq!(unconfirmed.confirm(false), gone);
+    assert_eq!(unconfirmed.confirm(ServerFate::Gone), gone);
+    let unknown = BodyEnd::Broken(BreakReason::ServerUnknown);
+    assert_eq!(unconfirmed.confirm(ServerFate::Unknown), unknown);
 }
 
 #[test]
@@ -51,8 +56,9 @@
             (inside, BreakReason::InsideEvent),
             (failed, BreakReason::Connection),
         ] {
-            assert_eq!(end.confirm(true), BodyEnd::Broken(reason));
-            assert_eq!(end.confirm(false), BodyEnd::Broken(reason));
+            for fate in FATES {
+                assert_eq!(end.confirm(fate), BodyEnd::Broken(reason));
+            }
         }
     }
 }
@@ -61,9 +67,10 @@
 fn an_end_that_only_the_connection_marks_may_be_that_of_a_moved_run() {
     let boundary = |framing| BodyEnd::of(framing, Stop::Announced, Position::Boundary);
     let moved = boundary(Framing::Close).after_stop(RunStop::Stopped);
-    assert_eq!(moved.confirm(true), BodyEnd::Broken(BreakReason::Moved));
+    let broken = BodyEnd::Broken(BreakReason::Moved);
+    assert_eq!(moved.confirm(ServerFate::Alive), broken);
     let stayed = boundary(Framing::Close).after_stop(RunStop::NotStopped);
-    assert_eq!(stayed.confirm(true), BodyEnd::Complete);
+    assert_eq!(stayed.confirm(ServerFate::Alive), BodyEnd::Complete);
     for stop in [RunStop::Stopped, RunStop::Unknown] {
         let complete = boundary(Framing::Chunks).after_stop(stop);
         assert_eq!(complete, BodyEnd::Complete);
@@ -75,8 +82,8 @@
 fn an_end_after_a_stop_of_unknown_outcome_is_broken_whatever_the_port_says() {
     let end = BodyEnd::of(Framing::Close, Stop::Announced, Position::Boundary);
     let end = end.after_stop(RunStop::Unknown);
-    for is_server_there in [true, false] {
+    for fate in FATES {
         let broken = BodyEnd::Broken(BreakReason::StopUnknown);
-        assert_eq!(end.confirm(is_server_there), broken);
+        assert_eq!(end.confirm(fate), broken);
     }
 }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -529,6 +529,46 @@
     assert!(fleet.record(previous).is_none());
 }
 
+/// Guards against an answer that passes for that of a server which a later incarnation has replaced, and against one that
+/// does not because a former incarnation is still listed.
+#[test]
+fn only_a_later_incarnation_replaces_a_server() {
+    let with = |id: &str, number: u16, born: u64| ServerRecord {
+        id: Name::new(id),
+        born,
+        ..record(number, "a")
+    };
+    let server = with("i-1", 0, 5);
+    let is_replaced = |others: &[ServerRecord]| {
+        let mut fleet = fleet("a");
+        fleet.replace_servers(millis(0), others);
+        fleet.is_replaced(&server)
+    };
+    assert!(!is_replaced(&[]), "one that leaves is not listed");
+    assert!(!is_replaced(std::slice::from_ref(&server)));
+    assert!(is_replaced(&[with("i-2", 0, 6)]), "at its address");
+    assert!(is_replaced(&[with("i-1", 0, 6)]), "under its identifier");
+    assert!(!is_replaced(&[with("i-0", 0, 4), server.clone()]));
+    assert!(!is_replaced(&[server.clone(), with("i-2", 1, 6)]));
+}
+
+/// Guards against the start of an engine that is taken from a former list.
+#[test]
+fn the_start_of_a_server_is_that_of_its_entry() {
+    let mut fleet = fleet("a");
+    let listed = ServerRecord {
+        born: 5,
+        ..record(0, "a")
+    };
+    fleet.replace_servers(millis(0), std::slice::from_ref(&listed));
+    let key = fleet.key_at(address(0)).unwrap();
+    assert_eq!(fleet.start(key), Some(5));
+    let next = ServerRecord { born: 6, ..listed };
+    fleet.apply_change(millis(1), &ServerChange::Put(next));
+    let key = fleet.key_at(address(0)).unwrap();
+    assert_eq!(fleet.start(key), Some(6));
+}
+
 fn only(regions: &[&str]) -> AllowedRegions {
     AllowedRegions::only(regions.iter().map(Name::new))
 }
--- a/relay/src/lib.rs
+++ b/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod datagram_socket;
 mod directory_watcher;
 mod drain;
+mod end_proof;
 mod engine_reports;
 mod evacuation_watcher;
 mod event_queue;
--- a/relay/src/run_end.rs
+++ b/relay/src/run_end.rs
@@ -7,11 +7,10 @@
 use cicada_lib::migration::run_stops::OpenStop;
 
 use crate::crash_check;
-use crate::placed_request::PlacedRequest;
+use crate::end_proof;
 use crate::run_stop::Followed;
 use crate::stream_run::Run;
 use crate::stream_run::StreamEnd;
-use crate::upstream;
 
 /// A body that has ended, as it is logged: the run may be at another engine by then.
 struct EndedBody {
@@ -42,7 +41,7 @@
         }
         let followed = self.follow_stop().await;
         let end = end.after_stop(followed.run_stop());
-        let end = confirm_end(end, &self.placed).await;
+        let end = end_proof::confirm_end(end, &self.relay, &self.call, &self.placed).await;
         self.record_body_end(&body, end, followed);
         match end {
             BodyEnd::Complete => Some(StreamEnd::Complete),
@@ -89,15 +88,3 @@
         );
     }
 }
-
-/// Settles the end of a body that nothing but its connection marked: the port of a server whose process has died refuses
-/// connections. Costs one round trip, and only such a body's end waits for it.
-pub(crate) async fn confirm_end(end: BodyEnd, placed: &PlacedRequest) -> BodyEnd {
-    match end {
-        BodyEnd::Unconfirmed => {
-            let is_there = upstream::accepts(placed.record.address, placed.round_trip()).await;
-            end.confirm(is_there)
-        }
-        settled => settled,
-    }
-}
--- a/relay/src/upstream.rs
+++ b/relay/src/upstream.rs
@@ -140,11 +140,6 @@
     }
 }
 
-/// Whether the server accepts connections. One that does not answer in time does not count as there.
-pub(crate) async fn accepts(server: SocketAddr, round_trip: Duration) -> bool {
-    port_state(server, round_trip).await == PortState::Accepts
-}
-
 impl OpenConnection {
     /// Time since it was opened.
     pub(crate) fn age(&self) -> Duration {
--- a/relay/src/whole_body.rs
+++ b/relay/src/whole_body.rs
@@ -12,10 +12,10 @@
 use tokio::time::timeout_at;
 
 use crate::crash_check;
+use crate::end_proof::confirm_end;
 use crate::exchange::Call;
 use crate::placed_request::PlacedRequest;
 use crate::relay::Relay;
-use crate::run_end::confirm_end;
 use crate::send::NoAnswer;
 use crate::send::StartedAnswer;
 
@@ -57,7 +57,7 @@
         };
         drop(self.connection);
         let end = BodyEnd::of(self.framing, stop, Position::Boundary);
-        let end = confirm_end(end, placed).await;
+        let end = confirm_end(end, relay, call, placed).await;
         relay.metrics().count_body_end(self.framing, end.as_str());
         if end != BodyEnd::Complete {
             tracing::info!(
