fleet: an engine that names itself before its first report stays in use

Callers got 503 for 7 s while the store was away, although the only engine of their service was there and its scout had announced it.

Cause: until the store lists an announced engine, it has a placeholder for an identifier. The engine's first answer names it; unless its scout had reported by then, that was taken for another server at the address, and the address was ignored for 30 s. An engine that was announced within 1.2 s now takes the place of its placeholder. Evidence: the relay's log, "another server is at the address server=unlisted" 17 ms after "a scout says that its engine is there", and no server after that.

--- a/daemon/tests/relay_faults.rs
+++ b/daemon/tests/relay_faults.rs
@@ -30,6 +30,15 @@
 
 /// Sends short drafts until the engine with this index has received one. Panics after `patience`.
 async fn ask_until_used(deployment: &Deployment, engine: usize, patience: Duration) -> Result<()> {
+    ask_often(deployment, engine, patience, Duration::from_millis(50)).await
+}
+
+async fn ask_often(
+    deployment: &Deployment,
+    engine: usize,
+    patience: Duration,
+    pause: Duration,
+) -> Result<()> {
     let relay = &deployment.relays[0];
     let started = Instant::now();
     let mut number = 0;
@@ -39,7 +48,7 @@
         Ask::stream(&format!("draft-{number}"), KEY, 500, 2)
             .send(relay.callers)
             .await?;
-        sleep(Duration::from_millis(50)).await;
+        sleep(pause).await;
     }
     Ok(())
 }
@@ -398,6 +407,18 @@
     ask_until_used(&deployment, 1, Duration::from_secs(9)).await
 }
 
+/// Guards against an engine that is not used for seconds because its first request comes before its scout's first report.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_is_asked_before_its_first_report_is_used() -> Result<()> {
+    let mut deployment = Deployment::start(daemon(), 1, 1, 0).await?;
+    sleep(Duration::from_millis(500)).await;
+    deployment.store.set_busy(true);
+    deployment.add_engine()?;
+    deployment.engines[0].engine.leave(Duration::from_secs(30));
+    let pause = Duration::from_millis(3);
+    ask_often(&deployment, 1, Duration::from_secs(9), pause).await
+}
+
 /// A server registers while the relay cannot reach the store, and the store drops its history before the relay
 /// reconnects. The relay must still find the server.
 #[tokio::test(flavor = "multi_thread")]
--- a/lib/src/fleet_news.rs
+++ b/lib/src/fleet_news.rs
@@ -196,7 +196,8 @@
 
     /// Records that a request found a different server at the address than the expected one, which has ended. If its
     /// scout has reported it a moment ago, the other server has the same service and replaces it at once; otherwise the
-    /// address may belong to another service by now, which the list tells or the scout.
+    /// address may belong to another service by now, which the list tells or the scout. An engine that its scout has just
+    /// announced names itself first by such an answer.
     pub fn record_mismatch(&mut self, now: Time, key: ServerKey, other: &Name) {
         let Some(server) = self.servers.get(key) else {
             return;
@@ -207,7 +208,7 @@
         }
         self.incarnations.record_observed(other);
         let is_unlisted = !self.ids.contains_key(other) && !self.bindings.is_bound(other);
-        if is_unlisted && self.has_live_scout(now, key) {
+        if is_unlisted && (self.has_live_scout(now, key) || self.was_just_announced(now, key)) {
             let service = server.record.service.clone();
             self.bindings.bind(now, other, &service);
             self.replace(now, key, other);
@@ -216,6 +217,13 @@
         }
     }
 
+    /// Whether an engine without a known identifier was announced a moment ago.
+    fn was_just_announced(&self, now: Time, key: ServerKey) -> bool {
+        let server = &self.servers[key];
+        let announced = server.observed_since.filter(|_| is_placeholder(server));
+        announced.is_some_and(|at| now.since(at) < SCOUT_TIMEOUT)
+    }
+
     /// Ends all listed servers at the address but the one with the identifier; returns whether there was one.
     fn end_others_at(&mut self, now: Time, address: SocketAddr, id: &Name) -> bool {
         let at_address = self.addresses.get(&address).into_iter().flatten();
@@ -288,6 +296,11 @@
     }
 }
 
+/// Whether only its scout has announced the server, so that its identifier is not known.
+fn is_placeholder(server: &Server) -> bool {
+    server.record.id.as_str().starts_with(UNLISTED_PREFIX)
+}
+
 /// The record of an engine that is not in the list.
 fn unlisted_record(id: Name, engine: &EngineLocation) -> ServerRecord {
     ServerRecord {
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -529,6 +529,25 @@
     assert!(fleet.record(previous).is_none());
 }
 
+/// Guards against an announced engine that is taken for another server when it first names itself, before its scout's
+/// first report, and is not used for seconds.
+#[test]
+fn an_announced_engine_that_names_itself_stays_in_use() {
+    let mut fleet = fleet("a");
+    fleet.replace_servers(millis(0), &[]);
+    assert!(fleet.add_announced(millis(1_000), &here(0, "a")));
+    let announced = fleet.key_at(address(0)).unwrap();
+    fleet.record_mismatch(millis(1_010), announced, &Name::new("i-0"));
+    let named = fleet.key_at(address(0)).unwrap();
+    assert_eq!(fleet.record(named).unwrap().id.as_str(), "i-0");
+    assert!(fleet.is_confirmed(named));
+    // Later its address may have gone to another service.
+    assert!(fleet.add_announced(millis(2_000), &here(1, "a")));
+    let announced = fleet.key_at(address(1)).unwrap();
+    fleet.record_mismatch(millis(3_300), announced, &Name::new("i-1"));
+    assert_eq!(fleet.key_at(address(1)), None);
+}
+
 /// Guards against an answer that passes for that of a server which a later incarnation has replaced, and against one that
 /// does not because a former incarnation is still listed.
 #[test]
